--- /dev/null
+++ b/src/fulmarquay-control/ControlServer.cpp
@@ -0,0 +1,263 @@
+#include <utility>
+
+#include "ControlServer.h"
+
+#include "fulmarquay/core/Clock.h"
+#include "fulmarquay/core/Digest.h"
+#include "fulmarquay/core/Settings.h"
+
+#include <boost/asio/post.hpp>
+#include <csignal>
+
+namespace fulmarquay {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTick(20);
+constexpr int kTicksPerReconnect = 10;
+/// Time for the leadership transfer before the process ends.
+constexpr std::chrono::milliseconds kStopDelay(600);
+
+std::map<std::string, Endpoint>
+ReplicaAddresses(const Settings& aSettings)
+{
+  std::map<std::string, Endpoint> addresses;
+  for (const std::string& vm : aSettings.Names("replica")) {
+    addresses[vm] = aSettings.Address("replica." + vm, "address");
+  }
+  return addresses;
+}
+
+Member
+SelfMember(const Settings& aSettings, ReplicaId aId)
+{
+  Member self;
+  self.m_id = aId;
+  self.m_vm = aSettings.Text("control", "vm");
+  self.m_address = aSettings.Text("control", "listen");
+  return self;
+}
+
+} // namespace
+
+void
+Bootstrap(const Settings& aSettings)
+{
+  const auto folder = OpenDiskFolder(aSettings.Text("control", "data_folder"));
+  if (LogStore::IsFormatted(*folder)) {
+    throw Error("bootstrap",
+                aSettings.Text("control", "data_folder"),
+                "the folder is in use already");
+  }
+  Snapshot first;
+  for (const auto& [vm, address] : ReplicaAddresses(aSettings)) {
+    const ReplicaId id(Checksum64(vm));
+    first.m_membership.m_voters.push_back({ id, vm, address.ToString() });
+  }
+  DiskIdentity identity;
+  identity.m_vm = aSettings.Text("control", "vm");
+  identity.m_replica = ReplicaId(Checksum64(identity.m_vm));
+  LogStore::Format(*folder, identity, first);
+  WriteLog(LogEvent::DiskFormatted,
+           { { "replica", HexOf(identity.m_replica.Value()) } });
+}
+
+ControlServer::ControlServer(const Settings& aSettings)
+  : m_ticker(m_context)
+  , m_stopper(m_context)
+  , m_signals(m_context, SIGTERM, SIGINT)
+  , m_hub(m_context, *this)
+  , m_peers(m_hub, aSettings.Text("control", "vm"), ReplicaAddresses(aSettings))
+{
+  OpenDisk(aSettings);
+  StartNode(aSettings);
+  m_hub.Listen(aSettings.Address("control", "listen"));
+  m_disk = std::make_unique<DiskWriter>(
+    *m_store, [this](const DiskWriter::Job& aJob) { OnDiskDone(aJob); });
+}
+
+void
+ControlServer::OpenDisk(const Settings& aSettings)
+{
+  m_folder = OpenDiskFolder(aSettings.Text("control", "data_folder"));
+  if (!LogStore::IsFormatted(*m_folder)) {
+    // Not the voter that this VM may have been: it joins under a new id.
+    DiskIdentity identity;
+    identity.m_vm = aSettings.Text("control", "vm");
+    identity.m_replica = ReplicaId(RandomNumber());
+    LogStore::Format(*m_folder, identity, Snapshot());
+    WriteLog(LogEvent::ReplicaJoining,
+             { { "replica", HexOf(identity.m_replica.Value()) } });
+  }
+  m_store = std::make_unique<LogStore>(*m_folder);
+  const RecoveryReport& report = m_store->Report();
+  WriteLog(LogEvent::DiskRecovered,
+           { { "bytes", std::to_string(report.m_bytesRead) },
+             { "records", std::to_string(report.m_records) },
+             { "torn_bytes", std::to_string(report.m_tornBytes) } });
+}
+
+void
+ControlServer::StartNode(const Settings& aSettings)
+{
+  ControlOptions options;
+  options.m_replica.m_self =
+    SelfMember(aSettings, m_store->Identity().m_replica);
+  options.m_replica.m_timing.m_election =
+    aSettings.Time("control", "election_timeout");
+  options.m_replica.m_timing.m_heartbeat =
+    aSettings.Time("control", "heartbeat");
+  options.m_replica.m_seed = RandomNumber();
+  options.m_entryLease = aSettings.Time("control", "entry_lease");
+  options.m_snapshotEntries = static_cast<std::uint64_t>(
+    aSettings.Integer("control", "snapshot_entries"));
+  m_node = std::make_unique<ControlNode>(
+    std::move(options), m_store->TakeRecovered(), MonotonicNow());
+}
+
+void
+ControlServer::Run()
+{
+  WriteLog(LogEvent::ProcessStarted);
+  m_signals.async_wait([this](const boost::system::error_code& aError, int) {
+    if (!aError) {
+      Stop();
+    }
+  });
+  m_peers.Learn(m_node->Consensus().Members());
+  m_peers.Reconnect();
+  Tick();
+  m_context.run();
+  m_disk.reset();
+}
+
+void
+ControlServer::Tick()
+{
+  m_ticker.expires_after(kTick);
+  m_ticker.async_wait([this](const boost::system::error_code& aError) {
+    if (aError) {
+      return;
+    }
+    if (++m_ticks % kTicksPerReconnect == 0) {
+      m_peers.Reconnect();
+    }
+    Feed(ReplicaEvent(ReplicaTick{}));
+    Tick();
+  });
+}
+
+void
+ControlServer::Stop()
+{
+  WriteLog(LogEvent::ProcessStopping);
+  Feed(ReplicaEvent(TransferLeadership{}));
+  m_stopper.expires_after(kStopDelay);
+  m_stopper.async_wait(
+    [this](const boost::system::error_code&) { m_context.stop(); });
+}
+
+void
+ControlServer::Feed(const ControlEvent& aEvent)
+{
+  ControlEffects effects = m_node->Reduce(MonotonicNow(), WallNow(), aEvent);
+  if (m_known != m_node->Consensus().Members()) {
+    m_known = m_node->Consensus().Members();
+    m_peers.Learn(m_known);
+    m_peers.Reconnect();
+  }
+  for (ControlEffect& effect : effects) {
+    std::visit([this](auto&& aBody) { Carry(std::move(aBody)); },
+               std::move(effect));
+  }
+}
+
+void
+ControlServer::Carry(SendConsensus aEffect)
+{
+  const Frame frame{ Channel::Consensus, PackConsensus(aEffect.m_message) };
+  if (aEffect.m_message.m_to == ReplicaId(0)) {
+    m_peers.SendToAll(frame);
+  } else {
+    m_peers.Send(aEffect.m_message.m_to, frame);
+  }
+}
+
+void
+ControlServer::Carry(PersistBatch aEffect)
+{
+  m_disk->Queue(std::move(aEffect));
+}
+
+void
+ControlServer::Carry(PersistSnapshot aEffect)
+{
+  m_disk->Queue(std::move(aEffect));
+}
+
+void
+ControlServer::Carry(SaveSnapshot aEffect)
+{
+  m_disk->Queue(std::move(aEffect.m_snapshot));
+}
+
+void
+ControlServer::Carry(SendControl aEffect)
+{
+  m_hub.Send(aEffect.m_connection,
+             { Channel::Control, PackMessage(aEffect.m_message) });
+}
+
+void
+ControlServer::Carry(LogLine aEffect)
+{
+  std::vector<LogField> fields;
+  for (const auto& [name, value] : aEffect.m_fields) {
+    fields.push_back({ name, value });
+  }
+  WriteLog(aEffect.m_event, fields);
+}
+
+void
+ControlServer::OnDiskDone(const DiskWriter::Job& aJob)
+{
+  ReplicaEvent event;
+  if (const auto* batch = std::get_if<PersistBatch>(&aJob)) {
+    event = DiskSynced{ batch->m_number };
+  } else if (const auto* install = std::get_if<PersistSnapshot>(&aJob)) {
+    event = DiskSynced{ install->m_number };
+  } else {
+    event = SnapshotSaved{ std::get<Snapshot>(aJob) };
+    WriteLog(LogEvent::SnapshotSaved);
+  }
+  boost::asio::post(m_context, [this, event] { Feed(event); });
+}
+
+void
+ControlServer::OnConnected(ConnectionId)
+{
+}
+
+void
+ControlServer::OnFrame(ConnectionId aConnection, Frame aFrame)
+{
+  if (aFrame.m_channel == Channel::Consensus) {
+    ConsensusMessage message = UnpackConsensus(aFrame.m_body);
+    m_peers.Heard(message.m_from, aConnection);
+    Feed(ReplicaEvent(ConsensusReceived{ std::move(message) }));
+  } else if (aFrame.m_channel == Channel::Control) {
+    Feed(ControlReceived{ aConnection,
+                          UnpackMessage<ControlMessage>(aFrame.m_body) });
+  } else if (aFrame.m_channel == Channel::Admin) {
+    m_hub.Send(aConnection, { Channel::Admin, m_node->Dump(MonotonicNow()) });
+  }
+}
+
+void
+ControlServer::OnClosed(ConnectionId aConnection)
+{
+  m_peers.OnClosed(aConnection);
+  Feed(ControlClosed{ aConnection });
+}
+
+} // namespace fulmarquay
--- /dev/null
+++ b/src/fulmarquay-load/fulmarquay-load.cpp
@@ -0,0 +1,212 @@
+#include <utility>
+
+#include "Caller.h"
+#include "Conversation.h"
+
+#include "fulmarquay/core/CommandLine.h"
+#include "fulmarquay/core/Error.h"
+#include "fulmarquay/core/Settings.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <iostream>
+#include <list>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+using namespace fulmarquay;
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+CommandSpec
+MakeSpec()
+{
+  CommandSpec spec;
+  spec.m_program = "fulmarquay-load";
+  spec.m_summary = "callers' load, single calls and experiments";
+  spec.m_positionals = "COMMAND [ARG ...]";
+  spec.m_options = {
+    { "entry", "HTTP listener of an entry or upstream, IP:PORT", true, "" },
+    { "key", "bearer key", true, "" },
+    { "model", "model name", true, "m" },
+    { "conversation", "name of the conversation", true, "c1" },
+    { "seed", "seed of made-up text", true, "1" },
+    { "turns", "prompt: turns of the conversation", true, "1" },
+    { "tokens", "prompt: tokens of each user message", true, "4096" },
+    { "later-tokens",
+      "prompt: tokens of user messages after the first; default: --tokens",
+      true,
+      "" },
+    { "max-tokens", "prompt: tokens of each answer", true, "16" },
+    { "pause",
+      "prompt: between turns, and before each `--between`",
+      true,
+      "0ms" },
+    { "between",
+      "prompt: POST this target at --fault between turns",
+      true,
+      "" },
+    { "fault", "prompt: address for --between", true, "" },
+    { "idempotency-key", "post: the Idempotency-Key", true, "" },
+    { "body", "post: the body", true, "{}" },
+  };
+  spec.m_details =
+    "Commands:\n"
+    "  prompt           run a conversation; one JSON line for each turn\n"
+    "  post TARGET      one POST; prints a JSON line\n"
+    "  get TARGET       one GET; prints the body\n"
+    "  free-ports N     N free ports of 127.0.0.1\n"
+    "\nExamples:\n"
+    "  fulmarquay-load prompt --entry 127.0.0.1:8080 --key k --turns 2\n"
+    "  fulmarquay-load post /v1/services/till/deposit --entry 127.0.0.1:8080 "
+    "--key k --idempotency-key d1\n";
+  return spec;
+}
+
+Endpoint
+EntryOf(const CommandLine& aLine)
+{
+  return Endpoint::Parse(aLine.Value("entry"));
+}
+
+Json
+RenderTurn(const Exchange& aExchange, const TurnResult& aTurn)
+{
+  return { { "status", aTurn.m_status },
+           { "whole", aTurn.m_isWhole },
+           { "own", aTurn.m_isOwn },
+           { "first_token_ms",
+             static_cast<double>(aExchange.m_firstData.count()) / 1000 },
+           { "total_ms",
+             static_cast<double>(aExchange.m_total.count()) / 1000 },
+           { "prompt_tokens", aTurn.m_promptTokens },
+           { "cached_tokens", aTurn.m_cached },
+           { "imported_tokens", aTurn.m_imported },
+           { "recomputed_tokens", aTurn.m_recomputed } };
+}
+
+ExitCode
+RunPrompt(const CommandLine& aLine)
+{
+  Conversation conversation(aLine.Value("conversation"),
+                            aLine.Value("model"),
+                            std::stoull(aLine.Value("seed")));
+  const int turns = std::stoi(aLine.Value("turns"));
+  const Duration pause = ParseDuration(aLine.Value("pause"));
+  const std::string first = aLine.Value("tokens");
+  const std::string later =
+    aLine.Has("later-tokens") ? aLine.Value("later-tokens") : first;
+  bool isGood = true;
+  for (int i = 0; i < turns; ++i) {
+    if (i > 0) {
+      std::this_thread::sleep_for(pause);
+      if (!aLine.Value("between").empty()) {
+        HttpRequest fault;
+        fault.m_method = "POST";
+        fault.m_target = aLine.Value("between");
+        CallOnce(Endpoint::Parse(aLine.Value("fault")), std::move(fault));
+        std::this_thread::sleep_for(pause);
+      }
+    }
+    const Exchange exchange =
+      CallOnce(EntryOf(aLine),
+               conversation.NextTurn(aLine.Value("key"),
+                                     std::stoll(i == 0 ? first : later),
+                                     static_cast<std::uint32_t>(
+                                       std::stoul(aLine.Value("max-tokens")))));
+    const TurnResult turn = conversation.TakeAnswer(exchange.m_response);
+    Json line = RenderTurn(exchange, turn);
+    if (turn.m_status != 200) {
+      line["body"] = exchange.m_response.m_body;
+    }
+    std::cout << line.dump() << "\n";
+    isGood = isGood && turn.m_isWhole && turn.m_isOwn;
+  }
+  return isGood ? ExitCode::Ok : ExitCode::Failed;
+}
+
+ExitCode
+RunExchange(const CommandLine& aLine, const std::string& aMethod)
+{
+  HttpRequest request;
+  request.m_method = aMethod;
+  request.m_target = aLine.Positionals().at(1);
+  request.m_headers = CallerHeaders(aLine.Value("key"));
+  const std::string key = aLine.Value("idempotency-key");
+  if (!key.empty()) {
+    request.m_headers.push_back({ "Idempotency-Key", key });
+  }
+  if (aMethod == "POST") {
+    request.m_body = aLine.Value("body");
+  }
+  const Exchange exchange = CallOnce(EntryOf(aLine), std::move(request));
+  if (aMethod == "GET") {
+    std::cout << exchange.m_response.m_body;
+  } else {
+    const auto& headers = exchange.m_response.m_headers;
+    std::cout << Json{
+      { "status", exchange.m_response.m_status },
+      { "earlier", !FindHeader(headers, "Fulmarquay-Outcome").empty() },
+      { "retry_after", FindHeader(headers, "Retry-After") },
+      { "body", exchange.m_response.m_body }
+    }.dump() << "\n";
+  }
+  const bool isWhole = exchange.m_end == CallEnd::Whole;
+  return isWhole && exchange.m_response.m_status == 200 ? ExitCode::Ok
+                                                        : ExitCode::Failed;
+}
+
+ExitCode
+RunFreePorts(const CommandLine& aLine)
+{
+  using boost::asio::ip::tcp;
+  const int count = std::stoi(aLine.Positionals().at(1));
+  boost::asio::io_context context;
+  std::list<tcp::acceptor> held;
+  for (int i = 0; i < count; ++i) {
+    held.emplace_back(
+      context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    std::cout << held.back().local_endpoint().port() << "\n";
+  }
+  return ExitCode::Ok;
+}
+
+ExitCode
+RunCommand(const CommandLine& aLine)
+{
+  const auto& words = aLine.Positionals();
+  const std::string command = words.empty() ? "" : words.front();
+  if (command == "prompt") {
+    return RunPrompt(aLine);
+  }
+  if (command == "post" && words.size() == 2) {
+    return RunExchange(aLine, "POST");
+  }
+  if (command == "get" && words.size() == 2) {
+    return RunExchange(aLine, "GET");
+  }
+  if (command == "free-ports" && words.size() == 2) {
+    return RunFreePorts(aLine);
+  }
+  std::cerr << "fulmarquay-load: wrong command; see --help\n";
+  return ExitCode::Usage;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aWords)
+{
+  const CommandLine line(aCount, aWords, MakeSpec());
+  if (line.ShouldExit()) {
+    return line.ExitStatus();
+  }
+  try {
+    return static_cast<int>(RunCommand(line));
+  } catch (const std::exception& e) {
+    std::cerr << "fulmarquay-load: " << e.what() << "\n";
+    return static_cast<int>(ExitCode::Failed);
+  }
+}
--- /dev/null
+++ b/src/include/fulmarquay/control/ControlNode.h
@@ -0,0 +1,187 @@
+#ifndef FULMARQUAY_CONTROL_CONTROLNODE_H
+#define FULMARQUAY_CONTROL_CONTROLNODE_H
+
+#include "fulmarquay/consensus/Replica.h"
+#include "fulmarquay/control/ControlMessages.h"
+#include "fulmarquay/control/ControlState.h"
+#include "fulmarquay/core/LogEvent.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace fulmarquay {
+
+/// A message came from an entry or an operator.
+struct ControlReceived
+{
+  ConnectionId m_connection;
+  ControlMessage m_message;
+};
+
+/// A connection of an entry or an operator is gone.
+struct ControlClosed
+{
+  ConnectionId m_connection;
+};
+
+using ControlEvent = std::variant<ReplicaEvent, ControlReceived, ControlClosed>;
+
+/// Send a message to an entry or an operator.
+struct SendControl
+{
+  ConnectionId m_connection;
+  ControlMessage m_message;
+};
+
+/// Save the state machine; then report SnapshotSaved.
+struct SaveSnapshot
+{
+  Snapshot m_snapshot;
+};
+
+/// Write a log event.
+struct LogLine
+{
+  LogEvent m_event;
+  std::vector<std::pair<std::string, std::string>> m_fields;
+};
+
+using ControlEffect = std::variant<SendConsensus,
+                                   PersistBatch,
+                                   PersistSnapshot,
+                                   SaveSnapshot,
+                                   SendControl,
+                                   LogLine>;
+using ControlEffects = std::vector<ControlEffect>;
+
+/// How a control node behaves.
+struct ControlOptions
+{
+  ReplicaOptions m_replica;
+  Duration m_entryLease = Duration(5'000'000);
+  /// Applied entries between two snapshots.
+  std::uint64_t m_snapshotEntries = 20'000;
+};
+
+/// The reducer of fulmarquay-control: a replica, the state machine over its
+/// log, and what the leader does for entries and operators.
+///
+/// Pure like Replica. Not thread-safe.
+class ControlNode
+{
+public:
+  ControlNode(ControlOptions aOptions, RecoveredState aState, TimePoint aNow);
+
+  /// Takes one event; returns effects in the order to carry them out.
+  /// `aWall` is used for retention only.
+  ControlEffects Reduce(TimePoint aNow,
+                        WallTime aWall,
+                        const ControlEvent& aEvent);
+
+  const Replica& Consensus() const { return *m_replica; }
+  const ControlState& State() const { return m_state; }
+
+  /// The state as JSON, bounded in size, without secrets.
+  std::string Dump(TimePoint aNow) const;
+
+private:
+  /// What the leader knows of an entry.
+  struct EntrySession
+  {
+    EntryHeartbeat m_last;
+    ConnectionId m_connection;
+    TimePoint m_heard;
+    Revision m_pushed;
+    TimePoint m_pushedAt;
+  };
+
+  struct Pending
+  {
+    Term m_term;
+    ConnectionId m_connection;
+    RequestId m_request;
+  };
+
+  struct Waiter
+  {
+    ConnectionId m_connection;
+    RequestId m_request;
+  };
+
+  void On(const ReplicaEvent& aEvent);
+  void On(const ControlReceived& aEvent);
+  void On(const ControlClosed& aEvent);
+
+  void OnMessage(ConnectionId aFrom, const EntryHeartbeat& aMessage);
+  void OnMessage(ConnectionId aFrom, const BeginOnceRequest& aMessage);
+  void OnMessage(ConnectionId aFrom, const FinishOnceRequest& aMessage);
+  void OnMessage(ConnectionId aFrom, const SubmitRequest& aMessage);
+  void OnMessage(ConnectionId aFrom, const StatusRequest& aMessage);
+  template<typename Other>
+  void OnMessage(ConnectionId aFrom, const Other& aMessage);
+
+  void Carry(ReplicaEffects aEffects);
+  void Carry(SendConsensus aEffect) { Emit(std::move(aEffect)); }
+  void Carry(PersistBatch aEffect) { Emit(std::move(aEffect)); }
+  void Carry(PersistSnapshot aEffect) { Emit(std::move(aEffect)); }
+  void Carry(const ApplyEntry& aEffect);
+  void Carry(const RestoreMachine& aEffect);
+  void Carry(const ProposalAppended& aEffect);
+  void Carry(const ProposalRefused& aEffect);
+  void Carry(const LeadershipChanged& aEffect);
+
+  void Propose(ConnectionId aFrom,
+               RequestId aRequest,
+               const ControlCommand& aCommand);
+  void ProposeOwn(const ControlCommand& aCommand);
+  void AnswerPending(const LogEntry& aEntry, const ControlResult& aResult);
+  void AnswerResult(const Pending& aPending, const ControlResult& aResult);
+  void AddWaiter(const OnceKey& aKey, const Waiter& aWaiter);
+  void AnswerWaiters(const OnceKey& aKey);
+  void ProbeOwner(const OnceKey& aKey);
+  void RefuseAll();
+  void Refuse(ConnectionId aTo, RequestId aRequest);
+  void ReviewEntries();
+  void ReviewRetention();
+  void Push(EntrySession& aSession);
+  void PushAll();
+  HeartbeatReply MakeHeartbeatReply(const EntryHeartbeat& aEntry) const;
+  bool IsRunningLost(const VmId& aVm, BootId aBoot) const;
+  bool IsLive(const EntrySession& aSession) const;
+  void MaybeSnapshot();
+  std::string LeaderAddress() const;
+  StatusReply MakeStatus(RequestId aRequest) const;
+  std::vector<ReplicaStatus> ReplicaList() const;
+
+  template<typename Effect>
+  void Emit(Effect aEffect)
+  {
+    m_effects.emplace_back(std::move(aEffect));
+  }
+
+  ControlOptions m_options;
+  std::unique_ptr<Replica> m_replica;
+  ControlState m_state;
+  TimePoint m_now;
+  WallTime m_wall;
+  ControlEffects m_effects;
+
+  std::map<RequestId, Pending> m_proposing;
+  std::map<LogIndex, Pending> m_pending;
+  std::map<OnceKey, std::vector<Waiter>> m_waiters;
+  std::map<VmId, EntrySession> m_entries;
+  std::map<VmId, BootId> m_losing; ///< LoseEntry proposed and not applied
+  std::uint64_t m_nextProposal = 1;
+  TimePoint m_leadingSince;
+  TimePoint m_nextReview;
+  TimePoint m_nextPrune;
+  std::uint64_t m_appliedSinceSnapshot = 0;
+  bool m_isSavingSnapshot = false;
+};
+
+} // namespace fulmarquay
+
+#endif
--- /dev/null
+++ b/src/include/fulmarquay/control/ControlState.h
@@ -0,0 +1,44 @@
+#ifndef FULMARQUAY_CONTROL_CONTROLSTATE_H
+#define FULMARQUAY_CONTROL_CONTROLSTATE_H
+
+#include "fulmarquay/control/ConfigTable.h"
+#include "fulmarquay/control/OnceTable.h"
+
+#include <string>
+#include <string_view>
+
+namespace fulmarquay {
+
+/// The state machine over the replicated log. Deterministic: every replica
+/// that applies the same commands has the same state.
+class ControlState
+{
+public:
+  ControlResult Apply(const ControlCommand& aCommand);
+
+  /// The whole state, for a snapshot.
+  std::string Encode() const;
+
+  /// Replaces the state. Throws Error on malformed input.
+  void Decode(std::string_view aBytes);
+
+  const OnceTable& Once() const { return m_once; }
+  const ConfigTable& Config() const { return m_config; }
+  std::uint64_t LastOrder() const { return m_lastOrder; }
+
+private:
+  ControlResult On(const SubmitCommand& aCommand);
+  ControlResult On(const BeginOnceCommand& aCommand);
+  ControlResult On(const FinishOnceCommand& aCommand);
+  ControlResult On(const LoseEntryCommand& aCommand);
+  ControlResult On(const PruneOnceCommand& aCommand);
+  ControlResult On(const IssueOrderCommand& aCommand);
+
+  OnceTable m_once;
+  ConfigTable m_config;
+  std::uint64_t m_lastOrder = 0;
+};
+
+} // namespace fulmarquay
+
+#endif
--- /dev/null
+++ b/src/include/fulmarquay/core/LogEvent.h
@@ -0,0 +1,77 @@
+#ifndef FULMARQUAY_CORE_LOGEVENT_H
+#define FULMARQUAY_CORE_LOGEVENT_H
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fulmarquay {
+
+/// The numbered events of all programs. Numbers are never reused.
+enum class LogEvent
+{
+  ProcessStarted = 1001,
+  ProcessStopping = 1002,
+  ProcessFailed = 1003,
+  ListenFailed = 1004,
+  PeerConnected = 1101,
+  PeerLost = 1102,
+  BadFrame = 1103,
+  BecameLeader = 2001,
+  LostLeadership = 2002,
+  DiskFormatted = 2003,
+  DiskRecovered = 2004,
+  DiskFull = 2005,
+  DiskFailed = 2006,
+  SnapshotSaved = 2007,
+  ReplicaJoining = 2008,
+  ConfigurationAccepted = 2101,
+  ConfigurationInForce = 2102,
+  EntryLost = 2201,
+  OrderIssued = 2301,
+  UpstreamFailed = 3001,
+  UpstreamLeaving = 3002,
+  AnswerMismatch = 3003,
+  OutcomeUnknown = 3101,
+  OutcomePending = 3102,
+  DrainStarted = 3201,
+  DrainFinished = 3202,
+};
+
+/// One line of docs/LOG-EVENTS.md.
+struct LogEventInfo
+{
+  LogEvent m_event;
+  std::string_view m_name;
+  std::string_view m_level; ///< info, warning or error
+  std::string_view m_cause;
+  std::string_view m_action; ///< what an operator does
+};
+
+/// The catalogue of every LogEvent, by number.
+const std::vector<LogEventInfo>&
+LogCatalogue();
+
+/// The catalogue as the page docs/LOG-EVENTS.md.
+std::string
+RenderLogPage();
+
+/// A named value of a log line. Never prompt text, keys or secrets.
+struct LogField
+{
+  std::string_view m_name;
+  std::string m_value;
+};
+
+/// Sets up the log of this process: `text` (key=value) or `json` lines on
+/// standard error. Call once, before the first WriteLog.
+void
+StartLog(const std::string& aProgram, const std::string& aFormat);
+
+/// Writes one event. Thread-safe.
+void
+WriteLog(LogEvent aEvent, const std::vector<LogField>& aFields = {});
+
+} // namespace fulmarquay
+
+#endif
--- /dev/null
+++ b/src/include/fulmarquay/core/StrongId.h
@@ -0,0 +1,90 @@
+#ifndef FULMARQUAY_CORE_STRONGID_H
+#define FULMARQUAY_CORE_STRONGID_H
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace fulmarquay {
+
+/// An identifier that can't be mixed up with identifiers of another kind.
+///
+/// `Tag` names the kind; `Rep` is the stored representation, an unsigned
+/// integer or a string. Ids compare and hash like their representation and
+/// travel over msgpack as it. Value semantics; safe to copy between threads.
+template<typename Tag, typename Rep = std::uint64_t>
+class StrongId
+{
+public:
+  using RepType = Rep;
+
+  StrongId() = default;
+  explicit StrongId(Rep aValue)
+    : m_value(std::move(aValue))
+  {
+  }
+
+  /// The raw representation, for output and encoding.
+  const Rep& Value() const { return m_value; }
+
+  auto operator<=>(const StrongId&) const = default;
+
+  /// Codec hook: packs the representation alone.
+  template<typename Packer>
+  void msgpack_pack(Packer& aPacker) const
+  {
+    aPacker.pack(m_value);
+  }
+
+  /// Codec hook: reads the representation; throws on a type mismatch.
+  template<typename Object>
+  void msgpack_unpack(Object aObject)
+  {
+    const Rep value = aObject;
+    m_value = value;
+  }
+
+private:
+  Rep m_value{};
+};
+
+/// The client account that owns a request, from its bearer key.
+using AccountId = StrongId<struct AccountTag, std::string>;
+/// A VM of the system or of an upstream, by its name in the settings.
+using VmId = StrongId<struct VmTag, std::string>;
+/// A data centre, by its name in the settings.
+using DataCentreId = StrongId<struct DataCentreTag, std::string>;
+/// A model engine, by its name in the configuration.
+using EngineId = StrongId<struct EngineTag, std::string>;
+/// A KV cache store VM, by its name in the configuration.
+using StoreId = StrongId<struct StoreTag, std::string>;
+/// A plain service, by its name in the configuration.
+using ServiceId = StrongId<struct ServiceTag, std::string>;
+/// One start of one process; a restart gets another.
+using BootId = StrongId<struct BootTag>;
+/// One caller's request inside one entry process.
+using CallerId = StrongId<struct CallerTag>;
+/// One call from an entry to an upstream.
+using CallId = StrongId<struct CallTag>;
+/// One framed connection of this process.
+using ConnectionId = StrongId<struct ConnectionTag>;
+/// An accepted configuration; 0 before the first one.
+using Revision = StrongId<struct RevisionTag>;
+/// A request to the control group, unique within one connection.
+using RequestId = StrongId<struct RequestTag>;
+
+} // namespace fulmarquay
+
+template<typename Tag, typename Rep>
+struct std::hash<fulmarquay::StrongId<Tag, Rep>>
+{
+  std::size_t operator()(const fulmarquay::StrongId<Tag, Rep>& aId) const
+  {
+    return std::hash<Rep>()(aId.Value());
+  }
+};
+
+#endif
--- /dev/null
+++ b/src/include/fulmarquay/serve/ChatFlow.h
@@ -0,0 +1,117 @@
+#ifndef FULMARQUAY_SERVE_CHATFLOW_H
+#define FULMARQUAY_SERVE_CHATFLOW_H
+
+#include "fulmarquay/cache/RestorePlanner.h"
+#include "fulmarquay/platform/EngineProtocol.h"
+#include "fulmarquay/route/RetryBudget.h"
+#include "fulmarquay/serve/CacheFlow.h"
+#include "fulmarquay/serve/ChatRequest.h"
+#include "fulmarquay/serve/EngineWatch.h"
+#include "fulmarquay/serve/WriteBack.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace fulmarquay {
+
+/// How prompts are served.
+struct ChatOptions
+{
+  Duration m_firstTokenDeadline = Duration(10'000'000);
+  int m_attempts = 3;
+};
+
+/// Runs prompts: finds cached blocks, plans, calls an engine, streams its
+/// tokens, continues elsewhere when a stream breaks.
+class ChatFlow : public CallSink
+{
+public:
+  ChatFlow(EntryContext& aContext,
+           const ConfigHolder& aConfig,
+           CacheFlow& aCache,
+           EngineWatch& aEngines,
+           const EngineProtocol& aProtocol,
+           WriteBack& aWriteBack,
+           ChatOptions aOptions);
+  ~ChatFlow() override;
+
+  /// A caller's prompt, authenticated and within its account's limit.
+  void Start(CallerId aCaller, const AccountId& aAccount, ChatRequest aRequest);
+
+  void OnGone(CallerId aCaller);
+
+  void OnHead(CallId aCall, const HttpResponse& aHead) override;
+  void OnData(CallId aCall, const std::string& aData) override;
+  void OnEnd(CallId aCall, CallEnd aEnd, const std::string& aWhy) override;
+
+  std::size_t Running() const { return m_runs.size(); }
+
+private:
+  struct Run
+  {
+    CallerId m_caller;
+    AccountId m_account;
+    ChatRequest m_request;
+    ModelConfig m_model;
+    std::string m_id;
+    std::vector<BlockKey> m_keys;
+    ChainReply m_places;
+    TimePoint m_started;
+    TimePoint m_lastToken;
+    bool m_hasStream = false; ///< the caller's answer has begun
+    EngineId m_engine;
+    std::optional<EngineId> m_avoid; ///< failed in the last attempt
+    CallId m_call;
+    std::uint32_t m_attempt = 0;
+    int m_status = 0;
+    std::unique_ptr<EngineStream> m_stream;
+    std::uint32_t m_sent = 0; ///< tokens that the caller got
+    std::string m_text;
+    std::optional<EngineEnd> m_end;
+    bool m_isMalformed = false;
+    bool m_mayHaveRun = false;
+  };
+
+  Run* Find(CallerId aCaller);
+  Run* FindByCall(CallId aCall);
+  void OnPlaces(CallerId aCaller, const ChainReply& aReply);
+  void Plan(Run& aRun);
+  RestoreQuestion MakeQuestion(const Run& aRun,
+                               const std::vector<EngineId>& aEngines) const;
+  std::vector<EngineId> HintedEngines(const Run& aRun) const;
+  std::size_t CachedPieces(const Run& aRun, const EngineId& aEngine) const;
+  StoreId ImportStore(const Run& aRun) const;
+  void RefuseOverload(Run& aRun, Duration aWait);
+  void AskForLink(Run& aRun, const EngineId& aEngine, const RestorePlan& aPlan);
+  void StartAttempt(Run& aRun,
+                    const EngineId& aEngine,
+                    const RestorePlan& aPlan,
+                    const LinkReply& aLink);
+  void OnToken(Run& aRun, const EngineToken& aToken);
+  void OnPart(Run& aRun, const EngineEnd& aEnd);
+  void FinishWhole(Run& aRun);
+  void FinishBroken(Run& aRun, AttemptResult aResult);
+  void GiveUp(Run& aRun);
+  void Release(Run& aRun);
+  void SendToken(Run& aRun, const std::string& aText);
+  void SendEnd(Run& aRun);
+  void CountMismatch(const Run& aRun);
+
+  EntryContext& m_context;
+  const ConfigHolder& m_config;
+  CacheFlow& m_cache;
+  EngineWatch& m_engines;
+  const EngineProtocol& m_protocol;
+  WriteBack& m_writeBack;
+  ChatOptions m_options;
+  CostPolicy m_policy;
+  RetryBudget m_retries;
+  std::map<CallerId, std::unique_ptr<Run>> m_runs;
+  std::map<CallId, CallerId> m_byCall;
+};
+
+} // namespace fulmarquay
+
+#endif
--- /dev/null
+++ b/src/include/fulmarquay/serve/EntryContext.h
@@ -0,0 +1,97 @@
+#ifndef FULMARQUAY_SERVE_ENTRYCONTEXT_H
+#define FULMARQUAY_SERVE_ENTRYCONTEXT_H
+
+#include "fulmarquay/core/Metrics.h"
+#include "fulmarquay/serve/EntryEvents.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace fulmarquay {
+
+/// Takes the answer of a call that a part of the reducer started.
+class CallSink
+{
+public:
+  virtual ~CallSink() = default;
+  virtual void OnHead(CallId aCall, const HttpResponse& aHead) = 0;
+  virtual void OnData(CallId aCall, const std::string& aData) = 0;
+  virtual void OnEnd(CallId aCall, CallEnd aEnd, const std::string& aWhy) = 0;
+};
+
+/// Who this entry is.
+struct EntryIdentity
+{
+  VmId m_vm;
+  DataCentreId m_dataCentre;
+  BootId m_boot;
+  std::string m_address; ///< IP:PORT of its framed listener
+};
+
+/// Why a request is refused, for callers and metrics.
+struct Refusal
+{
+  int m_status = 503;
+  std::string m_outcome = "not_run"; ///< `not_run` or `unknown`
+  std::string m_step;
+  std::string m_reason;
+  Duration m_retryAfter; ///< 0: asking again does not help
+};
+
+/// What all parts of the entry's reducer share: time, identity, effects.
+class EntryContext
+{
+public:
+  EntryContext(EntryIdentity aIdentity, std::uint64_t aSeed);
+
+  /// Starts an event: sets the time and forgets earlier effects.
+  void Begin(TimePoint aNow);
+  EntryEffects TakeEffects();
+
+  TimePoint Now() const { return m_now; }
+  const EntryIdentity& Self() const { return m_self; }
+  Metrics& Counters() { return m_metrics; }
+  const Metrics& Counters() const { return m_metrics; }
+
+  template<typename Effect>
+  void Emit(Effect aEffect)
+  {
+    m_effects.emplace_back(std::move(aEffect));
+  }
+
+  void Log(LogEvent aEvent,
+           std::vector<std::pair<std::string, std::string>> aFields = {});
+
+  /// A number that no other part of this process gets.
+  std::uint64_t NextNumber() { return m_nextNumber++; }
+
+  /// A random number from the seeded generator.
+  std::uint64_t Random();
+
+  /// Starts a call whose answer goes to the sink.
+  CallId Call(HttpCall aCall, CallSink& aSink);
+  void Cancel(CallId aCall);
+
+  /// The sink of a running call; null for an ended one.
+  CallSink* SinkOf(CallId aCall) const;
+  void ForgetCall(CallId aCall) { m_sinks.erase(aCall); }
+
+  /// Answers a caller with a refusal, and counts it.
+  void Refuse(CallerId aCaller, const Refusal& aRefusal);
+
+private:
+  EntryIdentity m_self;
+  TimePoint m_now;
+  EntryEffects m_effects;
+  Metrics m_metrics;
+  std::uint64_t m_nextNumber = 1;
+  std::uint64_t m_randomState;
+  std::map<CallId, CallSink*> m_sinks;
+};
+
+} // namespace fulmarquay
+
+#endif
--- /dev/null
+++ b/src/libcache/Rendezvous.cpp
@@ -0,0 +1,24 @@
+#include "fulmarquay/cache/Rendezvous.h"
+
+#include "fulmarquay/core/Digest.h"
+
+namespace fulmarquay {
+
+VmId
+RendezvousOwner(const std::vector<VmId>& aVms, std::uint64_t aItem)
+{
+  VmId best;
+  std::uint64_t bestWeight = 0;
+  for (const VmId& vm : aVms) {
+    const std::uint64_t weight = Checksum64(vm.Value(), aItem);
+    const bool isBetter =
+      weight > bestWeight || (weight == bestWeight && vm > best);
+    if (best.Value().empty() || isBetter) {
+      best = vm;
+      bestWeight = weight;
+    }
+  }
+  return best;
+}
+
+} // namespace fulmarquay
--- /dev/null
+++ b/src/libconsensus/Replica.cpp
@@ -0,0 +1,211 @@
+#include "fulmarquay/consensus/Replica.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmarquay {
+
+Replica::Replica(ReplicaOptions aOptions, RecoveredState aState, TimePoint aNow)
+  : m_hard(aState.m_hard)
+  , m_options(std::move(aOptions))
+  , m_random(m_options.m_seed)
+  , m_now(aNow)
+  , m_leaderHeard(aNow)
+  , m_nextJoin(aNow)
+{
+  m_log = ReplicaLog(std::move(aState));
+  m_commit = m_log.Base().m_index;
+  m_applied = m_commit;
+  m_syncedIndex = m_log.LastIndex();
+  m_membership = m_log.MembershipAt(m_log.LastIndex());
+  ResetElectionTimer();
+}
+
+ReplicaEffects
+Replica::Reduce(TimePoint aNow, const ReplicaEvent& aEvent)
+{
+  m_now = aNow;
+  m_effects.clear();
+  std::visit([this](const auto& aBody) { On(aBody); }, aEvent);
+  ApplyCommitted();
+  return std::move(m_effects);
+}
+
+Duration
+Replica::LeaseLength() const
+{
+  const ReplicaTiming& timing = m_options.m_timing;
+  return timing.m_election * (1000 - timing.m_driftPerMille) / 1000;
+}
+
+bool
+Replica::HoldsLease(TimePoint aNow) const
+{
+  return m_role == ReplicaRole::Leader && !m_isTransferring &&
+         aNow < m_leaseEnd && m_applied >= m_termStart;
+}
+
+Snapshot
+Replica::MakeSnapshot(std::string aData) const
+{
+  Snapshot snapshot;
+  snapshot.m_index = m_applied;
+  snapshot.m_term = m_log.TermAt(m_applied);
+  snapshot.m_membership = m_log.MembershipAt(m_applied);
+  snapshot.m_data = std::move(aData);
+  return snapshot;
+}
+
+bool
+Replica::MayGrant(const VoteRequest& aRequest, ReplicaId aFrom) const
+{
+  const bool isFree = m_hard.m_vote == ReplicaId(0) || m_hard.m_vote == aFrom;
+  return isFree && IsUpToDate(aRequest);
+}
+
+bool
+Replica::IsQuorum(std::size_t aCount) const
+{
+  return aCount * 2 > m_membership.m_voters.size();
+}
+
+bool
+Replica::MayCommit(LogIndex aIndex) const
+{
+  return m_log.TermAt(aIndex) == m_hard.m_term;
+}
+
+void
+Replica::On(const ReplicaTick&)
+{
+  if (m_role == ReplicaRole::Leader) {
+    TickLeader();
+    return;
+  }
+  AskToJoin();
+  if (m_now >= m_electionDue) {
+    StartElection(true, false);
+  }
+}
+
+void
+Replica::On(const ConsensusReceived& aEvent)
+{
+  const ConsensusMessage& message = aEvent.m_message;
+  if (const auto* join = std::get_if<JoinRequest>(&message.m_body)) {
+    On(message.m_from, *join);
+    return;
+  }
+  if (message.m_to != Id() || IsIgnored(message)) {
+    return;
+  }
+  if (message.m_term > m_hard.m_term) {
+    BecomeFollower(message.m_term, ReplicaId(0));
+  }
+  if (message.m_term < m_hard.m_term) {
+    AnswerStale(message);
+    return;
+  }
+  std::visit([&](const auto& aBody) { On(message.m_from, aBody); },
+             message.m_body);
+}
+
+void
+Replica::AnswerStale(const ConsensusMessage& aMessage)
+{
+  const ReplicaId from = aMessage.m_from;
+  if (const auto* vote = std::get_if<VoteRequest>(&aMessage.m_body)) {
+    SendAfterSync(from, VoteReply{ false, vote->m_isPreVote });
+  } else if (const auto* append =
+               std::get_if<AppendRequest>(&aMessage.m_body)) {
+    SendAfterSync(from, AppendReply{ false, LogIndex(0), append->m_round });
+  } else if (std::holds_alternative<SnapshotPart>(aMessage.m_body)) {
+    SendAfterSync(from, AppendReply{ false, LogIndex(0), 0 });
+  }
+}
+
+void
+Replica::On(const DiskSynced& aEvent)
+{
+  m_syncedNumber = std::max(m_syncedNumber, aEvent.m_number);
+  while (!m_persistedLast.empty() &&
+         m_persistedLast.begin()->first <= m_syncedNumber) {
+    m_syncedIndex = m_persistedLast.begin()->second;
+    m_persistedLast.erase(m_persistedLast.begin());
+  }
+  while (!m_held.empty() && m_held.front().m_number <= m_syncedNumber) {
+    m_effects.emplace_back(
+      SendConsensus{ std::move(m_held.front().m_message) });
+    m_held.pop_front();
+  }
+  if (m_role == ReplicaRole::Leader) {
+    AdvanceCommit();
+  }
+}
+
+void
+Replica::On(const SnapshotSaved& aEvent)
+{
+  m_log.Compact(aEvent.m_snapshot);
+}
+
+void
+Replica::Send(ReplicaId aTo, ConsensusBody aBody)
+{
+  ConsensusMessage message{ Id(), aTo, m_hard.m_term, std::move(aBody) };
+  m_effects.emplace_back(SendConsensus{ std::move(message) });
+}
+
+void
+Replica::SendAfterSync(ReplicaId aTo, ConsensusBody aBody)
+{
+  if (m_persistNumber == m_syncedNumber || !AwaitsSync()) {
+    Send(aTo, std::move(aBody));
+    return;
+  }
+  ConsensusMessage message{ Id(), aTo, m_hard.m_term, std::move(aBody) };
+  m_held.push_back({ m_persistNumber, std::move(message) });
+}
+
+void
+Replica::Persist(std::vector<LogEntry> aEntries, bool aHardChanged)
+{
+  PersistBatch batch;
+  batch.m_number = ++m_persistNumber;
+  if (aHardChanged) {
+    batch.m_hard = m_hard;
+  }
+  batch.m_entries = std::move(aEntries);
+  m_persistedLast[batch.m_number] = m_log.LastIndex();
+  m_effects.emplace_back(std::move(batch));
+}
+
+void
+Replica::ApplyCommitted()
+{
+  while (m_applied < m_commit) {
+    m_applied = Next(m_applied);
+    m_effects.emplace_back(ApplyEntry{ m_log.At(m_applied) });
+  }
+}
+
+void
+Replica::AdoptMembership()
+{
+  m_membership = m_log.MembershipAt(m_log.LastIndex());
+  if (m_role == ReplicaRole::Leader) {
+    SyncProgress();
+  }
+}
+
+std::size_t
+Replica::CountVoters(const std::set<ReplicaId>& aIds) const
+{
+  std::size_t count = 0;
+  for (const ReplicaId id : aIds) {
+    count += m_membership.IsVoter(id) ? 1 : 0;
+  }
+  return count;
+}
+
+} // namespace fulmarquay
--- /dev/null
+++ b/src/libconsensus/ReplicaElection.cpp
@@ -0,0 +1,141 @@
+#include "fulmarquay/consensus/Replica.h"
+
+namespace fulmarquay {
+
+void
+Replica::ResetElectionTimer()
+{
+  const std::int64_t base = m_options.m_timing.m_election.count();
+  std::uniform_int_distribution<std::int64_t> spread(base, 2 * base);
+  m_electionDue = m_now + Duration(spread(m_random));
+}
+
+bool
+Replica::HeardLeaderLately() const
+{
+  if (m_role == ReplicaRole::Leader) {
+    return m_now < m_leaseEnd;
+  }
+  return m_now < m_leaderHeard + m_options.m_timing.m_election;
+}
+
+bool
+Replica::IsIgnored(const ConsensusMessage& aMessage) const
+{
+  // A replica that hears its leader takes part in no election but one that
+  // the leader asked for; the lease rests on this.
+  const auto* request = std::get_if<VoteRequest>(&aMessage.m_body);
+  return request != nullptr && !request->m_isTransfer && HeardLeaderLately();
+}
+
+bool
+Replica::IsUpToDate(const VoteRequest& aRequest) const
+{
+  if (aRequest.m_lastTerm != m_log.LastTerm()) {
+    return aRequest.m_lastTerm > m_log.LastTerm();
+  }
+  return aRequest.m_lastIndex >= m_log.LastIndex();
+}
+
+void
+Replica::StartElection(bool aIsPreVote, bool aIsTransfer)
+{
+  ResetElectionTimer();
+  if (!m_membership.IsVoter(Id())) {
+    return;
+  }
+  m_leader = ReplicaId(0);
+  m_role = aIsPreVote ? ReplicaRole::PreCandidate : ReplicaRole::Candidate;
+  if (!aIsPreVote) {
+    m_hard.m_term = Term(m_hard.m_term.Value() + 1);
+    m_hard.m_vote = Id();
+    Persist({}, true);
+  }
+  m_votes = { Id() };
+  VoteRequest request;
+  request.m_lastIndex = m_log.LastIndex();
+  request.m_lastTerm = m_log.LastTerm();
+  request.m_isPreVote = aIsPreVote;
+  request.m_isTransfer = aIsTransfer;
+  for (const Member& voter : m_membership.m_voters) {
+    if (voter.m_id != Id()) {
+      SendAfterSync(voter.m_id, request);
+    }
+  }
+  CountVotes();
+}
+
+void
+Replica::CountVotes()
+{
+  if (!IsQuorum(CountVoters(m_votes))) {
+    return;
+  }
+  if (m_role == ReplicaRole::PreCandidate) {
+    StartElection(false, false);
+  } else if (m_role == ReplicaRole::Candidate) {
+    BecomeLeader();
+  }
+}
+
+void
+Replica::BecomeFollower(Term aTerm, ReplicaId aLeader)
+{
+  if (aTerm > m_hard.m_term) {
+    m_hard.m_term = aTerm;
+    m_hard.m_vote = ReplicaId(0);
+    Persist({}, true);
+  }
+  if (m_role == ReplicaRole::Leader) {
+    m_effects.emplace_back(LeadershipChanged{ false, m_hard.m_term });
+    m_progress.clear();
+  }
+  if (m_role != ReplicaRole::Follower) {
+    ResetElectionTimer();
+  }
+  m_role = ReplicaRole::Follower;
+  m_leader = aLeader;
+  m_isTransferring = false;
+  m_isTransferSent = false;
+  m_votes.clear();
+}
+
+void
+Replica::On(ReplicaId aFrom, const VoteRequest& aRequest)
+{
+  if (aRequest.m_isPreVote) {
+    const bool isGranted = IsUpToDate(aRequest);
+    SendAfterSync(aFrom, VoteReply{ isGranted, true });
+    return;
+  }
+  const bool isGranted = MayGrant(aRequest, aFrom);
+  if (isGranted && m_hard.m_vote != aFrom) {
+    m_hard.m_vote = aFrom;
+    Persist({}, true);
+  }
+  if (isGranted) {
+    ResetElectionTimer();
+  }
+  SendAfterSync(aFrom, VoteReply{ isGranted, false });
+}
+
+void
+Replica::On(ReplicaId aFrom, const VoteReply& aReply)
+{
+  const bool isAsked = aReply.m_isPreVote ? m_role == ReplicaRole::PreCandidate
+                                          : m_role == ReplicaRole::Candidate;
+  if (isAsked && aReply.m_isGranted) {
+    m_votes.insert(aFrom);
+    CountVotes();
+  }
+}
+
+void
+Replica::On(ReplicaId aFrom, const TimeoutNow& aOrder)
+{
+  if (m_role == ReplicaRole::Follower && m_leader == aFrom) {
+    StartElection(false, aOrder.m_isTransfer);
+  }
+}
+
+} // namespace fulmarquay
--- /dev/null
+++ b/src/libcontrol/ConfigTable.cpp
@@ -0,0 +1,112 @@
+#include "fulmarquay/control/ConfigTable.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace fulmarquay {
+
+namespace {
+
+/// Submissions whose result is given again on a resend.
+constexpr std::size_t kKeptSubmissions = 1000;
+/// Steps that an entry may be behind and still get a delta.
+constexpr std::size_t kKeptDeltas = 64;
+
+} // namespace
+
+SubmitResult
+ConfigTable::Submit(const SubmitCommand& aCommand)
+{
+  std::vector<Accepted>& accepted = m_content.m_accepted;
+  const auto same =
+    std::find_if(accepted.begin(), accepted.end(), [&](const Accepted& aEach) {
+      return aEach.m_submission == aCommand.m_submission;
+    });
+  if (same != accepted.end()) {
+    return same->m_result;
+  }
+  if (aCommand.m_base != m_content.m_revision) {
+    return Refuse(aCommand);
+  }
+  ConfigDelta delta = MakeDelta(m_content.m_sections, aCommand.m_sections);
+  delta.m_from = m_content.m_revision;
+  delta.m_to = Revision(m_content.m_revision.Value() + 1);
+  m_content.m_revision = delta.m_to;
+  m_content.m_sections = aCommand.m_sections;
+  m_digest = delta.m_digest;
+  m_content.m_deltas.push_back(std::move(delta));
+  if (m_content.m_deltas.size() > kKeptDeltas) {
+    m_content.m_deltas.erase(m_content.m_deltas.begin());
+  }
+  SubmitResult result;
+  result.m_isAccepted = true;
+  result.m_revision = m_content.m_revision;
+  accepted.push_back({ aCommand.m_submission, aCommand.m_operator, result });
+  if (accepted.size() > kKeptSubmissions) {
+    accepted.erase(accepted.begin());
+  }
+  return result;
+}
+
+SubmitResult
+ConfigTable::Refuse(const SubmitCommand& aCommand) const
+{
+  SubmitResult result;
+  result.m_revision = m_content.m_revision;
+  if (!m_content.m_accepted.empty()) {
+    result.m_winner = m_content.m_accepted.back().m_operator;
+  }
+  std::set<std::string> changed;
+  for (const ConfigDelta& delta : m_content.m_deltas) {
+    if (delta.m_from < aCommand.m_base) {
+      continue;
+    }
+    for (const auto& [name, values] : delta.m_changed) {
+      changed.insert(name);
+    }
+    changed.insert(delta.m_removed.begin(), delta.m_removed.end());
+  }
+  result.m_changed.assign(changed.begin(), changed.end());
+  return result;
+}
+
+ConfigDelta
+ConfigTable::DeltaFrom(Revision aHeld) const
+{
+  ConfigDelta merged;
+  merged.m_from = aHeld;
+  merged.m_to = m_content.m_revision;
+  merged.m_digest = m_digest;
+  const auto first = std::find_if(
+    m_content.m_deltas.begin(),
+    m_content.m_deltas.end(),
+    [&](const ConfigDelta& aEach) { return aEach.m_from == aHeld; });
+  if (first == m_content.m_deltas.end() || aHeld == Revision(0)) {
+    merged.m_from = Revision(0);
+    merged.m_changed = m_content.m_sections;
+    return merged;
+  }
+  std::set<std::string> removed;
+  for (auto delta = first; delta != m_content.m_deltas.end(); ++delta) {
+    for (const auto& [name, values] : delta->m_changed) {
+      merged.m_changed[name] = values;
+      removed.erase(name);
+    }
+    for (const std::string& name : delta->m_removed) {
+      merged.m_changed.erase(name);
+      removed.insert(name);
+    }
+  }
+  merged.m_removed.assign(removed.begin(), removed.end());
+  return merged;
+}
+
+void
+ConfigTable::Restore(Content aContent)
+{
+  m_content = std::move(aContent);
+  m_digest = DigestOf(m_content.m_sections);
+}
+
+} // namespace fulmarquay
--- /dev/null
+++ b/src/libcontrol/ControlState.cpp
@@ -0,0 +1,81 @@
+#include "fulmarquay/control/ControlState.h"
+
+#include <utility>
+
+namespace fulmarquay {
+
+namespace {
+
+/// The form of the state in a snapshot.
+struct SavedState
+{
+  std::vector<OnceRecord> m_once;
+  ConfigTable::Content m_config;
+  std::uint64_t m_lastOrder = 0;
+  MSGPACK_DEFINE(m_once, m_config, m_lastOrder)
+};
+
+} // namespace
+
+ControlResult
+ControlState::Apply(const ControlCommand& aCommand)
+{
+  return std::visit([this](const auto& aBody) { return On(aBody); }, aCommand);
+}
+
+ControlResult
+ControlState::On(const SubmitCommand& aCommand)
+{
+  return m_config.Submit(aCommand);
+}
+
+ControlResult
+ControlState::On(const BeginOnceCommand& aCommand)
+{
+  return m_once.Begin(aCommand);
+}
+
+ControlResult
+ControlState::On(const FinishOnceCommand& aCommand)
+{
+  return DoneResult{ m_once.Finish(aCommand) ? 1U : 0U };
+}
+
+ControlResult
+ControlState::On(const LoseEntryCommand& aCommand)
+{
+  return DoneResult{ m_once.LoseEntry(aCommand).size() };
+}
+
+ControlResult
+ControlState::On(const PruneOnceCommand& aCommand)
+{
+  return DoneResult{ m_once.Prune(aCommand) };
+}
+
+ControlResult
+ControlState::On(const IssueOrderCommand&)
+{
+  return DoneResult{ ++m_lastOrder };
+}
+
+std::string
+ControlState::Encode() const
+{
+  SavedState saved;
+  saved.m_once = m_once.Records();
+  saved.m_config = m_config.Save();
+  saved.m_lastOrder = m_lastOrder;
+  return Pack(saved);
+}
+
+void
+ControlState::Decode(std::string_view aBytes)
+{
+  auto saved = Unpack<SavedState>(aBytes);
+  m_once.Restore(std::move(saved.m_once));
+  m_config.Restore(std::move(saved.m_config));
+  m_lastOrder = saved.m_lastOrder;
+}
+
+} // namespace fulmarquay
--- /dev/null
+++ b/src/libcore/Metrics.cpp
@@ -0,0 +1,148 @@
+#include "fulmarquay/core/Metrics.h"
+
+#include <boost/histogram.hpp>
+#include <sstream>
+
+namespace fulmarquay {
+
+namespace {
+
+namespace bh = boost::histogram;
+
+constexpr const char* kPrefix = "fulmarquay_";
+constexpr unsigned kBins = 24;
+constexpr double kLeastSeconds = 1e-4;
+constexpr double kMostSeconds = 100;
+
+std::string
+Braced(const std::string& aLabels)
+{
+  return aLabels.empty() ? "" : "{" + aLabels + "}";
+}
+
+std::string
+WithLimit(const std::string& aLabels, const std::string& aLimit)
+{
+  const std::string comma = aLabels.empty() ? "" : ",";
+  return "{" + aLabels + comma + "le=\"" + aLimit + "\"}";
+}
+
+} // namespace
+
+class Metrics::Histogram
+{
+public:
+  void Add(double aSeconds)
+  {
+    m_bins(aSeconds);
+    m_sum += aSeconds;
+    ++m_count;
+  }
+
+  void Render(std::ostream& aOut,
+              const std::string& aName,
+              const std::string& aLabels) const
+  {
+    const auto& axis = m_bins.axis();
+    std::uint64_t below = static_cast<std::uint64_t>(m_bins.at(-1));
+    for (int i = 0; i < axis.size(); ++i) {
+      below += static_cast<std::uint64_t>(m_bins.at(i));
+      std::ostringstream limit;
+      limit << axis.bin(i).upper();
+      aOut << aName << "_bucket" << WithLimit(aLabels, limit.str()) << " "
+           << below << "\n";
+    }
+    aOut << aName << "_bucket" << WithLimit(aLabels, "+Inf") << " " << m_count
+         << "\n"
+         << aName << "_sum" << Braced(aLabels) << " " << m_sum << "\n"
+         << aName << "_count" << Braced(aLabels) << " " << m_count << "\n";
+  }
+
+private:
+  using Axis = bh::axis::regular<double, bh::axis::transform::log>;
+  decltype(bh::make_histogram(
+    Axis(kBins, kLeastSeconds, kMostSeconds))) m_bins =
+    bh::make_histogram(Axis(kBins, kLeastSeconds, kMostSeconds));
+  double m_sum = 0;
+  std::uint64_t m_count = 0;
+};
+
+Metrics::Metrics() = default;
+Metrics::~Metrics() = default;
+
+template<typename Item>
+Item&
+Metrics::SeriesOf(Series<Item>& aAll,
+                  const std::string& aName,
+                  const std::string& aLabels)
+{
+  auto& series = aAll[aName];
+  const bool isFull = series.size() >= kMaxSeries;
+  if (isFull && series.count(aLabels) == 0) {
+    return series["other=\"yes\""];
+  }
+  return series[aLabels];
+}
+
+void
+Metrics::Count(const std::string& aName,
+               const std::string& aLabels,
+               std::uint64_t aAmount)
+{
+  SeriesOf(m_counters, aName, aLabels) += aAmount;
+}
+
+void
+Metrics::Gauge(const std::string& aName, double aValue)
+{
+  m_gauges[aName] = aValue;
+}
+
+void
+Metrics::Observe(const std::string& aName,
+                 double aSeconds,
+                 const std::string& aLabels)
+{
+  std::unique_ptr<Histogram>& histogram =
+    SeriesOf(m_histograms, aName, aLabels);
+  if (!histogram) {
+    histogram = std::make_unique<Histogram>();
+  }
+  histogram->Add(aSeconds);
+}
+
+std::uint64_t
+Metrics::Value(const std::string& aName, const std::string& aLabels) const
+{
+  const auto series = m_counters.find(aName);
+  if (series == m_counters.end()) {
+    return 0;
+  }
+  const auto value = series->second.find(aLabels);
+  return value == series->second.end() ? 0 : value->second;
+}
+
+std::string
+Metrics::Render() const
+{
+  std::ostringstream out;
+  for (const auto& [name, series] : m_counters) {
+    out << "# TYPE " << kPrefix << name << " counter\n";
+    for (const auto& [labels, value] : series) {
+      out << kPrefix << name << Braced(labels) << " " << value << "\n";
+    }
+  }
+  for (const auto& [name, value] : m_gauges) {
+    out << "# TYPE " << kPrefix << name << " gauge\n"
+        << kPrefix << name << " " << value << "\n";
+  }
+  for (const auto& [name, series] : m_histograms) {
+    out << "# TYPE " << kPrefix << name << " histogram\n";
+    for (const auto& [labels, histogram] : series) {
+      histogram->Render(out, kPrefix + name, labels);
+    }
+  }
+  return out.str();
+}
+
+} // namespace fulmarquay
--- /dev/null
+++ b/src/libcore/Program.cpp
@@ -0,0 +1,52 @@
+#include "fulmarquay/core/Program.h"
+
+#include "fulmarquay/core/LogEvent.h"
+
+#include <iostream>
+
+namespace fulmarquay {
+
+int
+RunDaemon(int aCount,
+          char** aWords,
+          CommandSpec aSpec,
+          const SettingsSpec& aSettings,
+          const std::function<void(const Settings&, const CommandLine&)>& aRun)
+{
+  aSpec.m_options.push_back({ "settings", "the settings file", true, "" });
+  aSpec.m_options.push_back(
+    { "check-settings", "check a settings file and exit", true, "" });
+  const CommandLine line(aCount, aWords, aSpec);
+  if (line.ShouldExit()) {
+    return line.ExitStatus();
+  }
+  const bool isCheck = line.Has("check-settings");
+  const std::string file = line.Value(isCheck ? "check-settings" : "settings");
+  if (file.empty()) {
+    std::cerr << aSpec.m_program << ": --settings FILE is needed; see --help\n";
+    return static_cast<int>(ExitCode::Usage);
+  }
+  try {
+    const Settings settings = Settings::Load(file, aSettings);
+    if (isCheck) {
+      std::cout << file << ": good\n";
+      return static_cast<int>(ExitCode::Ok);
+    }
+    aRun(settings, line);
+    return static_cast<int>(ExitCode::Ok);
+  } catch (const SettingsError& e) {
+    for (const std::string& problem : e.Problems()) {
+      std::cerr << problem << "\n";
+    }
+    return static_cast<int>(ExitCode::Settings);
+  } catch (const Error& e) {
+    WriteLog(
+      LogEvent::ProcessFailed,
+      { { "step", e.Step() }, { "peer", e.Peer() }, { "reason", e.Reason() } });
+  } catch (const std::exception& e) {
+    WriteLog(LogEvent::ProcessFailed, { { "reason", e.what() } });
+  }
+  return static_cast<int>(ExitCode::Failed);
+}
+
+} // namespace fulmarquay
--- /dev/null
+++ b/src/libserve/CacheFlow.cpp
@@ -0,0 +1,488 @@
+#include "fulmarquay/serve/CacheFlow.h"
+
+#include "fulmarquay/cache/Rendezvous.h"
+#include "fulmarquay/core/Digest.h"
+#include "fulmarquay/core/Error.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmarquay {
+
+namespace {
+
+constexpr Duration kOwnerPatience(100'000);
+constexpr Duration kFreeInterval(200'000);
+constexpr Duration kStoreTimeout(5'000'000);
+/// Marks a message of this entry to itself.
+const ConnectionId kSelf(0);
+
+CopyInfo
+ToCopyInfo(const BlockPlaces& aPlaces)
+{
+  CopyInfo info;
+  if (aPlaces.m_copy) {
+    info.m_store = aPlaces.m_copy->m_store;
+    info.m_generation = aPlaces.m_copy->m_generation.Value();
+    info.m_length = aPlaces.m_copy->m_length;
+    info.m_checksum = aPlaces.m_copy->m_checksum;
+  }
+  info.m_engines.assign(aPlaces.m_engines.begin(), aPlaces.m_engines.end());
+  return info;
+}
+
+std::uint64_t
+ItemOf(const StoreId& aStore)
+{
+  return Checksum64(aStore.Value());
+}
+
+} // namespace
+
+CacheFlow::CacheFlow(EntryContext& aContext, const ConfigHolder& aConfig)
+  : m_context(aContext)
+  , m_config(aConfig)
+  , m_protocol(MakeHttpStoreProtocol())
+  , m_directory(DirectoryLimits(), aContext.Self().m_boot.Value() & 0xFFFFFFFFU)
+{
+}
+
+CacheFlow::~CacheFlow() = default;
+
+std::vector<VmId>
+CacheFlow::LiveEntries() const
+{
+  std::vector<VmId> live = { m_context.Self().m_vm };
+  for (const auto& [vm, address] : m_config.Peers()) {
+    if (m_config.IsPeerLive(vm)) {
+      live.push_back(vm);
+    }
+  }
+  std::sort(live.begin(), live.end());
+  return live;
+}
+
+VmId
+CacheFlow::OwnerOf(std::uint64_t aItem) const
+{
+  return RendezvousOwner(LiveEntries(), aItem);
+}
+
+void
+CacheFlow::Send(const VmId& aOwner, const CacheMessage& aMessage)
+{
+  if (aOwner == m_context.Self().m_vm) {
+    OnMessage(kSelf, aMessage);
+    return;
+  }
+  const auto address = m_config.Peers().find(aOwner);
+  if (address != m_config.Peers().end()) {
+    m_context.Emit(SendToPeer{ address->second, aMessage });
+  }
+}
+
+void
+CacheFlow::Reply(ConnectionId aTo, const CacheMessage& aMessage)
+{
+  if (aTo == kSelf) {
+    OnMessage(kSelf, aMessage);
+  } else {
+    m_context.Emit(ReplyToPeer{ aTo, aMessage });
+  }
+}
+
+void
+CacheFlow::OnMessage(ConnectionId aFrom, const CacheMessage& aMessage)
+{
+  std::visit([&](const auto& aBody) { Handle(aFrom, aBody); }, aMessage);
+}
+
+void
+CacheFlow::Lookup(ChainLookup aQuestion, ChainHandler aHandler)
+{
+  aQuestion.m_request = RequestId(m_context.NextNumber());
+  Asked asked;
+  asked.m_deadline = m_context.Now() + kOwnerPatience;
+  asked.m_onChain = std::move(aHandler);
+  asked.m_keys = aQuestion.m_keys.size();
+  m_asked.emplace(aQuestion.m_request, std::move(asked));
+  Send(OwnerOf(aQuestion.m_keys.front().Low()), aQuestion);
+}
+
+void
+CacheFlow::Done(const BlockKey& aRoot, const ChainDone& aDone)
+{
+  Send(OwnerOf(aRoot.Low()), aDone);
+}
+
+void
+CacheFlow::Reserve(const BlockKey& aRoot,
+                   ReserveBlocks aQuestion,
+                   ReserveHandler aHandler)
+{
+  aQuestion.m_request = RequestId(m_context.NextNumber());
+  Asked asked;
+  asked.m_deadline = m_context.Now() + kOwnerPatience;
+  asked.m_onReserve = std::move(aHandler);
+  m_asked.emplace(aQuestion.m_request, std::move(asked));
+  Send(OwnerOf(aRoot.Low()), aQuestion);
+}
+
+void
+CacheFlow::Written(const BlockKey& aRoot, const WriteDone& aDone)
+{
+  Send(OwnerOf(aRoot.Low()), aDone);
+}
+
+void
+CacheFlow::AskLink(LinkRequest aQuestion, LinkHandler aHandler)
+{
+  aQuestion.m_request = RequestId(m_context.NextNumber());
+  Asked asked;
+  asked.m_deadline = m_context.Now() + kOwnerPatience;
+  asked.m_onLink = std::move(aHandler);
+  m_asked.emplace(aQuestion.m_request, std::move(asked));
+  Send(OwnerOf(ItemOf(aQuestion.m_store)), aQuestion);
+}
+
+void
+CacheFlow::NoteEngine(
+  const EngineId& aEngine,
+  bool aIsGap,
+  const std::vector<std::pair<BlockKey, BlockKey>>& aAdded,
+  const std::vector<std::pair<BlockKey, BlockKey>>& aDropped)
+{
+  std::map<VmId, EngineNotes> byOwner;
+  for (const auto& [key, root] : aAdded) {
+    byOwner[OwnerOf(root.Low())].m_added.push_back(key);
+  }
+  for (const auto& [key, root] : aDropped) {
+    byOwner[OwnerOf(root.Low())].m_dropped.push_back(key);
+  }
+  if (aIsGap) {
+    for (const VmId& vm : LiveEntries()) {
+      byOwner[vm].m_isGap = true;
+    }
+  }
+  for (auto& [owner, notes] : byOwner) {
+    notes.m_engine = aEngine;
+    Send(owner, notes);
+  }
+}
+
+Duration
+CacheFlow::LinkBacklog(const StoreId& aStore) const
+{
+  const auto place = m_backlogs.find(aStore);
+  if (place == m_backlogs.end()) {
+    return Duration(0);
+  }
+  const auto& [backlog, at] = place->second;
+  return std::max(Duration(0), backlog - (m_context.Now() - at));
+}
+
+void
+CacheFlow::Handle(ConnectionId aFrom, const ChainLookup& aMessage)
+{
+  const ChainPlaces places = m_directory.Lookup(
+    m_context.Now(), aMessage.m_account, aMessage.m_weights, aMessage.m_keys);
+  ChainReply reply;
+  reply.m_request = aMessage.m_request;
+  reply.m_pin = places.m_pin.Value();
+  for (const BlockPlaces& block : places.m_blocks) {
+    reply.m_blocks.push_back(ToCopyInfo(block));
+  }
+  Reply(aFrom, reply);
+}
+
+void
+CacheFlow::Handle(ConnectionId, const ChainDone& aMessage)
+{
+  m_directory.Unpin(PinId(aMessage.m_pin));
+  for (std::size_t i = 0; i < aMessage.m_wrong.size(); ++i) {
+    if (i < aMessage.m_wrongGenerations.size()) {
+      m_directory.Report(aMessage.m_wrong[i],
+                         Generation(aMessage.m_wrongGenerations[i]));
+    }
+  }
+}
+
+void
+CacheFlow::Handle(ConnectionId aFrom, const ReserveBlocks& aMessage)
+{
+  ReserveReply reply;
+  reply.m_request = aMessage.m_request;
+  for (const BlockKey& key : aMessage.m_keys) {
+    const auto grant = m_directory.Reserve(m_context.Now(),
+                                           aMessage.m_account,
+                                           aMessage.m_weights,
+                                           key,
+                                           aMessage.m_store,
+                                           Bytes(aMessage.m_lengthEach));
+    if (grant) {
+      reply.m_keys.push_back(key);
+      reply.m_generations.push_back(grant->m_generation.Value());
+    }
+  }
+  Reply(aFrom, reply);
+}
+
+void
+CacheFlow::Handle(ConnectionId, const WriteDone& aMessage)
+{
+  const Generation generation(aMessage.m_generation);
+  if (!aMessage.m_isWhole) {
+    m_directory.Abort(aMessage.m_key, generation);
+    return;
+  }
+  BlockCopy copy;
+  copy.m_store = aMessage.m_store;
+  copy.m_generation = generation;
+  copy.m_length = aMessage.m_length;
+  copy.m_checksum = aMessage.m_checksum;
+  if (m_directory.Seal(aMessage.m_key, copy)) {
+    m_context.Counters().Count("blocks_written_total");
+  }
+}
+
+void
+CacheFlow::Handle(ConnectionId, const EngineNotes& aMessage)
+{
+  if (aMessage.m_isGap) {
+    m_directory.ForgetEngine(aMessage.m_engine);
+  }
+  for (const BlockKey& key : aMessage.m_added) {
+    m_directory.NoteEngine(aMessage.m_engine, key, true);
+  }
+  for (const BlockKey& key : aMessage.m_dropped) {
+    m_directory.NoteEngine(aMessage.m_engine, key, false);
+  }
+}
+
+void
+CacheFlow::Handle(ConnectionId aFrom, const LinkRequest& aMessage)
+{
+  LinkReply reply;
+  reply.m_request = aMessage.m_request;
+  reply.m_store = aMessage.m_store;
+  const auto link = m_links.find(aMessage.m_store);
+  if (link != m_links.end()) {
+    const auto grant =
+      link->second.Reserve(m_context.Now(),
+                           static_cast<LinkClass>(aMessage.m_class),
+                           aMessage.m_bytes,
+                           Duration(aMessage.m_patienceUs));
+    if (grant) {
+      reply.m_isGranted = true;
+      reply.m_delayUs = grant->m_delay.count();
+      reply.m_bytesPerSecond = grant->m_bytesPerSecond;
+      m_context.Counters().Count("link_bytes_total",
+                                 "store=\"" + aMessage.m_store.Value() + "\"",
+                                 static_cast<std::uint64_t>(aMessage.m_bytes));
+    }
+    reply.m_backlogUs = link->second.Backlog(m_context.Now()).count();
+  }
+  Reply(aFrom, reply);
+}
+
+void
+CacheFlow::Handle(ConnectionId, const ChainReply& aMessage)
+{
+  const auto place = m_asked.find(aMessage.m_request);
+  if (place == m_asked.end() || !place->second.m_onChain) {
+    return;
+  }
+  const ChainHandler handler = std::move(place->second.m_onChain);
+  const bool fits = place->second.m_keys == aMessage.m_blocks.size();
+  m_asked.erase(place);
+  handler(fits ? aMessage : ChainReply());
+}
+
+void
+CacheFlow::Handle(ConnectionId, const ReserveReply& aMessage)
+{
+  const auto place = m_asked.find(aMessage.m_request);
+  if (place == m_asked.end() || !place->second.m_onReserve) {
+    return;
+  }
+  const ReserveHandler handler = std::move(place->second.m_onReserve);
+  m_asked.erase(place);
+  handler(aMessage);
+}
+
+void
+CacheFlow::Handle(ConnectionId, const LinkReply& aMessage)
+{
+  m_backlogs[aMessage.m_store] = { Duration(aMessage.m_backlogUs),
+                                   m_context.Now() };
+  const auto place = m_asked.find(aMessage.m_request);
+  if (place == m_asked.end() || !place->second.m_onLink) {
+    return;
+  }
+  const LinkHandler handler = std::move(place->second.m_onLink);
+  m_asked.erase(place);
+  handler(aMessage);
+}
+
+void
+CacheFlow::OnTick()
+{
+  ExpireAsked();
+  if (m_context.Now() >= m_nextFree) {
+    m_nextFree = m_context.Now() + kFreeInterval;
+    ReviewOwners();
+    FreeBlocks();
+  }
+}
+
+void
+CacheFlow::ExpireAsked()
+{
+  std::vector<Asked> expired;
+  for (auto place = m_asked.begin(); place != m_asked.end();) {
+    if (m_context.Now() >= place->second.m_deadline) {
+      expired.push_back(std::move(place->second));
+      place = m_asked.erase(place);
+    } else {
+      ++place;
+    }
+  }
+  for (const Asked& asked : expired) {
+    m_context.Counters().Count("cache_owner_timeouts_total");
+    if (asked.m_onChain) {
+      asked.m_onChain(ChainReply());
+    } else if (asked.m_onReserve) {
+      asked.m_onReserve(ReserveReply());
+    } else if (asked.m_onLink) {
+      asked.m_onLink(LinkReply());
+    }
+  }
+}
+
+void
+CacheFlow::FreeBlocks()
+{
+  const Configuration* configuration = m_config.Current();
+  for (const FreeOrder& order : m_directory.Tick(m_context.Now())) {
+    if (configuration == nullptr) {
+      continue;
+    }
+    const auto store = configuration->m_stores.find(order.m_store);
+    if (store == configuration->m_stores.end()) {
+      continue;
+    }
+    HttpCall call;
+    call.m_peer = store->second.m_address;
+    call.m_request = m_protocol->Free(order.m_key, order.m_generation);
+    call.m_idleTimeout = kStoreTimeout;
+    StoreCall record;
+    record.m_store = order.m_store;
+    m_calls.emplace(m_context.Call(std::move(call), *this), record);
+  }
+}
+
+void
+CacheFlow::OnConfiguration()
+{
+  const Configuration& configuration = *m_config.Current();
+  for (const auto& [id, store] : configuration.m_stores) {
+    const std::int64_t rate = store.m_linkPerSecond.Count();
+    const auto [place, isNew] = m_links.try_emplace(id, rate);
+    if (!isNew) {
+      place->second.SetRate(rate);
+    }
+  }
+  m_owners.clear();
+  ReviewOwners();
+}
+
+void
+CacheFlow::ReviewOwners()
+{
+  const Configuration* configuration = m_config.Current();
+  std::vector<VmId> owners = LiveEntries();
+  if (configuration == nullptr || owners == m_owners) {
+    return;
+  }
+  m_owners = std::move(owners);
+  const auto share = static_cast<std::int64_t>(m_owners.size());
+  for (const auto& [id, store] : configuration->m_stores) {
+    if (store.m_dataCentre != m_context.Self().m_dataCentre) {
+      continue;
+    }
+    m_directory.SetCapacity(id, Bytes(store.m_capacity.Count() / share));
+    ListStore(id, "");
+  }
+}
+
+void
+CacheFlow::ListStore(const StoreId& aStore, const std::string& aAfter)
+{
+  HttpCall call;
+  call.m_peer = m_config.Current()->m_stores.at(aStore).m_address;
+  call.m_request = m_protocol->List(aAfter);
+  call.m_idleTimeout = kStoreTimeout;
+  StoreCall record;
+  record.m_store = aStore;
+  record.m_isListing = true;
+  m_calls.emplace(m_context.Call(std::move(call), *this), record);
+}
+
+void
+CacheFlow::OnHead(CallId aCall, const HttpResponse& aHead)
+{
+  m_calls.at(aCall).m_status = aHead.m_status;
+}
+
+void
+CacheFlow::OnData(CallId aCall, const std::string& aData)
+{
+  m_calls.at(aCall).m_body += aData;
+}
+
+void
+CacheFlow::OnEnd(CallId aCall, CallEnd aEnd, const std::string& aWhy)
+{
+  const auto place = m_calls.find(aCall);
+  const StoreCall call = std::move(place->second);
+  m_calls.erase(place);
+  if (aEnd != CallEnd::Whole) {
+    m_context.Log(LogEvent::UpstreamFailed,
+                  { { "store", call.m_store.Value() }, { "why", aWhy } });
+    OnStoreFailed(call.m_store);
+  } else if (call.m_isListing && call.m_status == 200) {
+    OnListing(call);
+  }
+}
+
+void
+CacheFlow::OnListing(const StoreCall& aCall)
+{
+  try {
+    const StoreListing listing =
+      m_protocol->ParseListing(aCall.m_store, aCall.m_body);
+    for (const ListedBlock& block : listing.m_blocks) {
+      if (OwnerOf(block.m_root.Low()) == m_context.Self().m_vm) {
+        m_directory.Adopt(m_context.Now(), block);
+      }
+    }
+    const bool isKnown = m_config.Current()->m_stores.count(aCall.m_store) != 0;
+    if (!listing.m_after.empty() && isKnown) {
+      ListStore(aCall.m_store, listing.m_after);
+    }
+  } catch (const Error& e) {
+    m_context.Log(
+      LogEvent::UpstreamFailed,
+      { { "store", aCall.m_store.Value() }, { "why", e.Reason() } });
+  }
+}
+
+void
+CacheFlow::OnStoreFailed(const StoreId& aStore)
+{
+  // Its blocks are listed again when the owners change or it is configured
+  // anew; until then they are recomputed.
+  m_directory.LoseStore(aStore);
+}
+
+} // namespace fulmarquay
--- /dev/null
+++ b/src/libserve/EntryNode.cpp
@@ -0,0 +1,374 @@
+#include "fulmarquay/serve/EntryNode.h"
+
+#include "fulmarquay/core/Digest.h"
+#include "fulmarquay/core/Error.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace fulmarquay {
+
+namespace {
+
+constexpr const char* kChatPath = "/v1/chat/completions";
+constexpr const char* kServicesPath = "/v1/services/";
+constexpr const char* kBearer = "Bearer ";
+constexpr Duration kAskAgain(1'000'000);
+
+std::string
+PathOf(const std::string& aTarget)
+{
+  return aTarget.substr(0, aTarget.find('?'));
+}
+
+} // namespace
+
+EntryNode::EntryNode(EntryOptions aOptions)
+  : m_options(std::move(aOptions))
+  , m_context(m_options.m_identity, m_options.m_seed)
+  , m_protocol(MakeJsonEngineProtocol())
+  , m_config(m_context, m_options.m_peers)
+  , m_control(m_context, *this, m_options.m_control)
+  , m_cache(m_context, m_config)
+  , m_engines(m_context, m_config, m_cache, *m_protocol)
+  , m_writeBack(m_context, m_config, m_cache, *m_protocol)
+  , m_chat(m_context,
+           m_config,
+           m_cache,
+           m_engines,
+           *m_protocol,
+           m_writeBack,
+           m_options.m_chat)
+  , m_services(m_context, m_control)
+{
+}
+
+EntryEffects
+EntryNode::Reduce(TimePoint aNow, const EntryEvent& aEvent)
+{
+  m_context.Begin(aNow);
+  std::visit([this](const auto& aBody) { On(aBody); }, aEvent);
+  NoticeConfiguration();
+  return m_context.TakeEffects();
+}
+
+void
+EntryNode::NoticeConfiguration()
+{
+  if (m_config.InForce() == m_noticed) {
+    return;
+  }
+  m_noticed = m_config.InForce();
+  m_cache.OnConfiguration();
+  m_engines.OnConfiguration();
+  m_control.HeartbeatNow();
+}
+
+EntryHeartbeat
+EntryNode::MakeHeartbeat() const
+{
+  EntryHeartbeat heartbeat;
+  const EntryIdentity& self = m_context.Self();
+  heartbeat.m_vm = self.m_vm;
+  heartbeat.m_dataCentre = self.m_dataCentre;
+  heartbeat.m_boot = self.m_boot;
+  heartbeat.m_address = self.m_address;
+  heartbeat.m_held = m_config.Held();
+  heartbeat.m_inForce = m_config.InForce();
+  heartbeat.m_peersSeen = m_peersSeen;
+  return heartbeat;
+}
+
+void
+EntryNode::OnHeartbeatReply(const HeartbeatReply& aReply)
+{
+  m_peersSeen = aReply.m_peersVersion;
+  m_limits.SetLiveEntries(aReply.m_liveEntries);
+  m_config.OnConfirmed(aReply.m_revision, aReply.m_peers);
+}
+
+void
+EntryNode::OnConfigPush(const ConfigPush& aPush)
+{
+  if (m_config.OnPush(aPush.m_delta)) {
+    m_control.HeartbeatNow();
+  }
+}
+
+void
+EntryNode::OnOnceProbe(const OnceProbe& aProbe)
+{
+  m_services.OnProbe(aProbe);
+}
+
+void
+EntryNode::On(const EntryTick&)
+{
+  m_control.OnTick();
+  m_config.OnTick(m_control.HasLease());
+  m_cache.OnTick();
+  m_engines.OnTick();
+  m_writeBack.OnTick();
+  if (!m_isDraining || m_isStopped) {
+    return;
+  }
+  const TimePoint now = m_context.Now();
+  const bool isIdle =
+    now >= m_drainSince + m_options.m_drainDelay && Running() == 0;
+  if (isIdle || now >= m_drainSince + m_options.m_drainLimit) {
+    m_isStopped = true;
+    m_context.Log(LogEvent::DrainFinished,
+                  { { "running", std::to_string(Running()) } });
+    m_context.Emit(EntryStopped{});
+  }
+}
+
+void
+EntryNode::On(const DrainOrder&)
+{
+  if (!m_isDraining) {
+    m_isDraining = true;
+    m_drainSince = m_context.Now();
+    m_context.Log(LogEvent::DrainStarted,
+                  { { "running", std::to_string(Running()) } });
+  }
+}
+
+std::size_t
+EntryNode::Running() const
+{
+  return m_chat.Running() + m_services.Running();
+}
+
+bool
+EntryNode::IsReady() const
+{
+  return m_config.Current() != nullptr && !m_isDraining;
+}
+
+void
+EntryNode::Respond(CallerId aCaller, int aStatus, const std::string& aBody)
+{
+  HttpResponse response;
+  response.m_status = aStatus;
+  response.m_headers = { { "Content-Type", "text/plain" } };
+  response.m_body = aBody;
+  m_context.Emit(RespondCaller{ aCaller, std::move(response) });
+}
+
+void
+EntryNode::On(const CallerRequest& aEvent)
+{
+  const CallerId caller = aEvent.m_caller;
+  const std::string path = PathOf(aEvent.m_request.m_target);
+  if (path == "/healthz") {
+    Respond(caller, 200, "ok\n");
+  } else if (path == "/readyz") {
+    Respond(
+      caller, IsReady() ? 200 : 503, IsReady() ? "ready\n" : "not ready\n");
+  } else if (path == "/metrics") {
+    m_context.Counters().Gauge("running", static_cast<double>(Running()));
+    Respond(caller, 200, m_context.Counters().Render());
+  } else {
+    ServeCaller(caller, aEvent.m_request);
+  }
+}
+
+void
+EntryNode::ServeCaller(CallerId aCaller, const HttpRequest& aRequest)
+{
+  const std::string path = PathOf(aRequest.m_target);
+  const bool isChat = path == kChatPath && aRequest.m_method == "POST";
+  const bool isService = path.starts_with(kServicesPath);
+  if (!isChat && !isService) {
+    m_context.Refuse(
+      aCaller, { 404, "not_run", "find path", "no such path", Duration(0) });
+    return;
+  }
+  if (m_config.Current() == nullptr) {
+    m_context.Refuse(aCaller,
+                     { 503,
+                       "not_run",
+                       "find configuration",
+                       "no configuration is in force here yet",
+                       kAskAgain });
+    return;
+  }
+  const AccountConfig* account = Authenticate(aRequest);
+  if (account == nullptr) {
+    m_context.Refuse(aCaller,
+                     { 401,
+                       "not_run",
+                       "authenticate",
+                       "no account has this bearer key",
+                       Duration(0) });
+    return;
+  }
+  if (isChat) {
+    ServeChat(aCaller, *account, aRequest);
+  } else {
+    ServeService(aCaller, *account, aRequest);
+  }
+}
+
+const AccountConfig*
+EntryNode::Authenticate(const HttpRequest& aRequest) const
+{
+  const std::string header = FindHeader(aRequest.m_headers, "Authorization");
+  if (!header.starts_with(kBearer)) {
+    return nullptr;
+  }
+  const std::string hash =
+    Sha256Hex(std::string_view(header).substr(std::string(kBearer).size()));
+  const auto& accounts = m_config.Current()->m_accountsByKeyHash;
+  const auto place = accounts.find(hash);
+  return place == accounts.end() ? nullptr : &place->second;
+}
+
+void
+EntryNode::ServeChat(CallerId aCaller,
+                     const AccountConfig& aAccount,
+                     const HttpRequest& aRequest)
+{
+  try {
+    ChatRequest request = ParseChatRequest(aRequest.m_body);
+    const Tokens tokens =
+      EstimateTokens(request.m_prompt) + Tokens(request.m_maxTokens);
+    const Duration wait = m_limits.Take(m_context.Now(), aAccount, tokens);
+    if (wait > Duration(0)) {
+      m_context.Refuse(aCaller,
+                       { 429,
+                         "not_run",
+                         "limit account",
+                         "the account's token rate is used up",
+                         wait });
+      return;
+    }
+    m_chat.Start(aCaller, aAccount.m_id, std::move(request));
+  } catch (const Error& e) {
+    m_context.Refuse(aCaller,
+                     { 400, "not_run", e.Step(), e.Reason(), Duration(0) });
+  }
+}
+
+void
+EntryNode::ServeService(CallerId aCaller,
+                        const AccountConfig& aAccount,
+                        const HttpRequest& aRequest)
+{
+  const std::string rest =
+    aRequest.m_target.substr(std::string(kServicesPath).size());
+  const std::size_t slash = rest.find('/');
+  const ServiceId name(rest.substr(0, slash));
+  const auto& services = m_config.Current()->m_services;
+  const auto service = services.find(name);
+  if (slash == std::string::npos || service == services.end()) {
+    m_context.Refuse(
+      aCaller,
+      { 404, "not_run", "choose service", "no such service", Duration(0) });
+    return;
+  }
+  m_services.Start(
+    aCaller, aAccount.m_id, service->second, rest.substr(slash + 1), aRequest);
+}
+
+void
+EntryNode::On(const CallerGone& aEvent)
+{
+  m_chat.OnGone(aEvent.m_caller);
+  m_services.OnGone(aEvent.m_caller);
+}
+
+void
+EntryNode::On(const CallHead& aEvent)
+{
+  if (CallSink* sink = m_context.SinkOf(aEvent.m_call)) {
+    sink->OnHead(aEvent.m_call, aEvent.m_head);
+  }
+}
+
+void
+EntryNode::On(const CallData& aEvent)
+{
+  if (CallSink* sink = m_context.SinkOf(aEvent.m_call)) {
+    sink->OnData(aEvent.m_call, aEvent.m_data);
+  }
+}
+
+void
+EntryNode::On(const CallEnded& aEvent)
+{
+  if (CallSink* sink = m_context.SinkOf(aEvent.m_call)) {
+    m_context.ForgetCall(aEvent.m_call);
+    sink->OnEnd(aEvent.m_call, aEvent.m_end, aEvent.m_why);
+  }
+}
+
+void
+EntryNode::On(const ControlLinkChanged& aEvent)
+{
+  m_control.OnLink(aEvent);
+}
+
+void
+EntryNode::On(const ControlReply& aEvent)
+{
+  m_control.OnMessage(aEvent);
+}
+
+void
+EntryNode::On(const PeerMessage& aEvent)
+{
+  const CacheMessage& message = aEvent.m_message;
+  if (const auto* held = std::get_if<ConfigHeld>(&message)) {
+    m_config.OnMessage(*held);
+  } else if (std::holds_alternative<ConfigAsk>(message)) {
+    m_config.OnAsk(aEvent.m_connection);
+  } else if (const auto* give = std::get_if<ConfigGive>(&message)) {
+    m_config.OnGive(*give);
+  } else if (const auto* loads = std::get_if<EngineLoads>(&message)) {
+    m_engines.OnLoads(*loads);
+  } else {
+    m_cache.OnMessage(aEvent.m_connection, message);
+  }
+}
+
+std::string
+EntryNode::Dump() const
+{
+  nlohmann::ordered_json dump;
+  const EntryIdentity& self = m_context.Self();
+  dump["program"] = "fulmarquay-entry";
+  dump["vm"] = self.m_vm.Value();
+  dump["data_centre"] = self.m_dataCentre.Value();
+  dump["boot"] = HexOf(self.m_boot.Value());
+  dump["revision_held"] = m_config.Held().Value();
+  dump["revision_in_force"] = m_config.InForce().Value();
+  dump["configuration_fresh"] = m_config.IsFresh();
+  dump["holds_lease"] = m_control.HasLease();
+  dump["draining"] = m_isDraining;
+  dump["prompts_running"] = m_chat.Running();
+  dump["service_calls_running"] = m_services.Running();
+  dump["write_backs_running"] = m_writeBack.Running();
+  dump["control_requests_waiting"] = m_control.Waiting();
+  dump["directory_blocks"] = m_cache.Directory().Size();
+  dump["directory_pins"] = m_cache.Directory().Pins();
+  dump["peers"] = nlohmann::ordered_json::array();
+  for (const auto& [vm, address] : m_config.Peers()) {
+    dump["peers"].push_back({ { "vm", vm.Value() },
+                              { "address", address.ToString() },
+                              { "live", m_config.IsPeerLive(vm) } });
+  }
+  dump["engines"] = nlohmann::ordered_json::array();
+  for (const auto& [id, state] : m_engines.Table().All()) {
+    dump["engines"].push_back({ { "engine", id.Value() },
+                                { "weights", state.m_weights },
+                                { "leaving", state.m_isLeaving },
+                                { "running", state.m_reportedRunning },
+                                { "own_running", state.m_ownRunning },
+                                { "failures", state.m_failures } });
+  }
+  return dump.dump();
+}
+
+} // namespace fulmarquay
--- /dev/null
+++ b/src/libserve/WriteBack.cpp
@@ -0,0 +1,217 @@
+#include "fulmarquay/serve/WriteBack.h"
+
+#include "fulmarquay/cache/Rendezvous.h"
+#include "fulmarquay/core/Error.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmarquay {
+
+namespace {
+
+constexpr Duration kExportTimeout(10'000'000);
+constexpr Duration kLinkRetry(100'000);
+constexpr int kLinkTries = 50;
+/// Length to reserve before the first export has shown the real one.
+constexpr std::int64_t kFirstGuessBytes = 128LL << 10U;
+/// Blocks of one export, so that a background slot stays short.
+constexpr std::size_t kBlocksAtOnce = 4;
+
+} // namespace
+
+WriteBack::WriteBack(EntryContext& aContext,
+                     const ConfigHolder& aConfig,
+                     CacheFlow& aCache,
+                     const EngineProtocol& aProtocol)
+  : m_context(aContext)
+  , m_config(aConfig)
+  , m_cache(aCache)
+  , m_protocol(aProtocol)
+{
+}
+
+void
+WriteBack::Start(WriteBackJob aJob)
+{
+  std::vector<VmId> stores;
+  for (const auto& [id, store] : m_config.Current()->m_stores) {
+    if (store.m_dataCentre == m_context.Self().m_dataCentre) {
+      stores.emplace_back(id.Value());
+    }
+  }
+  if (stores.empty()) {
+    return;
+  }
+  if (aJob.m_blockBytes == 0) {
+    aJob.m_blockBytes = kFirstGuessBytes;
+  }
+  const BlockKey root = aJob.m_keys.front();
+  const JobId id = m_context.NextNumber();
+  Job& job = m_jobs[id];
+  job.m_store = StoreId(RendezvousOwner(stores, root.Low()).Value());
+  ReserveBlocks request;
+  request.m_account = aJob.m_account;
+  request.m_weights = aJob.m_weights;
+  request.m_store = job.m_store;
+  request.m_keys = aJob.m_missing;
+  request.m_lengthEach = aJob.m_blockBytes;
+  job.m_work = std::move(aJob);
+  job.m_isBusy = true;
+  m_cache.Reserve(root, std::move(request), [this, id](const auto& aReply) {
+    OnReserved(id, aReply);
+  });
+}
+
+void
+WriteBack::OnReserved(JobId aId, const ReserveReply& aReply)
+{
+  Job& job = m_jobs.at(aId);
+  for (std::size_t i = 0; i < aReply.m_keys.size(); ++i) {
+    job.m_granted.push_back(
+      { aReply.m_keys[i], Generation(aReply.m_generations[i]) });
+  }
+  if (job.m_granted.empty()) {
+    m_jobs.erase(aId);
+    return;
+  }
+  AskLink(aId);
+}
+
+void
+WriteBack::AskLink(JobId aId)
+{
+  Job& job = m_jobs.at(aId);
+  job.m_isBusy = true;
+  job.m_sending = std::min(kBlocksAtOnce, job.m_granted.size() - job.m_next);
+  LinkRequest request;
+  request.m_store = job.m_store;
+  request.m_class = static_cast<std::uint8_t>(LinkClass::Background);
+  request.m_bytes =
+    static_cast<std::int64_t>(job.m_sending) * job.m_work.m_blockBytes;
+  m_cache.AskLink(
+    request, [this, aId](const LinkReply& aReply) { OnLink(aId, aReply); });
+}
+
+void
+WriteBack::OnLink(JobId aId, const LinkReply& aReply)
+{
+  Job& job = m_jobs.at(aId);
+  if (!aReply.m_isGranted) {
+    job.m_isBusy = false;
+    job.m_tryAt = m_context.Now() + kLinkRetry;
+    if (++job.m_tries > kLinkTries) {
+      GiveUp(aId);
+    }
+    return;
+  }
+  const Configuration& configuration = *m_config.Current();
+  const auto store = configuration.m_stores.find(job.m_store);
+  if (store == configuration.m_stores.end()) {
+    GiveUp(aId);
+    return;
+  }
+  ExportOrder order;
+  order.m_account = job.m_work.m_account;
+  order.m_weights = job.m_work.m_weights;
+  order.m_root = job.m_work.m_keys.front();
+  order.m_storeAddress = store->second.m_address.ToString();
+  order.m_delay = Duration(aReply.m_delayUs);
+  order.m_perSecond = aReply.m_bytesPerSecond;
+  const auto first =
+    job.m_granted.begin() + static_cast<std::ptrdiff_t>(job.m_next);
+  order.m_blocks.assign(first,
+                        first + static_cast<std::ptrdiff_t>(job.m_sending));
+  HttpCall call;
+  call.m_peer = job.m_work.m_engineAddress;
+  call.m_request = m_protocol.Export(order);
+  call.m_idleTimeout = kExportTimeout;
+  job.m_status = 0;
+  job.m_body.clear();
+  job.m_call = m_context.Call(std::move(call), *this);
+  m_byCall[job.m_call] = aId;
+}
+
+void
+WriteBack::OnHead(CallId aCall, const HttpResponse& aHead)
+{
+  m_jobs.at(m_byCall.at(aCall)).m_status = aHead.m_status;
+}
+
+void
+WriteBack::OnData(CallId aCall, const std::string& aData)
+{
+  m_jobs.at(m_byCall.at(aCall)).m_body += aData;
+}
+
+void
+WriteBack::OnEnd(CallId aCall, CallEnd aEnd, const std::string&)
+{
+  const auto place = m_byCall.find(aCall);
+  const JobId id = place->second;
+  m_byCall.erase(place);
+  const Job& job = m_jobs.at(id);
+  if (aEnd != CallEnd::Whole || job.m_status != 200) {
+    GiveUp(id);
+    return;
+  }
+  try {
+    OnExported(id, m_protocol.ParseExport(job.m_body));
+  } catch (const Error&) {
+    GiveUp(id);
+  }
+}
+
+void
+WriteBack::OnExported(JobId aId, const std::vector<ExportedBlock>& aBlocks)
+{
+  Job& job = m_jobs.at(aId);
+  for (const ExportedBlock& block : aBlocks) {
+    WriteDone done;
+    done.m_key = block.m_key;
+    done.m_store = job.m_store;
+    done.m_generation = block.m_generation.Value();
+    done.m_isWhole = block.m_isWhole;
+    done.m_length = block.m_length;
+    done.m_checksum = block.m_checksum;
+    m_cache.Written(job.m_work.m_keys.front(), done);
+  }
+  job.m_next += job.m_sending;
+  job.m_tries = 0;
+  if (job.m_next >= job.m_granted.size()) {
+    m_jobs.erase(aId);
+    return;
+  }
+  AskLink(aId);
+}
+
+void
+WriteBack::GiveUp(JobId aId)
+{
+  const Job& job = m_jobs.at(aId);
+  for (std::size_t i = job.m_next; i < job.m_granted.size(); ++i) {
+    WriteDone done;
+    done.m_key = job.m_granted[i].m_key;
+    done.m_store = job.m_store;
+    done.m_generation = job.m_granted[i].m_generation.Value();
+    m_cache.Written(job.m_work.m_keys.front(), done);
+  }
+  m_context.Counters().Count("write_backs_given_up_total");
+  m_jobs.erase(aId);
+}
+
+void
+WriteBack::OnTick()
+{
+  std::vector<JobId> due;
+  for (const auto& [id, job] : m_jobs) {
+    if (!job.m_isBusy && m_context.Now() >= job.m_tryAt) {
+      due.push_back(id);
+    }
+  }
+  for (const JobId id : due) {
+    AskLink(id);
+  }
+}
+
+} // namespace fulmarquay
--- /dev/null
+++ b/src/libwire/FrameHub.cpp
@@ -0,0 +1,315 @@
+#include <utility>
+
+#include "fulmarquay/wire/FrameHub.h"
+
+#include "fulmarquay/core/Error.h"
+#include "fulmarquay/core/LogEvent.h"
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <deque>
+#include <map>
+#include <vector>
+
+namespace fulmarquay {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+/// A peer that lets more than this wait unread loses its connection.
+constexpr std::size_t kMaxQueuedBytes = 64U << 20U;
+constexpr std::size_t kReadBytes = 64U << 10U;
+
+tcp::endpoint
+ToAsio(const Endpoint& aEndpoint)
+{
+  return { asio::ip::make_address(aEndpoint.Ip()), aEndpoint.Port() };
+}
+
+} // namespace
+
+class FrameHub::Impl : public std::enable_shared_from_this<Impl>
+{
+public:
+  Impl(asio::io_context& aContext, FrameHandler& aHandler)
+    : m_context(aContext)
+    , m_handler(aHandler)
+    , m_acceptor(aContext)
+  {
+  }
+
+  void Listen(const Endpoint& aEndpoint);
+  ConnectionId Connect(const Endpoint& aEndpoint);
+  void Send(ConnectionId aConnection, const Frame& aFrame);
+  void Close(ConnectionId aConnection);
+  void Stop();
+  const FrameTraffic& Traffic() const { return m_traffic; }
+
+private:
+  struct Connection
+  {
+    explicit Connection(tcp::socket aSocket)
+      : m_socket(std::move(aSocket))
+    {
+    }
+    tcp::socket m_socket;
+    FrameDecoder m_decoder;
+    std::array<char, kReadBytes> m_input{};
+    std::string m_queued;
+    std::string m_writing;
+    bool m_isOpen = false;
+  };
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  ConnectionId Add(ConnectionPtr aConnection);
+  void Accept();
+  void Opened(ConnectionId aId, const ConnectionPtr& aConnection);
+  void Read(ConnectionId aId, const ConnectionPtr& aConnection);
+  void Decode(ConnectionId aId, const ConnectionPtr& aConnection);
+  void Write(ConnectionId aId, const ConnectionPtr& aConnection);
+  void Drop(ConnectionId aId);
+  bool IsKnown(ConnectionId aId) const { return m_connections.count(aId) != 0; }
+
+  asio::io_context& m_context;
+  FrameHandler& m_handler;
+  tcp::acceptor m_acceptor;
+  std::map<ConnectionId, ConnectionPtr> m_connections;
+  std::uint64_t m_nextId = 1;
+  FrameTraffic m_traffic;
+};
+
+void
+FrameHub::Impl::Listen(const Endpoint& aEndpoint)
+{
+  try {
+    const tcp::endpoint endpoint = ToAsio(aEndpoint);
+    m_acceptor.open(endpoint.protocol());
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+    m_acceptor.bind(endpoint);
+    m_acceptor.listen();
+  } catch (const std::exception& e) {
+    throw Error("listen for peers", aEndpoint.ToString(), e.what());
+  }
+  Accept();
+}
+
+void
+FrameHub::Impl::Accept()
+{
+  auto self = shared_from_this();
+  m_acceptor.async_accept(
+    [self](const error_code& aError, tcp::socket aSocket) {
+      if (!self->m_acceptor.is_open()) {
+        return;
+      }
+      if (!aError) {
+        auto connection = std::make_shared<Connection>(std::move(aSocket));
+        const ConnectionId id = self->Add(connection);
+        self->Opened(id, connection);
+      }
+      self->Accept();
+    });
+}
+
+ConnectionId
+FrameHub::Impl::Add(ConnectionPtr aConnection)
+{
+  const ConnectionId id(m_nextId++);
+  m_connections.emplace(id, std::move(aConnection));
+  return id;
+}
+
+ConnectionId
+FrameHub::Impl::Connect(const Endpoint& aEndpoint)
+{
+  auto connection = std::make_shared<Connection>(tcp::socket(m_context));
+  const ConnectionId id = Add(connection);
+  auto self = shared_from_this();
+  connection->m_socket.async_connect(
+    ToAsio(aEndpoint), [self, id, connection](const error_code& aError) {
+      if (!self->IsKnown(id)) {
+        return;
+      }
+      if (aError) {
+        self->Drop(id);
+        return;
+      }
+      self->Opened(id, connection);
+    });
+  return id;
+}
+
+void
+FrameHub::Impl::Opened(ConnectionId aId, const ConnectionPtr& aConnection)
+{
+  error_code ignored;
+  aConnection->m_socket.set_option(tcp::no_delay(true), ignored);
+  aConnection->m_isOpen = true;
+  Read(aId, aConnection);
+  Write(aId, aConnection);
+  m_handler.OnConnected(aId);
+}
+
+void
+FrameHub::Impl::Read(ConnectionId aId, const ConnectionPtr& aConnection)
+{
+  auto self = shared_from_this();
+  aConnection->m_socket.async_read_some(
+    asio::buffer(aConnection->m_input),
+    [self, aId, aConnection](const error_code& aError, std::size_t aSize) {
+      if (!self->IsKnown(aId)) {
+        return;
+      }
+      if (aError) {
+        self->Drop(aId);
+        return;
+      }
+      self->m_traffic.m_bytesIn += aSize;
+      aConnection->m_decoder.Feed({ aConnection->m_input.data(), aSize });
+      self->Decode(aId, aConnection);
+      if (self->IsKnown(aId)) {
+        self->Read(aId, aConnection);
+      }
+    });
+}
+
+void
+FrameHub::Impl::Decode(ConnectionId aId, const ConnectionPtr& aConnection)
+{
+  try {
+    while (IsKnown(aId)) {
+      std::optional<Frame> frame = aConnection->m_decoder.Next();
+      if (!frame) {
+        return;
+      }
+      ++m_traffic.m_framesIn;
+      m_handler.OnFrame(aId, std::move(*frame));
+    }
+  } catch (const Error& e) {
+    WriteLog(LogEvent::BadFrame,
+             { { "step", e.Step() }, { "reason", e.Reason() } });
+    Drop(aId);
+  }
+}
+
+void
+FrameHub::Impl::Send(ConnectionId aConnection, const Frame& aFrame)
+{
+  const auto place = m_connections.find(aConnection);
+  if (place == m_connections.end()) {
+    return;
+  }
+  const ConnectionPtr connection = place->second;
+  connection->m_queued += EncodeFrame(aFrame);
+  ++m_traffic.m_framesOut;
+  if (connection->m_queued.size() > kMaxQueuedBytes) {
+    auto self = shared_from_this();
+    asio::post(m_context, [self, aConnection] { self->Drop(aConnection); });
+    return;
+  }
+  Write(aConnection, connection);
+}
+
+void
+FrameHub::Impl::Write(ConnectionId aId, const ConnectionPtr& aConnection)
+{
+  const bool isBusy = !aConnection->m_writing.empty();
+  if (!aConnection->m_isOpen || isBusy || aConnection->m_queued.empty()) {
+    return;
+  }
+  aConnection->m_writing.swap(aConnection->m_queued);
+  auto self = shared_from_this();
+  asio::async_write(
+    aConnection->m_socket,
+    asio::buffer(aConnection->m_writing),
+    [self, aId, aConnection](const error_code& aError, std::size_t aSize) {
+      self->m_traffic.m_bytesOut += aSize;
+      aConnection->m_writing.clear();
+      if (!self->IsKnown(aId)) {
+        return;
+      }
+      if (aError) {
+        self->Drop(aId);
+        return;
+      }
+      self->Write(aId, aConnection);
+    });
+}
+
+void
+FrameHub::Impl::Close(ConnectionId aConnection)
+{
+  const auto place = m_connections.find(aConnection);
+  if (place == m_connections.end()) {
+    return;
+  }
+  error_code ignored;
+  place->second->m_socket.close(ignored);
+  m_connections.erase(place);
+}
+
+void
+FrameHub::Impl::Drop(ConnectionId aId)
+{
+  if (IsKnown(aId)) {
+    Close(aId);
+    m_handler.OnClosed(aId);
+  }
+}
+
+void
+FrameHub::Impl::Stop()
+{
+  error_code ignored;
+  m_acceptor.close(ignored);
+  while (!m_connections.empty()) {
+    Close(m_connections.begin()->first);
+  }
+}
+
+FrameHub::FrameHub(asio::io_context& aContext, FrameHandler& aHandler)
+  : m_impl(std::make_shared<Impl>(aContext, aHandler))
+{
+}
+
+FrameHub::~FrameHub()
+{
+  m_impl->Stop();
+}
+
+void
+FrameHub::Listen(const Endpoint& aEndpoint)
+{
+  m_impl->Listen(aEndpoint);
+}
+
+ConnectionId
+FrameHub::Connect(const Endpoint& aEndpoint)
+{
+  return m_impl->Connect(aEndpoint);
+}
+
+void
+FrameHub::Send(ConnectionId aConnection, const Frame& aFrame)
+{
+  m_impl->Send(aConnection, aFrame);
+}
+
+void
+FrameHub::Close(ConnectionId aConnection)
+{
+  m_impl->Close(aConnection);
+}
+
+const FrameTraffic&
+FrameHub::Traffic() const
+{
+  return m_impl->Traffic();
+}
+
+} // namespace fulmarquay
--- /dev/null
+++ b/src/libwire/HttpClient.cpp
@@ -0,0 +1,347 @@
+#include <utility>
+
+#include "fulmarquay/wire/HttpClient.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <array>
+#include <list>
+#include <map>
+#include <optional>
+
+namespace fulmarquay {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using beast::error_code;
+
+constexpr std::size_t kIdlePerPeer = 64;
+constexpr std::size_t kReadBytes = 16U << 10U;
+constexpr std::uint64_t kMaxAnswerBytes = 64U << 20U;
+
+/// A connection and the bytes read beyond the last answer.
+struct Wire
+{
+  explicit Wire(asio::io_context& aContext)
+    : m_stream(aContext)
+  {
+  }
+  beast::tcp_stream m_stream;
+  beast::flat_buffer m_buffer;
+};
+using WirePtr = std::shared_ptr<Wire>;
+
+bool
+IsStillOpen(Wire& aWire)
+{
+  error_code error;
+  char byte = 0;
+  aWire.m_stream.socket().non_blocking(true, error);
+  aWire.m_stream.socket().receive(
+    asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+} // namespace
+
+class HttpClient::Impl : public std::enable_shared_from_this<Impl>
+{
+public:
+  Impl(asio::io_context& aContext, HttpCallHandler& aHandler)
+    : m_context(aContext)
+    , m_handler(aHandler)
+  {
+  }
+
+  void Start(HttpCall aCall);
+  void Cancel(CallId aCall);
+  void Stop();
+
+  asio::io_context& m_context;
+
+private:
+  struct Running
+  {
+    HttpCall m_call;
+    WirePtr m_wire;
+    http::request<http::string_body> m_request;
+    std::optional<http::response_parser<http::buffer_body>> m_parser;
+    std::array<char, kReadBytes> m_part{};
+    bool m_isSent = false;
+  };
+  using RunningPtr = std::shared_ptr<Running>;
+
+  bool IsCurrent(const RunningPtr& aRunning) const;
+  WirePtr TakeIdle(const Endpoint& aPeer);
+  void Connect(const RunningPtr& aRunning);
+  void WriteRequest(const RunningPtr& aRunning);
+  void ReadHead(const RunningPtr& aRunning);
+  void ReadBody(const RunningPtr& aRunning);
+  void OnBody(const RunningPtr& aRunning, const error_code& aError);
+  void Fail(const RunningPtr& aRunning, const error_code& aError);
+  void Finish(const RunningPtr& aRunning);
+  void Close(Wire& aWire);
+
+  HttpCallHandler& m_handler;
+  std::map<CallId, RunningPtr> m_running;
+  std::map<Endpoint, std::list<WirePtr>> m_idle;
+};
+
+bool
+HttpClient::Impl::IsCurrent(const RunningPtr& aRunning) const
+{
+  const auto place = m_running.find(aRunning->m_call.m_call);
+  return place != m_running.end() && place->second == aRunning;
+}
+
+void
+HttpClient::Impl::Close(Wire& aWire)
+{
+  error_code ignored;
+  aWire.m_stream.socket().close(ignored);
+}
+
+WirePtr
+HttpClient::Impl::TakeIdle(const Endpoint& aPeer)
+{
+  std::list<WirePtr>& idle = m_idle[aPeer];
+  while (!idle.empty()) {
+    WirePtr wire = idle.back();
+    idle.pop_back();
+    if (IsStillOpen(*wire)) {
+      return wire;
+    }
+    Close(*wire);
+  }
+  return nullptr;
+}
+
+void
+HttpClient::Impl::Start(HttpCall aCall)
+{
+  auto running = std::make_shared<Running>();
+  running->m_call = std::move(aCall);
+  const HttpRequest& from = running->m_call.m_request;
+  auto& request = running->m_request;
+  request.version(11);
+  request.method_string(from.m_method);
+  request.target(from.m_target);
+  request.set(http::field::host, running->m_call.m_peer.ToString());
+  for (const HttpHeader& header : from.m_headers) {
+    request.insert(header.m_name, header.m_value);
+  }
+  request.body() = from.m_body;
+  request.prepare_payload();
+  m_running[running->m_call.m_call] = running;
+  if (!running->m_call.m_freshConnection) {
+    running->m_wire = TakeIdle(running->m_call.m_peer);
+  }
+  if (running->m_wire) {
+    WriteRequest(running);
+  } else {
+    Connect(running);
+  }
+}
+
+void
+HttpClient::Impl::Connect(const RunningPtr& aRunning)
+{
+  aRunning->m_wire = std::make_shared<Wire>(m_context);
+  const Endpoint& peer = aRunning->m_call.m_peer;
+  const tcp::endpoint endpoint(asio::ip::make_address(peer.Ip()), peer.Port());
+  aRunning->m_wire->m_stream.expires_after(aRunning->m_call.m_connectTimeout);
+  auto self = shared_from_this();
+  aRunning->m_wire->m_stream.async_connect(
+    endpoint, [self, aRunning](const error_code& aError) {
+      if (!self->IsCurrent(aRunning)) {
+        return;
+      }
+      if (aError) {
+        self->Fail(aRunning, aError);
+        return;
+      }
+      error_code ignored;
+      aRunning->m_wire->m_stream.socket().set_option(tcp::no_delay(true),
+                                                     ignored);
+      self->WriteRequest(aRunning);
+    });
+}
+
+void
+HttpClient::Impl::WriteRequest(const RunningPtr& aRunning)
+{
+  aRunning->m_isSent = true;
+  aRunning->m_wire->m_stream.expires_after(aRunning->m_call.m_idleTimeout);
+  auto self = shared_from_this();
+  http::async_write(aRunning->m_wire->m_stream,
+                    aRunning->m_request,
+                    [self, aRunning](const error_code& aError, std::size_t) {
+                      if (!self->IsCurrent(aRunning)) {
+                        return;
+                      }
+                      if (aError) {
+                        self->Fail(aRunning, aError);
+                        return;
+                      }
+                      self->ReadHead(aRunning);
+                    });
+}
+
+void
+HttpClient::Impl::ReadHead(const RunningPtr& aRunning)
+{
+  aRunning->m_parser.emplace();
+  aRunning->m_parser->body_limit(kMaxAnswerBytes);
+  aRunning->m_wire->m_stream.expires_after(aRunning->m_call.m_idleTimeout);
+  auto self = shared_from_this();
+  http::async_read_header(
+    aRunning->m_wire->m_stream,
+    aRunning->m_wire->m_buffer,
+    *aRunning->m_parser,
+    [self, aRunning](const error_code& aError, std::size_t) {
+      if (!self->IsCurrent(aRunning)) {
+        return;
+      }
+      if (aError) {
+        self->Fail(aRunning, aError);
+        return;
+      }
+      HttpResponse head;
+      head.m_status = static_cast<int>(aRunning->m_parser->get().result_int());
+      for (const auto& field : aRunning->m_parser->get()) {
+        head.m_headers.push_back(
+          { std::string(field.name_string()), std::string(field.value()) });
+      }
+      self->m_handler.OnHead(aRunning->m_call.m_call, head);
+      if (self->IsCurrent(aRunning)) {
+        self->ReadBody(aRunning);
+      }
+    });
+}
+
+void
+HttpClient::Impl::ReadBody(const RunningPtr& aRunning)
+{
+  if (aRunning->m_parser->is_done()) {
+    Finish(aRunning);
+    return;
+  }
+  auto& body = aRunning->m_parser->get().body();
+  body.data = aRunning->m_part.data();
+  body.size = aRunning->m_part.size();
+  aRunning->m_wire->m_stream.expires_after(aRunning->m_call.m_idleTimeout);
+  auto self = shared_from_this();
+  http::async_read_some(
+    aRunning->m_wire->m_stream,
+    aRunning->m_wire->m_buffer,
+    *aRunning->m_parser,
+    [self, aRunning](const error_code& aError, std::size_t) {
+      if (self->IsCurrent(aRunning)) {
+        self->OnBody(aRunning, aError);
+      }
+    });
+}
+
+void
+HttpClient::Impl::OnBody(const RunningPtr& aRunning, const error_code& aError)
+{
+  const bool isFull = aError == http::error::need_buffer;
+  const std::size_t size =
+    aRunning->m_part.size() - aRunning->m_parser->get().body().size;
+  if (size > 0) {
+    m_handler.OnData(aRunning->m_call.m_call,
+                     std::string(aRunning->m_part.data(), size));
+  }
+  if (!IsCurrent(aRunning)) {
+    return;
+  }
+  if (aError && !isFull) {
+    Fail(aRunning, aError);
+    return;
+  }
+  ReadBody(aRunning);
+}
+
+void
+HttpClient::Impl::Fail(const RunningPtr& aRunning, const error_code& aError)
+{
+  Close(*aRunning->m_wire);
+  m_running.erase(aRunning->m_call.m_call);
+  CallEnd end = CallEnd::Broken;
+  if (!aRunning->m_isSent) {
+    end = CallEnd::NotSent;
+  } else if (aError == beast::error::timeout) {
+    end = CallEnd::TimedOut;
+  }
+  m_handler.OnEnd(aRunning->m_call.m_call, end, aError.message());
+}
+
+void
+HttpClient::Impl::Finish(const RunningPtr& aRunning)
+{
+  m_running.erase(aRunning->m_call.m_call);
+  aRunning->m_wire->m_stream.expires_never();
+  std::list<WirePtr>& idle = m_idle[aRunning->m_call.m_peer];
+  if (aRunning->m_parser->keep_alive() && idle.size() < kIdlePerPeer) {
+    idle.push_back(aRunning->m_wire);
+  } else {
+    Close(*aRunning->m_wire);
+  }
+  m_handler.OnEnd(aRunning->m_call.m_call, CallEnd::Whole, "");
+}
+
+void
+HttpClient::Impl::Cancel(CallId aCall)
+{
+  const auto place = m_running.find(aCall);
+  if (place == m_running.end()) {
+    return;
+  }
+  const RunningPtr running = place->second;
+  m_running.erase(place);
+  Close(*running->m_wire);
+}
+
+void
+HttpClient::Impl::Stop()
+{
+  while (!m_running.empty()) {
+    Cancel(m_running.begin()->first);
+  }
+  m_idle.clear();
+}
+
+HttpClient::HttpClient(asio::io_context& aContext, HttpCallHandler& aHandler)
+  : m_impl(std::make_shared<Impl>(aContext, aHandler))
+{
+}
+
+HttpClient::~HttpClient()
+{
+  m_impl->Stop();
+}
+
+void
+HttpClient::Start(HttpCall aCall)
+{
+  auto impl = m_impl;
+  asio::post(impl->m_context, [impl, call = std::move(aCall)]() mutable {
+    impl->Start(std::move(call));
+  });
+}
+
+void
+HttpClient::Cancel(CallId aCall)
+{
+  auto impl = m_impl;
+  asio::post(impl->m_context, [impl, aCall] { impl->Cancel(aCall); });
+}
+
+} // namespace fulmarquay
--- /dev/null
+++ b/src/libwire/HttpServer.cpp
@@ -0,0 +1,464 @@
+#include <utility>
+
+#include "fulmarquay/wire/HttpServer.h"
+
+#include "fulmarquay/core/Error.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace fulmarquay {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using beast::error_code;
+
+/// A caller that lets more than this wait unread loses its connection.
+constexpr std::size_t kMaxQueuedBytes = 8U << 20U;
+
+std::string
+StatusLine(int aStatus)
+{
+  const auto status = http::int_to_status(static_cast<unsigned>(aStatus));
+  const auto reason = http::obsolete_reason(status);
+  return "HTTP/1.1 " + std::to_string(aStatus) + " " +
+         std::string(reason.data(), reason.size()) + "\r\n";
+}
+
+std::string
+HeaderLines(const std::vector<HttpHeader>& aHeaders)
+{
+  std::string text;
+  for (const HttpHeader& header : aHeaders) {
+    text += header.m_name + ": " + header.m_value + "\r\n";
+  }
+  return text;
+}
+
+std::string
+Chunk(const std::string& aData)
+{
+  std::string size;
+  for (std::size_t rest = aData.size(); rest > 0; rest >>= 4U) {
+    size.insert(size.begin(), "0123456789abcdef"[rest & 0xFU]);
+  }
+  return size + "\r\n" + aData + "\r\n";
+}
+
+} // namespace
+
+class HttpServer::Impl : public std::enable_shared_from_this<Impl>
+{
+public:
+  class Session;
+  using SessionPtr = std::shared_ptr<Session>;
+
+  Impl(asio::io_context& aContext,
+       HttpHandler& aHandler,
+       HttpServerLimits aLimits)
+    : m_context(aContext)
+    , m_handler(aHandler)
+    , m_limits(aLimits)
+    , m_acceptor(aContext)
+  {
+  }
+
+  void Listen(const Endpoint& aEndpoint);
+  void StopAccepting();
+  void Stop();
+  SessionPtr Find(CallerId aCaller) const;
+
+  asio::io_context& m_context;
+  HttpHandler& m_handler;
+  HttpServerLimits m_limits;
+  tcp::acceptor m_acceptor;
+  std::map<CallerId, SessionPtr> m_running;
+  std::set<SessionPtr> m_sessions;
+  std::uint64_t m_nextCaller = 1;
+  bool m_isStopping = false;
+
+private:
+  void Accept();
+};
+
+/// One caller connection: read a request, hand it over, write its answer,
+/// read the next.
+class HttpServer::Impl::Session : public std::enable_shared_from_this<Session>
+{
+public:
+  Session(std::shared_ptr<Impl> aServer, tcp::socket aSocket)
+    : m_server(std::move(aServer))
+    , m_stream(std::move(aSocket))
+  {
+  }
+
+  void ReadRequest();
+  void Queue(std::string aBytes);
+  void Finish(bool aKeepOpen);
+  void Close();
+  bool WantsClose() const { return m_wantsClose; }
+
+private:
+  void OnRead(const error_code& aError);
+  void Refuse(const error_code& aError);
+  void Write();
+  void OnWritten(const error_code& aError);
+  HttpRequest TakeRequest();
+  void WatchForClose();
+
+  std::shared_ptr<Impl> m_server;
+  beast::tcp_stream m_stream;
+  beast::flat_buffer m_buffer;
+  std::optional<http::request_parser<http::string_body>> m_parser;
+  std::string m_queued;
+  std::string m_writing;
+  CallerId m_caller;
+  bool m_isFinished = false;
+  bool m_keepOpen = true;
+  bool m_wantsClose = false;
+  bool m_isClosed = false;
+};
+
+void
+HttpServer::Impl::Listen(const Endpoint& aEndpoint)
+{
+  try {
+    const tcp::endpoint endpoint(asio::ip::make_address(aEndpoint.Ip()),
+                                 aEndpoint.Port());
+    m_acceptor.open(endpoint.protocol());
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+    m_acceptor.bind(endpoint);
+    m_acceptor.listen();
+  } catch (const std::exception& e) {
+    throw Error("listen for callers", aEndpoint.ToString(), e.what());
+  }
+  Accept();
+}
+
+void
+HttpServer::Impl::Accept()
+{
+  auto self = shared_from_this();
+  m_acceptor.async_accept([self](const error_code& aError,
+                                 tcp::socket aSocket) {
+    if (!self->m_acceptor.is_open()) {
+      return;
+    }
+    const bool hasRoom = self->m_sessions.size() < self->m_limits.m_connections;
+    if (!aError && hasRoom) {
+      error_code ignored;
+      aSocket.set_option(tcp::no_delay(true), ignored);
+      auto session = std::make_shared<Session>(self, std::move(aSocket));
+      self->m_sessions.insert(session);
+      session->ReadRequest();
+    }
+    self->Accept();
+  });
+}
+
+void
+HttpServer::Impl::StopAccepting()
+{
+  m_isStopping = true;
+  error_code ignored;
+  m_acceptor.close(ignored);
+}
+
+void
+HttpServer::Impl::Stop()
+{
+  StopAccepting();
+  m_running.clear();
+  while (!m_sessions.empty()) {
+    const SessionPtr session = *m_sessions.begin();
+    m_sessions.erase(m_sessions.begin());
+    session->Close();
+  }
+}
+
+HttpServer::Impl::SessionPtr
+HttpServer::Impl::Find(CallerId aCaller) const
+{
+  const auto place = m_running.find(aCaller);
+  return place == m_running.end() ? nullptr : place->second;
+}
+
+void
+HttpServer::Impl::Session::ReadRequest()
+{
+  m_parser.emplace();
+  m_parser->header_limit(
+    static_cast<std::uint32_t>(m_server->m_limits.m_headerBytes));
+  m_parser->body_limit(m_server->m_limits.m_bodyBytes);
+  m_stream.expires_after(m_server->m_limits.m_readTimeout);
+  auto self = shared_from_this();
+  http::async_read(
+    m_stream,
+    m_buffer,
+    *m_parser,
+    [self](const error_code& aError, std::size_t) { self->OnRead(aError); });
+}
+
+void
+HttpServer::Impl::Session::OnRead(const error_code& aError)
+{
+  if (m_isClosed) {
+    return;
+  }
+  if (aError) {
+    Refuse(aError);
+    return;
+  }
+  m_stream.expires_never();
+  m_caller = CallerId(m_server->m_nextCaller++);
+  m_keepOpen = m_parser->get().keep_alive();
+  m_isFinished = false;
+  m_server->m_running.emplace(m_caller, shared_from_this());
+  m_server->m_handler.OnRequest(m_caller, TakeRequest());
+  WatchForClose();
+}
+
+void
+HttpServer::Impl::Session::WatchForClose()
+{
+  // A caller that goes away makes its socket readable with no bytes left.
+  auto self = shared_from_this();
+  const CallerId caller = m_caller;
+  if (m_isFinished || m_isClosed) {
+    return;
+  }
+  m_stream.socket().async_wait(
+    tcp::socket::wait_read, [self, caller](const error_code& aError) {
+      const bool isSame = self->m_caller == caller && !self->m_isFinished;
+      if (aError || self->m_isClosed || !isSame) {
+        return;
+      }
+      error_code readError;
+      char byte = 0;
+      self->m_stream.socket().non_blocking(true, readError);
+      const std::size_t size = self->m_stream.socket().receive(
+        asio::buffer(&byte, 1), tcp::socket::message_peek, readError);
+      const bool isGone = size == 0 && readError != asio::error::would_block;
+      if (isGone) {
+        self->Close();
+      }
+    });
+}
+
+HttpRequest
+HttpServer::Impl::Session::TakeRequest()
+{
+  auto message = m_parser->release();
+  HttpRequest request;
+  request.m_method = std::string(message.method_string());
+  request.m_target = std::string(message.target());
+  for (const auto& field : message) {
+    request.m_headers.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  request.m_body = std::move(message.body());
+  return request;
+}
+
+void
+HttpServer::Impl::Session::Refuse(const error_code& aError)
+{
+  int status = 400;
+  if (aError == http::error::header_limit) {
+    status = 431;
+  } else if (aError == http::error::body_limit) {
+    status = 413;
+  } else if (aError == beast::error::timeout) {
+    status = 408;
+  }
+  const bool isHttp = aError.category() ==
+                      http::make_error_code(http::error::bad_method).category();
+  const bool hasBytes = m_parser->got_some() || m_buffer.size() > 0;
+  const bool isEnd = aError == http::error::end_of_stream ||
+                     aError == http::error::partial_message;
+  if (isEnd || !isHttp || !hasBytes) {
+    Close();
+    return;
+  }
+  m_stream.expires_after(m_server->m_limits.m_readTimeout);
+  const std::string body =
+    "{\"outcome\":\"not_run\",\"step\":\"read request\"}";
+  m_isFinished = true;
+  m_keepOpen = false;
+  Queue(StatusLine(status) + "Content-Type: application/json\r\n" +
+        "Connection: close\r\nContent-Length: " + std::to_string(body.size()) +
+        "\r\n\r\n" + body);
+}
+
+void
+HttpServer::Impl::Session::Queue(std::string aBytes)
+{
+  if (m_isClosed) {
+    return;
+  }
+  m_queued += aBytes;
+  if (m_queued.size() > kMaxQueuedBytes) {
+    Close();
+    return;
+  }
+  Write();
+}
+
+void
+HttpServer::Impl::Session::Write()
+{
+  if (!m_writing.empty() || m_queued.empty() || m_isClosed) {
+    return;
+  }
+  m_writing.swap(m_queued);
+  auto self = shared_from_this();
+  asio::async_write(
+    m_stream,
+    asio::buffer(m_writing),
+    [self](const error_code& aError, std::size_t) { self->OnWritten(aError); });
+}
+
+void
+HttpServer::Impl::Session::OnWritten(const error_code& aError)
+{
+  m_writing.clear();
+  if (m_isClosed) {
+    return;
+  }
+  if (aError) {
+    Close();
+    return;
+  }
+  if (!m_queued.empty()) {
+    Write();
+    return;
+  }
+  if (!m_isFinished) {
+    return;
+  }
+  if (m_keepOpen && !m_server->m_isStopping) {
+    ReadRequest();
+  } else {
+    error_code ignored;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    Close();
+  }
+}
+
+void
+HttpServer::Impl::Session::Finish(bool aKeepOpen)
+{
+  m_isFinished = true;
+  m_keepOpen = m_keepOpen && aKeepOpen;
+  m_server->m_running.erase(m_caller);
+}
+
+void
+HttpServer::Impl::Session::Close()
+{
+  if (m_isClosed) {
+    return;
+  }
+  m_isClosed = true;
+  error_code ignored;
+  m_stream.socket().close(ignored);
+  auto self = shared_from_this();
+  m_server->m_sessions.erase(self);
+  if (m_server->m_running.erase(m_caller) != 0) {
+    m_server->m_handler.OnGone(m_caller);
+  }
+}
+
+HttpServer::HttpServer(asio::io_context& aContext,
+                       HttpHandler& aHandler,
+                       HttpServerLimits aLimits)
+  : m_impl(std::make_shared<Impl>(aContext, aHandler, aLimits))
+{
+}
+
+HttpServer::~HttpServer()
+{
+  m_impl->Stop();
+}
+
+void
+HttpServer::Listen(const Endpoint& aEndpoint)
+{
+  m_impl->Listen(aEndpoint);
+}
+
+void
+HttpServer::StopAccepting()
+{
+  m_impl->StopAccepting();
+}
+
+void
+HttpServer::Respond(CallerId aCaller, HttpResponse aResponse)
+{
+  const auto session = m_impl->Find(aCaller);
+  if (!session) {
+    return;
+  }
+  // The session is finished before its bytes are queued: the completion of
+  // the write decides by that whether to read the next request.
+  session->Finish(true);
+  session->Queue(StatusLine(aResponse.m_status) +
+                 HeaderLines(aResponse.m_headers) +
+                 "Content-Length: " + std::to_string(aResponse.m_body.size()) +
+                 "\r\n\r\n" + aResponse.m_body);
+}
+
+void
+HttpServer::StreamHead(CallerId aCaller, HttpResponse aHead)
+{
+  const auto session = m_impl->Find(aCaller);
+  if (session) {
+    session->Queue(StatusLine(aHead.m_status) + HeaderLines(aHead.m_headers) +
+                   "Transfer-Encoding: chunked\r\n\r\n");
+  }
+}
+
+void
+HttpServer::StreamData(CallerId aCaller, std::string aData)
+{
+  const auto session = m_impl->Find(aCaller);
+  if (session && !aData.empty()) {
+    session->Queue(Chunk(aData));
+  }
+}
+
+void
+HttpServer::StreamEnd(CallerId aCaller, bool aIsWhole)
+{
+  const auto session = m_impl->Find(aCaller);
+  if (!session) {
+    return;
+  }
+  if (!aIsWhole) {
+    m_impl->m_running.erase(aCaller);
+    session->Close();
+    return;
+  }
+  session->Finish(true);
+  session->Queue("0\r\n\r\n");
+}
+
+std::size_t
+HttpServer::Running() const
+{
+  return m_impl->m_running.size();
+}
+
+} // namespace fulmarquay
