Whole-program cases: control faults, once-only calls, configuration, streams

Change: testsuite/case-*.sh run three control replicas, entries and stand-ins as separate processes and bring about kills, freezes, an emptied data folder, a second VM lost right after the repair, a cut of every link to the control group, operator races, lost answers, broken and crossed streams, damaged and dead stores, leaving and full engines, a drain under a running answer. The stand-ins' journals are compared with what callers were told. Log tests of the segmented store on a disk that tears, fills up and fails.

--- /dev/null
+++ b/src/libconsensus/fake_disk_test.cpp
@@ -0,0 +1,129 @@
+#include "fake_disk_test.h"
+
+#include <algorithm>
+
+namespace fulmarquay::testing {
+
+class FakeFile : public DiskFile
+{
+public:
+  FakeFile(FakeDisk& aDisk, FakeDisk::ContentPtr aContent)
+    : m_disk(aDisk)
+    , m_content(std::move(aContent))
+  {
+  }
+
+  void WriteAt(std::uint64_t aOffset, std::string_view aBytes) override
+  {
+    ++m_disk.m_writes;
+    std::string& now = m_content->m_now;
+    now.resize(std::max(now.size(), aOffset + aBytes.size()), '\0');
+    now.replace(aOffset, aBytes.size(), aBytes);
+    m_content->m_lastOffset = aOffset;
+    m_content->m_lastWrite = aBytes;
+  }
+
+  void Sync() override
+  {
+    if (m_disk.m_failSync) {
+      throw DiskFailedError("sync file", "fake", "I/O error");
+    }
+    m_content->m_synced = m_content->m_now;
+    m_content->m_lastWrite.clear();
+  }
+
+private:
+  FakeDisk& m_disk;
+  FakeDisk::ContentPtr m_content;
+};
+
+void
+FakeDisk::Crash(std::size_t aTornBytes)
+{
+  m_names = m_syncedNames;
+  for (auto& [name, content] : m_names) {
+    const std::string torn = content->m_lastWrite.substr(0, aTornBytes);
+    const std::uint64_t offset = content->m_lastOffset;
+    std::string now = content->m_synced;
+    if (!torn.empty()) {
+      now.resize(std::max(now.size(), offset + torn.size()), '\0');
+      now.replace(offset, torn.size(), torn);
+    }
+    content->m_now = now;
+    content->m_synced = now;
+    content->m_lastWrite.clear();
+  }
+}
+
+void
+FakeDisk::Damage(const std::string& aName, std::size_t aOffset)
+{
+  m_names.at(aName)->m_now[aOffset] ^= 0x40;
+  m_names.at(aName)->m_synced[aOffset] ^= 0x40;
+}
+
+std::size_t
+FakeDisk::SizeOf(const std::string& aName) const
+{
+  return m_names.at(aName)->m_now.size();
+}
+
+std::vector<std::string>
+FakeDisk::List()
+{
+  std::vector<std::string> names;
+  for (const auto& [name, content] : m_names) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+std::string
+FakeDisk::Read(const std::string& aName)
+{
+  return m_names.at(aName)->m_now;
+}
+
+std::unique_ptr<DiskFile>
+FakeDisk::Create(const std::string& aName, Bytes aSize)
+{
+  if (aSize.Count() > m_room) {
+    throw DiskFullError("reserve space", aName, "no room");
+  }
+  m_room -= aSize.Count();
+  auto content = std::make_shared<Content>();
+  content->m_now.assign(static_cast<std::size_t>(aSize.Count()), '\0');
+  content->m_synced = content->m_now;
+  m_names[aName] = content;
+  return std::make_unique<FakeFile>(*this, content);
+}
+
+std::unique_ptr<DiskFile>
+FakeDisk::Open(const std::string& aName)
+{
+  return std::make_unique<FakeFile>(*this, m_names.at(aName));
+}
+
+void
+FakeDisk::Rename(const std::string& aFrom, const std::string& aTo)
+{
+  m_names[aTo] = m_names.at(aFrom);
+  m_names.erase(aFrom);
+}
+
+void
+FakeDisk::Remove(const std::string& aName)
+{
+  m_names.erase(aName);
+}
+
+void
+FakeDisk::Sync()
+{
+  if (m_failSync) {
+    throw DiskFailedError("sync folder", "fake", "I/O error");
+  }
+  m_syncedNames = m_names;
+}
+
+} // namespace fulmarquay::testing
--- a/src/libcore/LogEvent.cpp
+++ b/src/libcore/LogEvent.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/log/core.hpp>
+#include <boost/log/expressions/message.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/utility/setup/console.hpp>
@@ -241,8 +242,12 @@
 {
   State().m_program = aProgram;
   State().m_isJson = aFormat == "json";
-  boost::log::add_console_log(std::cerr,
-                              boost::log::keywords::auto_flush = true);
+  const auto sink = boost::log::add_console_log(
+    std::cerr, boost::log::keywords::auto_flush = true);
+  sink->set_formatter([](const boost::log::record_view& aRecord,
+                         boost::log::formatting_ostream& aOut) {
+    aOut << aRecord[boost::log::expressions::smessage];
+  });
 }
 
 void
--- /dev/null
+++ b/testsuite/cluster.sh
@@ -0,0 +1,174 @@
+# A control group of three, entries and stand-ins, for whole-program cases.
+# Source it after lib.sh.
+#
+#   start_cluster ENTRIES   ENTRIES entries in data centre dc1
+#
+# Sets CONTROL_PORT[1..3], CONTROL_PID[1..3], HTTP[1..N], PEER[1..N],
+# ENTRY_PID[1..N], ENGINE[1..2], STORE, TILL, RELAY[1..3] and KEY.
+KEY=village-key
+OTHER_KEY=clinic-key
+
+write_control_settings() { # NUMBER
+  local i
+  {
+    echo "[control]"
+    echo "vm = c$1"
+    echo "data_centre = dc1"
+    echo "listen = 127.0.0.1:${CONTROL_PORT[$1]}"
+    echo "data_folder = $WORK/state$1"
+    echo "entry_lease = 2s"
+    echo "snapshot_entries = 50"
+    for i in 1 2 3; do
+      echo "[replica.c$i]"
+      echo "address = 127.0.0.1:${CONTROL_PORT[$i]}"
+    done
+  } >"$WORK/control$1.ini"
+}
+
+write_entry_settings() { # NUMBER ENTRIES
+  local peers="" i
+  for ((i = 1; i <= $2; i++)); do
+    [ "$i" = "$1" ] || peers="$peers 127.0.0.1:${PEER[$i]}"
+  done
+  {
+    echo "[entry]"
+    echo "vm = e$1"
+    echo "data_centre = dc1"
+    echo "listen = 127.0.0.1:${PEER[$1]}"
+    echo "http = 127.0.0.1:${HTTP[$1]}"
+    echo "control = 127.0.0.1:${RELAY[1]} 127.0.0.1:${RELAY[2]} 127.0.0.1:${RELAY[3]}"
+    echo "peers =$peers"
+    echo "drain_delay = 300ms"
+  } >"$WORK/entry$1.ini"
+}
+
+write_standin_settings() {
+  local i
+  cat >"$WORK/standin.ini" <<INI
+[engine.g1]
+listen = 127.0.0.1:${ENGINE[1]}
+[engine.g2]
+listen = 127.0.0.1:${ENGINE[2]}
+[store.s1]
+listen = 127.0.0.1:$STORE
+[service.till]
+listen = 127.0.0.1:$TILL
+INI
+  # The links from entries to control replicas, which can be cut together.
+  for i in 1 2 3; do
+    cat >>"$WORK/relay.ini" <<INI
+[relay.r$i]
+listen = 127.0.0.1:${RELAY[$i]}
+target = 127.0.0.1:${CONTROL_PORT[$i]}
+INI
+  done
+}
+
+write_answers() { # FILE [DEPLOYMENT]
+  cat >"$1" <<INI
+[deployment]
+name = ${2:-case}
+[account.village]
+key_hash = $("$BIN/fulmarquay" hash-key $KEY)
+tokens_per_second = 1000000
+[account.clinic]
+key_hash = $("$BIN/fulmarquay" hash-key $OTHER_KEY)
+tokens_per_second = 1000000
+[model.m]
+weights = w1
+[engine.g1]
+address = 127.0.0.1:${ENGINE[1]}
+data_centre = dc1
+model = m
+[engine.g2]
+address = 127.0.0.1:${ENGINE[2]}
+data_centre = dc1
+model = m
+[store.s1]
+address = 127.0.0.1:$STORE
+data_centre = dc1
+capacity = 256MiB
+link_per_second = 64MiB
+[service.till]
+addresses = 127.0.0.1:$TILL
+once_calls = deposit refund
+INI
+}
+
+start_control() { # NUMBER
+  start "control$1" "$BIN/fulmarquay-control" --settings "$WORK/control$1.ini"
+  CONTROL_PID[$1]=$LAST_PID
+}
+
+start_entry() { # NUMBER
+  start "entry$1" "$BIN/fulmarquay-entry" --settings "$WORK/entry$1.ini"
+  ENTRY_PID[$1]=$LAST_PID
+}
+
+start_cluster() { # ENTRIES
+  local entries=$1 i
+  free_ports $((10 + 2 * entries))
+  CONTROL_PORT=(0 "${PORTS[@]:0:3}")
+  RELAY=(0 "${PORTS[@]:3:3}")
+  ENGINE=(0 "${PORTS[@]:6:2}")
+  STORE=${PORTS[8]} TILL=${PORTS[9]}
+  HTTP=(0 "${PORTS[@]:10:entries}")
+  PEER=(0 "${PORTS[@]:$((10 + entries)):entries}")
+  export FULMARQUAY_CONTROL="127.0.0.1:${CONTROL_PORT[1]} 127.0.0.1:${CONTROL_PORT[2]} 127.0.0.1:${CONTROL_PORT[3]}"
+  write_standin_settings
+  start standin "$BIN/fulmarquay-standin" --settings "$WORK/standin.ini"
+  start relay "$BIN/fulmarquay-standin" --settings "$WORK/relay.ini"
+  RELAY_PID=$LAST_PID
+  for i in 1 2 3; do
+    write_control_settings $i
+    "$BIN/fulmarquay-control" --settings "$WORK/control$i.ini" --bootstrap 2>>"$WORK/control$i.log"
+    start_control $i
+  done
+  for ((i = 1; i <= entries; i++)); do
+    write_entry_settings $i "$entries"
+    start_entry $i
+  done
+  write_answers "$WORK/case.answers"
+  check "answers accepted" "$BIN/fulmarquay" submit "$WORK/case.answers" --operator first
+  for ((i = 1; i <= entries; i++)); do
+    check "entry $i ready" until_true 10 is_ready "${HTTP[$i]}"
+  done
+  [ $FAILED = 0 ] || finish_case
+  sleep 0.5
+}
+
+status() {
+  "$BIN/fulmarquay" status --json "$@"
+}
+
+# The number of the control replica that leads.
+leader() {
+  status | grep -o '"vm":"c[0-9]","address":"[^"]*","role":"leader"' | sed 's/"vm":"c\([0-9]\).*/\1/'
+}
+
+voters() {
+  status | grep -o '"role":"\(leader\|voter\)"' | wc -l
+}
+
+deposit() { # ENTRY KEY [BODY]
+  post "${HTTP[$1]}" /v1/services/till/deposit --key "$KEY" --idempotency-key "$2" --body "${3:-{\}}"
+}
+
+# How often the till ran the call of a key.
+runs() {
+  get "$TILL" /journal | grep -o "\"key\":\"$1\"" | wc -l
+}
+
+prompt() { # ENTRY [OPTION...]
+  "$BIN/fulmarquay-load" prompt --entry "127.0.0.1:${HTTP[$1]}" --key "$KEY" "${@:2}"
+}
+
+finish_case() {
+  if [ $FAILED != 0 ]; then
+    for log in "$WORK"/*.log; do
+      echo "--- $(basename "$log")"
+      tail -n 8 "$log"
+    done
+  fi
+  exit $FAILED
+}
