Case of the lost disk: wait until the repair is complete

Its check counted three voters, and the incarnation without a disk still counts as one until its successor has caught up, so the case killed a second VM while the first was not yet replaced: two of three voters gone, and the group rightly stopped. The dumps at the failure show it: voters 3, learners 1. Ruled out: links (heartbeats arrived), disk (synced), votes (pre-votes asked).

Change: the check asks for three voters, no learner, and the new id among the voters, which is stricter; a failed check prints the dumps of all processes; deposits before the repair are repeated until they ran.

--- a/testsuite/case-control-faults.sh
+++ b/testsuite/case-control-faults.sh
@@ -30,12 +30,21 @@
 LOST=$((NEW % 3 + 1))
 end "${CONTROL_PID[$LOST]}" KILL
 rm -rf "$WORK/state$LOST"
-for i in $(seq 120); do works "many$i" >/dev/null; done
+for i in $(seq 120); do until_true 5 works "many$i"; done
 start_control $LOST
-has_voters() { [ "$(voters)" = 3 ]; }
-check "a replica that lost its disk becomes a voter again" until_true 10 has_voters
-is_new_id() { grep -q ReplicaJoining "$WORK/control$LOST.log"; }
-check "it joined under a new id" is_new_id
+until_true 5 grep -q ReplicaJoining "$WORK/control$LOST.log"
+NEW_ID=$(sed -n 's/.*name=ReplicaJoining.*replica="\([0-9a-f]*\)".*/\1/p' "$WORK/control$LOST.log")
+check "it asks to join under a new id" [ -n "$NEW_ID" ]
+# The lost incarnation counts as a voter until it is replaced: only then is
+# the repair complete.
+is_repaired() {
+  local now
+  now=$(status)
+  [ "$(grep -o '"role":"\(leader\|voter\)"' <<<"$now" | wc -l)" = 3 ] &&
+    ! grep -q '"role":"learner"' <<<"$now" &&
+    grep -q "\"id\":\"$NEW_ID\"" <<<"$now"
+}
+check "a replica that lost its disk becomes a voter again" until_true 10 is_repaired
 
 OTHER=$((LOST % 3 + 1))
 end "${CONTROL_PID[$OTHER]}" KILL
--- a/testsuite/cluster.sh
+++ b/testsuite/cluster.sh
@@ -146,10 +146,6 @@
   status | grep -o '"vm":"c[0-9]","address":"[^"]*","role":"leader"' | sed 's/"vm":"c\([0-9]\).*/\1/'
 }
 
-voters() {
-  status | grep -o '"role":"\(leader\|voter\)"' | wc -l
-}
-
 deposit() { # ENTRY KEY [BODY]
   post "${HTTP[$1]}" /v1/services/till/deposit --key "$KEY" --idempotency-key "$2" --body "${3:-{\}}"
 }
@@ -163,6 +159,13 @@
   "$BIN/fulmarquay-load" prompt --entry "127.0.0.1:${HTTP[$1]}" --key "$KEY" "${@:2}"
 }
 
+explain() {
+  local port
+  for port in "${CONTROL_PORT[@]:1}" "${PEER[@]:1}"; do
+    timeout 5 "$BIN/fulmarquay" dump "127.0.0.1:$port" --json 2>&1
+  done
+}
+
 finish_case() {
   if [ $FAILED != 0 ]; then
     for log in "$WORK"/*.log; do
--- a/testsuite/lib.sh
+++ b/testsuite/lib.sh
@@ -59,6 +59,11 @@
   return 1
 }
 
+# explain: prints what helps to understand the first failure; cases replace it.
+explain() {
+  :
+}
+
 # check TEXT COMMAND...: notes a failure and goes on.
 check() {
   local text=$1
@@ -67,6 +72,7 @@
     echo "ok: $text"
   else
     echo "FAILED: $text"
+    [ $FAILED = 1 ] || explain
     FAILED=1
   fi
 }
