--- a/src/fulmarquay-load/Caller.h
+++ b/src/fulmarquay-load/Caller.h
@@ -19,8 +19,8 @@
   HttpResponse m_response;
   CallEnd m_end = CallEnd::NotSent;
   std::string m_why;
-  Duration m_firstData; ///< from the start to the first byte of the body
-  Duration m_total;
+  Duration m_firstData{}; ///< from the start to the first byte of the body
+  Duration m_total{};
 };
 
 /// Makes HTTP exchanges from one thread; each ends in its handler.
--- a/src/fulmarquay-standin/EngineModel.h
+++ b/src/fulmarquay-standin/EngineModel.h
@@ -21,7 +21,7 @@
   std::int64_t m_pieceTokens = 2048;
   std::int64_t m_bytesPerToken = 64;
   std::int64_t m_slots = 8;
-  Duration m_eventLag;
+  Duration m_eventLag{};
   std::string m_weights;
 };
 
--- a/src/fulmarquay-standin/EngineRole.h
+++ b/src/fulmarquay-standin/EngineRole.h
@@ -68,8 +68,8 @@
   EngineModel m_model;
   HttpClient m_client;
   std::unique_ptr<StoreProtocol> m_stores;
-  Duration m_tokenInterval;
-  Duration m_loadTime;
+  Duration m_tokenInterval{};
+  Duration m_loadTime{};
   bool m_checksFencing = false;
   std::uint64_t m_lastOrder = 0;
   std::int64_t m_running = 0;
--- a/src/fulmarquay-standin/ServiceRole.h
+++ b/src/fulmarquay-standin/ServiceRole.h
@@ -31,7 +31,7 @@
     std::string m_key;
   };
 
-  Duration m_delay;
+  Duration m_delay{};
   std::vector<Ran> m_journal;
 };
 
--- a/src/fulmarquay/ControlClient.h
+++ b/src/fulmarquay/ControlClient.h
@@ -21,7 +21,7 @@
 
 private:
   std::vector<Endpoint> m_replicas;
-  Duration m_patience;
+  Duration m_patience{};
 };
 
 } // namespace fulmarquay
--- a/src/include/fulmarquay/cache/LinkSchedule.h
+++ b/src/include/fulmarquay/cache/LinkSchedule.h
@@ -18,7 +18,7 @@
 /// When a transfer may start and how fast it may go.
 struct LinkGrant
 {
-  Duration m_delay;
+  Duration m_delay{};
   std::int64_t m_bytesPerSecond = 0;
 };
 
--- a/src/include/fulmarquay/cache/RestorePlanner.h
+++ b/src/include/fulmarquay/cache/RestorePlanner.h
@@ -16,7 +16,7 @@
 {
   EngineId m_engine;
   std::size_t m_cachedPieces = 0; ///< leading pieces that it holds
-  Duration m_queue;               ///< until it can begin with this prompt
+  Duration m_queue{};             ///< until it can begin with this prompt
   std::int64_t m_prefillPerSecond = 1;
 };
 
@@ -24,7 +24,7 @@
 struct LinkView
 {
   StoreId m_store;
-  Duration m_backlog; ///< until it can begin with new bytes
+  Duration m_backlog{}; ///< until it can begin with new bytes
   std::int64_t m_bytesPerSecond = 1;
 };
 
@@ -49,7 +49,7 @@
   std::size_t m_importTo = 0;
   std::int64_t m_importBytes = 0;
   Tokens m_recompute;
-  Duration m_firstToken; ///< expected
+  Duration m_firstToken{}; ///< expected
   double m_cost = 0;
 };
 
--- a/src/include/fulmarquay/control/Configuration.h
+++ b/src/include/fulmarquay/control/Configuration.h
@@ -66,7 +66,7 @@
   /// First words of paths whose calls may not be repeated.
   std::set<std::string> m_onceCalls;
   std::string m_statusPath; ///< answers whether a once-only call ran; or empty
-  Duration m_timeout;
+  Duration m_timeout{};
 };
 
 /// The typed form of an accepted configuration.
@@ -74,7 +74,7 @@
 {
   std::string m_deployment;
   double m_firstTokenWeight = 0.5; ///< 1: first token only; 0: link use only
-  Duration m_onceRetention;
+  Duration m_onceRetention{};
   Tokens m_pieceTokens;
   std::map<std::string, AccountConfig> m_accountsByKeyHash;
   std::map<std::string, ModelConfig> m_models;
--- a/src/include/fulmarquay/platform/EngineProtocol.h
+++ b/src/include/fulmarquay/platform/EngineProtocol.h
@@ -37,7 +37,7 @@
   std::vector<BlockKey> m_keys;
   std::vector<ImportBlock> m_import;
   std::string m_storeAddress;
-  Duration m_importDelay;
+  Duration m_importDelay{};
   std::int64_t m_importPerSecond = 0;
 };
 
@@ -87,7 +87,7 @@
   std::string m_weights;
   BlockKey m_root;
   std::string m_storeAddress;
-  Duration m_delay;
+  Duration m_delay{};
   std::int64_t m_perSecond = 0;
   std::vector<ExportBlock> m_blocks;
 };
--- a/src/include/fulmarquay/serve/EntryContext.h
+++ b/src/include/fulmarquay/serve/EntryContext.h
@@ -38,7 +38,7 @@
   std::string m_outcome = "not_run"; ///< `not_run` or `unknown`
   std::string m_step;
   std::string m_reason;
-  Duration m_retryAfter; ///< 0: asking again does not help
+  Duration m_retryAfter{}; ///< 0: asking again does not help
 };
 
 /// What all parts of the entry's reducer share: time, identity, effects.
--- /dev/null
+++ b/src/libcore/core_test.cpp
@@ -0,0 +1,175 @@
+#include "fulmarquay/core/Digest.h"
+#include "fulmarquay/core/Endpoint.h"
+#include "fulmarquay/core/IniDocument.h"
+#include "fulmarquay/core/LogEvent.h"
+#include "fulmarquay/core/Metrics.h"
+#include "fulmarquay/core/Settings.h"
+#include "fulmarquay/core/SettingsSpec.h"
+
+#include <set>
+#include <stdexcept>
+
+// Last: its macros clash with names in other headers.
+#include <criterion/criterion.h>
+
+using namespace fulmarquay;
+
+namespace {
+
+SettingsSpec
+MakeSpec()
+{
+  SettingsSpec::Builder builder("test");
+  builder.Section("one")
+    .Required("name", SettingKind::Name, "")
+    .Optional("wait", SettingKind::Duration, "5s", "")
+    .Between(1'000, 10'000'000)
+    .Optional("room", SettingKind::Size, "1MiB", "")
+    .Optional("share", SettingKind::Fraction, "0.5", "")
+    .Optional("on", SettingKind::Flag, "no", "")
+    .Optional("form", SettingKind::Choice, "text", "")
+    .OneOf({ "text", "json" });
+  builder.Section("peer.*").Required("address", SettingKind::Address, "");
+  return builder.Build();
+}
+
+struct WrongFile
+{
+  const char* m_text;
+  const char* m_message; ///< must be part of one problem
+};
+
+const WrongFile kWrongFiles[] = {
+  { "[one]\nname = a\ncolour = 3\n", "f.ini:3: [one] colour: unknown key" },
+  { "[one]\nname = a\nwait = 5\n", "f.ini:3: [one] wait: '5' is wrong" },
+  { "[one]\nname = a\nwait = 5x\n", "allowed: a duration such as" },
+  { "[one]\nname = a\nwait = 11s\n", "1ms to 10000ms" },
+  { "[one]\nname = a\nwait = 99999999999999999h\n", "out of range" },
+  { "[one]\nname = a\nroom = 3MB\n", "[one] room" },
+  { "[one]\nname = a\nshare = 1.5\n", "a number from 0 to 1" },
+  { "[one]\nname = a\nshare = nan\n", "a number from 0 to 1" },
+  { "[one]\nname = a\non = maybe\n", "yes or no" },
+  { "[one]\nname = a\nform = xml\n", "one of text json" },
+  { "[one]\nname = a b\n", "character not allowed" },
+  { "[one]\n", "f.ini:1: [one] name: missing" },
+  { "", "[one] name: missing" },
+  { "[one]\nname = a\n[peer.x]\naddress = host:1\n", "not an IP address" },
+  { "[one]\nname = a\n[peer.x]\naddress = 10.0.0.1\n", "no port" },
+  { "[one]\nname = a\n[peer.x]\naddress = 10.0.0.1:70000\n", "not a port" },
+  { "[one]\nname = a\n[other]\n", "f.ini:3: [other]: unknown section" },
+  { "[one]\nname = a\nname = b\n", "line 3: key name stands twice" },
+  { "[one]\nname = a\n[one]\n", "line 3: section [one] stands twice" },
+  { "[one]\nname = a\nnonsense\n", "line 3: neither [section]" },
+  { "name = a\n[one]\nname = a\n", "line 1: key before" },
+};
+
+bool
+HasProblem(const std::vector<std::string>& aProblems, const std::string& aPart)
+{
+  for (const std::string& problem : aProblems) {
+    if (problem.find(aPart) != std::string::npos) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::vector<std::string>
+ProblemsOf(const std::string& aText)
+{
+  try {
+    Settings::Check(aText, "f.ini", MakeSpec());
+    return {};
+  } catch (const SettingsError& e) {
+    return e.Problems();
+  }
+}
+
+} // namespace
+
+Test(settings, each_wrong_line_is_named)
+{
+  for (const WrongFile& wrong : kWrongFiles) {
+    const auto problems = ProblemsOf(wrong.m_text);
+    cr_assert(HasProblem(problems, wrong.m_message),
+              "%s: want '%s', got '%s'",
+              wrong.m_text,
+              wrong.m_message,
+              problems.empty() ? "nothing" : problems.front().c_str());
+  }
+}
+
+Test(settings, one_run_names_them_all)
+{
+  const auto problems =
+    ProblemsOf("[one]\nwait = 1\nroom = 2\n[peer.x]\n[nothing]\n");
+  cr_assert_eq(problems.size(), 5U);
+}
+
+Test(settings, good_values_are_read_in_base_units)
+{
+  const Settings settings = Settings::Check(
+    "# comment\n[one]\nname = a.b-c\nwait = 250ms\nroom = 64KiB\non = yes\n"
+    "[peer.x]\naddress = 10.0.0.1:80\n[peer.y]\naddress = [::1]:81\n",
+    "f.ini",
+    MakeSpec());
+  cr_assert_eq(settings.Time("one", "wait"), Duration(250'000));
+  cr_assert_eq(settings.Size("one", "room"), Bytes(65536));
+  cr_assert(settings.Flag("one", "on"));
+  cr_assert_eq(settings.Text("one", "form"), "text");
+  cr_assert_eq(settings.Names("peer").size(), 2U);
+  cr_assert_eq(settings.Address("peer.y", "address").ToString(), "[::1]:81");
+  cr_assert_throw(settings.Text("one", "nothing"), Error);
+}
+
+Test(settings, ini_reader_takes_any_bytes)
+{
+  std::string text;
+  for (int i = 0; i < 5000; ++i) {
+    text += static_cast<char>((i * 7919) % 256);
+  }
+  IniDocument::Parse(text);
+}
+
+Test(digest, known_values)
+{
+  cr_assert_eq(
+    Sha256Hex("abc"),
+    "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+  cr_assert_eq(HexOf(0xABCU), "0000000000000abc");
+  cr_assert_neq(ContentHash("a"), ContentHash("b"));
+  cr_assert_neq(Checksum64("a", 1), Checksum64("a", 2));
+}
+
+Test(log_events, numbers_and_names_are_unique)
+{
+  std::set<int> numbers;
+  std::set<std::string_view> names;
+  for (const LogEventInfo& info : LogCatalogue()) {
+    cr_assert(numbers.insert(static_cast<int>(info.m_event)).second);
+    cr_assert(names.insert(info.m_name).second);
+  }
+}
+
+Test(log_events, page_and_catalogue_agree)
+{
+  const std::string page =
+    ReadWholeFile(std::string(FULMARQUAY_SOURCE_DIR) + "/docs/LOG-EVENTS.md");
+  cr_assert_eq(page, RenderLogPage(), "run `make pages`");
+}
+
+Test(metrics, text_form_and_bounded_labels)
+{
+  Metrics metrics;
+  for (int i = 0; i < 1000; ++i) {
+    metrics.Count("calls_total", "account=\"" + std::to_string(i) + "\"");
+  }
+  metrics.Observe("wait_seconds", 0.01);
+  metrics.Observe("wait_seconds", 1e-9);
+  metrics.Observe("wait_seconds", 1e9);
+  const std::string text = metrics.Render();
+  cr_assert_neq(text.find("fulmarquay_calls_total{other=\"yes\"} 936"),
+                std::string::npos);
+  cr_assert_neq(text.find("wait_seconds_count 3"), std::string::npos);
+  cr_assert_neq(text.find("le=\"+Inf\"} 3"), std::string::npos);
+}
--- /dev/null
+++ b/src/libplatform/platform_test.cpp
@@ -0,0 +1,140 @@
+#include "fulmarquay/core/Error.h"
+#include "fulmarquay/platform/EngineProtocol.h"
+#include "fulmarquay/platform/StandinAnswer.h"
+#include "fulmarquay/platform/StoreProtocol.h"
+
+#include <random>
+
+// Last: its macros clash with names in other headers.
+#include <criterion/criterion.h>
+
+using namespace fulmarquay;
+
+namespace {
+
+const char* kToken = R"({"request":"r","attempt":1,"index":0,"text":"a"})"
+                     "\n";
+const char* kEnd =
+  R"({"request":"r","attempt":1,"end":true,"tokens":1,"cached":0,)"
+  R"("imported":0,"recomputed":9,"wrong":[]})"
+  "\n";
+
+struct StreamFault
+{
+  const char* m_name;
+  std::string m_bytes;
+};
+
+const StreamFault kStreamFaults[] = {
+  { "no JSON", "hello\n" },
+  { "a number", "5\n" },
+  { "no request", "{\"attempt\":1,\"index\":0,\"text\":\"a\"}\n" },
+  { "text is no string",
+    "{\"request\":\"r\",\"attempt\":1,\"index\":0,\"text\":5}\n" },
+  { "index is no number",
+    "{\"request\":\"r\",\"attempt\":1,\"index\":\"x\",\"text\":\"a\"}\n" },
+  { "end without a count", "{\"request\":\"r\",\"attempt\":1,\"end\":true}\n" },
+  { "wrong block key",
+    R"({"request":"r","attempt":1,"end":true,"tokens":1,"cached":0,)"
+    R"("imported":0,"recomputed":9,"wrong":["xyz"]})"
+    "\n" },
+  { "a line without end", std::string(2U << 20U, 'x') },
+};
+
+} // namespace
+
+Test(engine_contract, stream_parts_arrive_in_any_cut)
+{
+  const auto protocol = MakeJsonEngineProtocol();
+  const std::string bytes = std::string(kToken) + kToken + kEnd;
+  for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
+    const auto stream = protocol->OpenStream();
+    auto parts = stream->Feed(bytes.substr(0, cut));
+    const auto rest = stream->Feed(bytes.substr(cut));
+    parts.insert(parts.end(), rest.begin(), rest.end());
+    cr_assert_eq(parts.size(), 3U);
+    cr_assert_eq(std::get<EngineToken>(parts[1]).m_text, "a");
+    cr_assert_eq(std::get<EngineEnd>(parts[2]).m_recomputed, Tokens(9));
+  }
+}
+
+Test(engine_contract, stream_faults_are_errors)
+{
+  const auto protocol = MakeJsonEngineProtocol();
+  for (const StreamFault& fault : kStreamFaults) {
+    const auto stream = protocol->OpenStream();
+    cr_assert_throw(stream->Feed(fault.m_bytes), Error, "%s", fault.m_name);
+  }
+}
+
+Test(engine_contract, reports_and_exports)
+{
+  const auto protocol = MakeJsonEngineProtocol();
+  const std::string key(32, 'a');
+  const EngineReport report = protocol->ParseReport(
+    R"({"next":7,"first":3,"running":2,"queued_tokens":50,"weights":"w1",)"
+    R"("leaving":true,"events":[{"seq":7,"added":true,"key":")" +
+    key + R"(","root":")" + key + R"("}]})");
+  cr_assert_eq(report.m_next, 7U);
+  cr_assert(report.m_isLeaving);
+  cr_assert_eq(report.m_events.at(0).m_key.ToString(), key);
+  const auto blocks = protocol->ParseExport(
+    R"({"blocks":[{"key":")" + key +
+    R"(","generation":9,"whole":true,"length":5,"checksum":6}]})");
+  cr_assert_eq(blocks.at(0).m_generation, Generation(9));
+  for (const char* wrong : { "", "{}", "[]", "{\"blocks\":[{}]}", "null" }) {
+    cr_assert_throw(protocol->ParseReport(wrong), Error);
+    cr_assert_throw(protocol->ParseExport(wrong), Error);
+  }
+}
+
+Test(engine_contract, a_prompt_of_any_bytes_makes_a_request)
+{
+  const auto protocol = MakeJsonEngineProtocol();
+  GenerateOrder order;
+  order.m_prompt = "\xff\xfe\x01 not UTF-8 \"";
+  cr_assert_not(protocol->Generate(order).m_body.empty());
+}
+
+Test(store_contract, listings)
+{
+  const auto protocol = MakeHttpStoreProtocol();
+  const std::string key(32, 'b');
+  const StoreListing listing = protocol->ParseListing(
+    StoreId("s1"),
+    R"({"after":"x","blocks":[{"key":")" + key + R"(","root":")" + key +
+      R"(","account":"a","weights":"w","generation":1,"length":2,)"
+      R"("checksum":3}]})");
+  cr_assert_eq(listing.m_after, "x");
+  cr_assert_eq(listing.m_blocks.at(0).m_copy.m_store, StoreId("s1"));
+  for (const char* wrong : { "", "{}", "{\"blocks\":[]}", "[1]" }) {
+    cr_assert_throw(protocol->ParseListing(StoreId("s"), wrong), Error);
+  }
+}
+
+Test(contracts, mutated_input_is_refused_or_parsed)
+{
+  const auto engine = MakeJsonEngineProtocol();
+  const auto store = MakeHttpStoreProtocol();
+  std::mt19937_64 random(4);
+  for (int i = 0; i < 20'000; ++i) {
+    std::string bytes = std::string(kToken) + kEnd;
+    for (int n = 0; n < 3; ++n) {
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    }
+    try {
+      engine->OpenStream()->Feed(bytes);
+    } catch (const Error&) {
+    }
+    try {
+      store->ParseListing(StoreId("s"), bytes);
+    } catch (const Error&) {
+    }
+  }
+}
+
+Test(standin_answer, differs_by_prompt_and_index)
+{
+  cr_assert_neq(StandinAnswer("a", 4), StandinAnswer("b", 4));
+  cr_assert_neq(StandinTokenText("a", 0), StandinTokenText("a", 1));
+}
--- /dev/null
+++ b/src/libwire/wire_test.cpp
@@ -0,0 +1,248 @@
+#include <utility>
+
+#include "fulmarquay/core/Error.h"
+#include "fulmarquay/wire/Codec.h"
+#include "fulmarquay/wire/Frame.h"
+#include "fulmarquay/wire/HttpServer.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <cstdint>
+#include <random>
+#include <thread>
+
+// Last: its macros clash with names in other headers.
+#include <criterion/criterion.h>
+
+using namespace fulmarquay;
+
+namespace {
+
+struct Small
+{
+  std::uint64_t m_number = 0;
+  std::string m_text;
+  MSGPACK_DEFINE(m_number, m_text)
+};
+struct Other
+{
+  std::vector<std::string> m_words;
+  MSGPACK_DEFINE(m_words)
+};
+using Message = std::variant<Small, Other>;
+
+} // namespace
+
+Test(frame, any_cut_of_the_stream_gives_the_same_frames)
+{
+  std::string stream;
+  for (std::size_t size : { 0U, 1U, 5U, 70000U }) {
+    stream += EncodeFrame({ Channel::Control, std::string(size, 'x') });
+  }
+  std::mt19937_64 random(1);
+  for (int run = 0; run < 50; ++run) {
+    FrameDecoder decoder;
+    std::vector<std::size_t> sizes;
+    for (std::size_t at = 0; at < stream.size();) {
+      const std::size_t part =
+        std::min<std::size_t>(stream.size() - at, 1 + random() % 9000);
+      decoder.Feed(std::string_view(stream).substr(at, part));
+      at += part;
+      while (const auto frame = decoder.Next()) {
+        sizes.push_back(frame->m_body.size());
+      }
+    }
+    cr_assert(sizes == (std::vector<std::size_t>{ 0, 1, 5, 70000 }));
+  }
+}
+
+Test(frame, oversized_and_unknown_frames_are_refused)
+{
+  for (const std::string& head : { std::string("\xff\xff\xff\xff\x01", 5),
+                                   std::string("\x00\x00\x00\x01\x09x", 6),
+                                   std::string("\x00\x00\x00\x01\x00x", 6) }) {
+    FrameDecoder decoder;
+    decoder.Feed(head);
+    cr_assert_throw(decoder.Next(), Error);
+  }
+}
+
+Test(codec, round_trip_and_hostile_input)
+{
+  const Message sent = Other{ { "a", "b" } };
+  const std::string good = PackMessage(sent);
+  const auto got = UnpackMessage<Message>(good);
+  cr_assert_eq(std::get<Other>(got).m_words.at(1), "b");
+  std::mt19937_64 random(2);
+  int refused = 0;
+  for (int i = 0; i < 20'000; ++i) {
+    std::string bytes = good.substr(0, random() % (good.size() + 1));
+    for (int n = 0; n < 2 && !bytes.empty(); ++n) {
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    }
+    try {
+      UnpackMessage<Message>(bytes);
+    } catch (const Error&) {
+      ++refused;
+    }
+  }
+  cr_assert_gt(refused, 10'000);
+}
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+/// A server that answers each request with its body, on its own thread.
+class EchoServer : public HttpHandler
+{
+public:
+  EchoServer()
+    : m_server(m_context,
+               *this,
+               HttpServerLimits{ 1024, 4096, Duration(300'000), 8 })
+  {
+    {
+      tcp::acceptor probe(
+        m_context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+      m_port = probe.local_endpoint().port();
+    }
+    m_server.Listen(Endpoint("127.0.0.1", m_port));
+    m_thread = std::thread([this] { m_context.run(); });
+  }
+  ~EchoServer() override
+  {
+    m_context.stop();
+    m_thread.join();
+  }
+
+  void OnRequest(CallerId aCaller, HttpRequest aRequest) override
+  {
+    HttpResponse response;
+    response.m_body = "echo:" + aRequest.m_body;
+    m_server.Respond(aCaller, std::move(response));
+  }
+  void OnGone(CallerId) override {}
+
+  /// Sends bytes, then reads until the server closes or stays silent.
+  std::string Exchange(const std::string& aBytes, bool aCloseWrite = true)
+  {
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({ asio::ip::make_address("127.0.0.1"), m_port });
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer(aBytes), error);
+    if (aCloseWrite) {
+      socket.shutdown(tcp::socket::shutdown_send, error);
+    }
+    std::string answer;
+    asio::read(socket, asio::dynamic_buffer(answer), error);
+    return answer;
+  }
+
+private:
+  asio::io_context m_context;
+  HttpServer m_server;
+  std::uint16_t m_port = 0;
+  std::thread m_thread;
+};
+
+std::string
+Post(const std::string& aBody, const std::string& aHeaders = "")
+{
+  return "POST / HTTP/1.1\r\nHost: x\r\n" + aHeaders +
+         "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+struct HostileInput
+{
+  const char* m_name;
+  std::string m_bytes;
+  bool m_closesWrite;
+  const char* m_answer; ///< start of the answer; empty: closed without one
+};
+
+std::vector<HostileInput>
+HostileInputs()
+{
+  return {
+    { "oversized header",
+      Post("a", "X: " + std::string(5000, 'h') + "\r\n"),
+      true,
+      "HTTP/1.1 431" },
+    { "oversized body", Post(std::string(9000, 'b')), true, "HTTP/1.1 413" },
+    { "huge announced length",
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999\r\n\r\n",
+      true,
+      "HTTP/1.1 413" },
+    { "wrong content length",
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\nshort",
+      true,
+      "" },
+    { "no number as length",
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: many\r\n\r\n",
+      true,
+      "HTTP/1.1 400" },
+    { "two lengths",
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: "
+      "2\r\n\r\nab",
+      true,
+      "HTTP/1.1 400" },
+    { "no HTTP", "\x16\x03\x01hello\r\n\r\n", true, "HTTP/1.1 400" },
+    { "slow sender", "POST / HTTP/1.1\r\nHost: x\r\n", false, "" },
+    { "silence", "", false, "" },
+  };
+}
+
+} // namespace
+
+Test(http_server, hostile_input_gets_an_error_or_a_closed_connection)
+{
+  EchoServer server;
+  for (const HostileInput& input : HostileInputs()) {
+    const std::string answer =
+      server.Exchange(input.m_bytes, input.m_closesWrite);
+    const std::string wanted = input.m_answer;
+    const bool isRight =
+      wanted.empty() ? answer.empty() : answer.starts_with(wanted);
+    cr_assert(isRight, "%s: got '%s'", input.m_name, answer.c_str());
+    cr_assert_eq(answer.find("echo:"), std::string::npos);
+  }
+  cr_assert_neq(server.Exchange(Post("fine")).find("echo:fine"),
+                std::string::npos);
+}
+
+Test(http_server, pipelined_requests_are_answered_in_order)
+{
+  EchoServer server;
+  std::string bytes;
+  for (int i = 0; i < 20; ++i) {
+    bytes += Post("<" + std::to_string(i) + ">");
+  }
+  const std::string answers = server.Exchange(bytes);
+  std::size_t at = 0;
+  for (int i = 0; i < 20; ++i) {
+    const std::size_t next =
+      answers.find("echo:<" + std::to_string(i) + ">", at);
+    cr_assert_neq(next, std::string::npos);
+    at = next;
+  }
+}
+
+Test(http_server, abrupt_closes_do_not_disturb_others)
+{
+  EchoServer server;
+  for (int i = 0; i < 50; ++i) {
+    asio::io_context context;
+    tcp::socket socket(context);
+    boost::system::error_code error;
+    std::thread other([&] { server.Exchange(Post("other")); });
+    server.Exchange(Post("x").substr(0, static_cast<std::size_t>(i)));
+    other.join();
+  }
+  cr_assert_neq(server.Exchange(Post("fine")).find("echo:fine"),
+                std::string::npos);
+}
