--- a/src/fulmarquay-entry/EntryServer.cpp
+++ b/src/fulmarquay-entry/EntryServer.cpp
@@ -209,7 +209,7 @@
 EntryServer::OnFrame(ConnectionId aConnection, Frame aFrame)
 {
   if (aFrame.m_channel == Channel::Admin) {
-    m_hub.Send(aConnection, { Channel::Admin, m_node.Dump() });
+    m_hub.Send(aConnection, { Channel::Admin, m_node.Dump(m_hub.Traffic()) });
     return;
   }
   if (aFrame.m_channel == Channel::Cache) {
--- a/src/fulmarquay-load/fulmarquay-load.cpp
+++ b/src/fulmarquay-load/fulmarquay-load.cpp
@@ -1,6 +1,7 @@
 #include <utility>
 
 #include "Caller.h"
+#include "ControlLoad.h"
 #include "Conversation.h"
 
 #include "fulmarquay/core/CommandLine.h"
@@ -51,12 +52,17 @@
     { "fault", "prompt: address for --between", true, "" },
     { "idempotency-key", "post: the Idempotency-Key", true, "" },
     { "body", "post: the body", true, "{}" },
+    { "control", "commits: control replicas, IP:PORT by blanks", true, "" },
+    { "in-flight", "commits: requests at the same time", true, "1" },
+    { "length", "commits: length of the run", true, "3s" },
+    { "folder", "commits: also time single syncs in this folder", true, "" },
   };
   spec.m_details =
     "Commands:\n"
     "  prompt           run a conversation; one JSON line for each turn\n"
     "  post TARGET      one POST; prints a JSON line\n"
     "  get TARGET       one GET; prints the body\n"
+    "  commits          load the control group; prints a JSON line\n"
     "  free-ports N     N free ports of 127.0.0.1\n"
     "\nExamples:\n"
     "  fulmarquay-load prompt --entry 127.0.0.1:8080 --key k --turns 2\n"
@@ -158,6 +164,41 @@
                                                         : ExitCode::Failed;
 }
 
+double
+Millis(Duration aTime)
+{
+  return static_cast<double>(aTime.count()) / 1000;
+}
+
+ExitCode
+RunCommits(const CommandLine& aLine)
+{
+  std::vector<Endpoint> replicas;
+  for (const std::string& word : SplitWords(aLine.Value("control"))) {
+    replicas.push_back(Endpoint::Parse(word));
+  }
+  const Duration length = ParseDuration(aLine.Value("length"));
+  ControlLoad load(std::move(replicas), std::stoul(aLine.Value("in-flight")));
+  Json line;
+  if (aLine.Has("folder")) {
+    const CommitRun reads = load.Run(length / 3, true);
+    const auto syncs = MeasureSyncs(aLine.Value("folder"), 500);
+    line["round_trip_p50_ms"] = Millis(Percentile(reads.m_latencies, 0.5));
+    line["round_trip_p99_ms"] = Millis(Percentile(reads.m_latencies, 0.99));
+    line["sync_p50_ms"] = Millis(Percentile(syncs, 0.5));
+    line["sync_p99_ms"] = Millis(Percentile(syncs, 0.99));
+  }
+  const CommitRun run = load.Run(length, false);
+  const double seconds = static_cast<double>(length.count()) / 1e6;
+  line["commit_p50_ms"] = Millis(Percentile(run.m_latencies, 0.5));
+  line["commit_p99_ms"] = Millis(Percentile(run.m_latencies, 0.99));
+  line["commits_per_second"] =
+    static_cast<double>(run.m_latencies.size()) / seconds;
+  line["longest_gap_ms"] = Millis(run.m_longestGap);
+  std::cout << line.dump() << "\n";
+  return run.m_latencies.empty() ? ExitCode::Failed : ExitCode::Ok;
+}
+
 ExitCode
 RunFreePorts(const CommandLine& aLine)
 {
@@ -187,6 +228,9 @@
   if (command == "get" && words.size() == 2) {
     return RunExchange(aLine, "GET");
   }
+  if (command == "commits") {
+    return RunCommits(aLine);
+  }
   if (command == "free-ports" && words.size() == 2) {
     return RunFreePorts(aLine);
   }
--- a/src/include/fulmarquay/serve/EntryNode.h
+++ b/src/include/fulmarquay/serve/EntryNode.h
@@ -13,6 +13,8 @@
 
 namespace fulmarquay {
 
+struct FrameTraffic;
+
 /// How an entry behaves.
 struct EntryOptions
 {
@@ -37,7 +39,7 @@
   EntryEffects Reduce(TimePoint aNow, const EntryEvent& aEvent);
 
   /// The state as JSON, bounded in size, without prompts or secrets.
-  std::string Dump() const;
+  std::string Dump(const FrameTraffic& aTraffic) const;
 
   const ConfigHolder& Config() const { return m_config; }
   const EntryContext& Context() const { return m_context; }
--- a/src/libserve/EntryNode.cpp
+++ b/src/libserve/EntryNode.cpp
@@ -2,6 +2,7 @@
 
 #include "fulmarquay/core/Digest.h"
 #include "fulmarquay/core/Error.h"
+#include "fulmarquay/wire/FrameHub.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -334,7 +335,7 @@
 }
 
 std::string
-EntryNode::Dump() const
+EntryNode::Dump(const FrameTraffic& aTraffic) const
 {
   nlohmann::ordered_json dump;
   const EntryIdentity& self = m_context.Self();
@@ -353,6 +354,8 @@
   dump["control_requests_waiting"] = m_control.Waiting();
   dump["directory_blocks"] = m_cache.Directory().Size();
   dump["directory_pins"] = m_cache.Directory().Pins();
+  dump["frame_bytes_in"] = aTraffic.m_bytesIn;
+  dump["frame_bytes_out"] = aTraffic.m_bytesOut;
   dump["peers"] = nlohmann::ordered_json::array();
   for (const auto& [vm, address] : m_config.Peers()) {
     dump["peers"].push_back({ { "vm", vm.Value() },
--- /dev/null
+++ b/testsuite/scale.sh
@@ -0,0 +1,59 @@
+#!/bin/bash
+# Cost of control for each daemon: scale.sh BUILD ENTRIES. Starts that many
+# entries in five data centres before three control replicas and prints bytes,
+# processor time, memory and the time for a configuration to be in force.
+BUILD=$1
+COUNT=$2
+cd "$(dirname "$0")/.." || exit 1
+. testsuite/lib.sh
+. testsuite/cluster.sh
+start_cluster 0
+
+free_ports $((2 * COUNT))
+for ((i = 1; i <= COUNT; i++)); do
+  HTTP[i]=${PORTS[$((2 * i - 2))]}
+  PEER[i]=${PORTS[$((2 * i - 1))]}
+done
+for ((i = 1; i <= COUNT; i++)); do
+  peers=""
+  for ((j = i % 5; j <= COUNT; j += 5)); do
+    [ $j = 0 ] || [ $j = "$i" ] || peers="$peers 127.0.0.1:${PEER[$j]}"
+  done
+  cat >"$WORK/entry$i.ini" <<INI
+[entry]
+vm = e$i
+data_centre = dc$((i % 5))
+listen = 127.0.0.1:${PEER[$i]}
+http = 127.0.0.1:${HTTP[$i]}
+control = $FULMARQUAY_CONTROL
+peers =$peers
+INI
+  start_entry "$i"
+done
+everywhere() { [ "$(status | grep -o "\"revision_in_force\":$1," | wc -l)" = "$COUNT" ]; }
+until_true 60 everywhere 1 || { echo "revision 1 is not in force everywhere"; exit 1; }
+sleep 3
+
+ticks() { awk '{ print $14 + $15 }' "/proc/$1/stat"; }
+resident() { awk '/VmRSS/ { print $2 }' "/proc/$1/status"; }
+bytes() { "$BIN/fulmarquay" dump "127.0.0.1:${PEER[$1]}" --json | sed 's/.*"frame_bytes_in":\([0-9]*\),"frame_bytes_out":\([0-9]*\).*/\1 \2/'; }
+LEAD=$(leader)
+SECONDS_MEASURED=10
+E0=$(ticks "${ENTRY_PID[1]}") C0=$(ticks "${CONTROL_PID[$LEAD]}")
+read -r IN0 OUT0 < <(bytes 1)
+sleep $SECONDS_MEASURED
+E1=$(ticks "${ENTRY_PID[1]}") C1=$(ticks "${CONTROL_PID[$LEAD]}")
+read -r IN1 OUT1 < <(bytes 1)
+
+# A small change of the configuration.
+write_answers "$WORK/second.answers" second
+BEGIN=$(date +%s%3N)
+"$BIN/fulmarquay" submit "$WORK/second.answers" >/dev/null
+until_true 20 everywhere 2
+LAST=$(cat "$WORK"/entry*.log | grep ConfigurationInForce | grep 'revision="2"' | sed 's/^ms=\([0-9]*\).*/\1/' | sort -n | tail -n 1)
+TICKS=$(getconf CLK_TCK)
+awk -v n="$COUNT" -v s=$SECONDS_MEASURED -v hz="$TICKS" -v e=$((E1 - E0)) -v c=$((C1 - C0)) \
+  -v i=$((IN1 - IN0)) -v o=$((OUT1 - OUT0)) -v rss="$(resident "${ENTRY_PID[1]}")" \
+  -v crss="$(resident "${CONTROL_PID[$LEAD]}")" -v t=$((LAST - BEGIN)) 'BEGIN {
+  printf "entries=%d entry_cpu_percent=%.2f entry_in_bytes_per_s=%d entry_out_bytes_per_s=%d entry_rss_kib=%d ", n, 100 * e / hz / s, i / s, o / s, rss
+  printf "leader_cpu_percent=%.2f leader_rss_kib=%d in_force_ms=%d\n", 100 * c / hz / s, crss, t }'
