--- a/src/fulmarquay-control/ControlServer.cpp
+++ b/src/fulmarquay-control/ControlServer.cpp
@@ -167,13 +167,12 @@
     m_peers.Reconnect();
   }
   for (ControlEffect& effect : effects) {
-    std::visit([this](auto&& aBody) { Carry(std::move(aBody)); },
-               std::move(effect));
+    std::visit([this](auto& aBody) { Carry(std::move(aBody)); }, effect);
   }
 }
 
 void
-ControlServer::Carry(SendConsensus aEffect)
+ControlServer::Carry(const SendConsensus& aEffect)
 {
   const Frame frame{ Channel::Consensus, PackConsensus(aEffect.m_message) };
   if (aEffect.m_message.m_to == ReplicaId(0)) {
@@ -202,14 +201,14 @@
 }
 
 void
-ControlServer::Carry(SendControl aEffect)
+ControlServer::Carry(const SendControl& aEffect)
 {
   m_hub.Send(aEffect.m_connection,
              { Channel::Control, PackMessage(aEffect.m_message) });
 }
 
 void
-ControlServer::Carry(LogLine aEffect)
+ControlServer::Carry(const LogLine& aEffect)
 {
   std::vector<LogField> fields;
   for (const auto& [name, value] : aEffect.m_fields) {
--- a/src/fulmarquay-control/ControlServer.h
+++ b/src/fulmarquay-control/ControlServer.h
@@ -34,12 +34,12 @@
   void OpenDisk(const Settings& aSettings);
   void StartNode(const Settings& aSettings);
   void Feed(const ControlEvent& aEvent);
-  void Carry(SendConsensus aEffect);
+  void Carry(const SendConsensus& aEffect);
   void Carry(PersistBatch aEffect);
   void Carry(PersistSnapshot aEffect);
   void Carry(SaveSnapshot aEffect);
-  void Carry(SendControl aEffect);
-  void Carry(LogLine aEffect);
+  void Carry(const SendControl& aEffect);
+  void Carry(const LogLine& aEffect);
   void OnDiskDone(const DiskWriter::Job& aJob);
   void Tick();
   void Stop();
--- a/src/fulmarquay-control/PeerLinks.cpp
+++ b/src/fulmarquay-control/PeerLinks.cpp
@@ -6,7 +6,7 @@
 
 PeerLinks::PeerLinks(FrameHub& aHub,
                      std::string aOwnVm,
-                     std::map<std::string, Endpoint> aConfigured)
+                     const std::map<std::string, Endpoint>& aConfigured)
   : m_hub(aHub)
   , m_ownVm(std::move(aOwnVm))
 {
--- a/src/fulmarquay-control/PeerLinks.h
+++ b/src/fulmarquay-control/PeerLinks.h
@@ -21,7 +21,7 @@
 public:
   PeerLinks(FrameHub& aHub,
             std::string aOwnVm,
-            std::map<std::string, Endpoint> aConfigured);
+            const std::map<std::string, Endpoint>& aConfigured);
 
   /// Adds links to members that the settings don't name.
   void Learn(const Membership& aMembership);
--- a/src/fulmarquay-entry/EntryServer.cpp
+++ b/src/fulmarquay-entry/EntryServer.cpp
@@ -29,6 +29,7 @@
   options.m_drainLimit = aSettings.Time("entry", "drain_limit");
   options.m_chat.m_firstTokenDeadline =
     aSettings.Time("entry", "first_token_deadline");
+  options.m_chat.m_policy = aSettings.Text("entry", "restore_policy");
   options.m_seed = RandomNumber();
   return options;
 }
@@ -113,8 +114,7 @@
 {
   EntryEffects effects = m_node.Reduce(MonotonicNow(), aEvent);
   for (EntryEffect& effect : effects) {
-    std::visit([this](auto&& aBody) { Carry(std::move(aBody)); },
-               std::move(effect));
+    std::visit([this](auto& aBody) { Carry(std::move(aBody)); }, effect);
   }
 }
 
@@ -155,14 +155,14 @@
 }
 
 void
-EntryServer::Carry(SendToControl aEffect)
+EntryServer::Carry(const SendToControl& aEffect)
 {
   m_hub.Send(m_control[aEffect.m_link].m_connection,
              { Channel::Control, PackMessage(aEffect.m_message) });
 }
 
 void
-EntryServer::Carry(SendToPeer aEffect)
+EntryServer::Carry(const SendToPeer& aEffect)
 {
   auto place = m_peers.find(aEffect.m_address);
   if (place == m_peers.end()) {
@@ -173,14 +173,14 @@
 }
 
 void
-EntryServer::Carry(ReplyToPeer aEffect)
+EntryServer::Carry(const ReplyToPeer& aEffect)
 {
   m_hub.Send(aEffect.m_connection,
              { Channel::Cache, PackMessage(aEffect.m_message) });
 }
 
 void
-EntryServer::Carry(EntryLogLine aEffect)
+EntryServer::Carry(const EntryLogLine& aEffect)
 {
   std::vector<LogField> fields;
   for (const auto& [name, value] : aEffect.m_fields) {
--- a/src/fulmarquay-entry/EntryServer.h
+++ b/src/fulmarquay-entry/EntryServer.h
@@ -54,10 +54,10 @@
   void Carry(EndCallerStream aEffect);
   void Carry(StartCall aEffect);
   void Carry(CancelCall aEffect);
-  void Carry(SendToControl aEffect);
-  void Carry(SendToPeer aEffect);
-  void Carry(ReplyToPeer aEffect);
-  void Carry(EntryLogLine aEffect);
+  void Carry(const SendToControl& aEffect);
+  void Carry(const SendToPeer& aEffect);
+  void Carry(const ReplyToPeer& aEffect);
+  void Carry(const EntryLogLine& aEffect);
   void Carry(EntryStopped aEffect);
   void Tick();
   void ConnectControl();
--- a/src/fulmarquay-load/fulmarquay-load.cpp
+++ b/src/fulmarquay-load/fulmarquay-load.cpp
@@ -3,6 +3,8 @@
 #include "Caller.h"
 #include "ControlLoad.h"
 #include "Conversation.h"
+#include "LoadRun.h"
+#include "Report.h"
 
 #include "fulmarquay/core/CommandLine.h"
 #include "fulmarquay/core/Error.h"
@@ -10,6 +12,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
+#include <fstream>
 #include <iostream>
 #include <list>
 #include <nlohmann/json.hpp>
@@ -52,6 +55,18 @@
     { "fault", "prompt: address for --between", true, "" },
     { "idempotency-key", "post: the Idempotency-Key", true, "" },
     { "body", "post: the body", true, "{}" },
+    { "rate", "run, returning: requests a second", true, "50" },
+    { "name", "returning: name of the run in reports", true, "run" },
+    { "store",
+      "returning: HTTP listener of the store, for link use",
+      true,
+      "" },
+    { "conversations",
+      "returning: conversations at the same time",
+      true,
+      "40" },
+    { "svg", "report: write the plot here", true, "" },
+    { "csv", "report: write the table here", true, "" },
     { "control", "commits: control replicas, IP:PORT by blanks", true, "" },
     { "in-flight", "commits: requests at the same time", true, "1" },
     { "length", "commits: length of the run", true, "3s" },
@@ -62,6 +77,11 @@
     "  prompt           run a conversation; one JSON line for each turn\n"
     "  post TARGET      one POST; prints a JSON line\n"
     "  get TARGET       one GET; prints the body\n"
+    "  run TARGET       POST --body at --rate, or with --in-flight at rate 0\n"
+    "  returning        returning conversations at --rate; --key takes "
+    "several\n"
+    "                   bearer keys; prints a JSON line\n"
+    "  report FILE      plot and table of lines that `returning` printed\n"
     "  commits          load the control group; prints a JSON line\n"
     "  free-ports N     N free ports of 127.0.0.1\n"
     "\nExamples:\n"
@@ -199,6 +219,90 @@
   return run.m_latencies.empty() ? ExitCode::Failed : ExitCode::Ok;
 }
 
+ExitCode
+RunRequests(const CommandLine& aLine)
+{
+  SameRequest source(
+    aLine.Positionals().at(1), aLine.Value("key"), aLine.Value("body"));
+  LoadRun run(EntryOf(aLine), source, std::stoull(aLine.Value("seed")));
+  const double rate = std::stod(aLine.Value("rate"));
+  const Duration length = ParseDuration(aLine.Value("length"));
+  const std::vector<LoadSample> samples =
+    rate > 0 ? run.AtRate(rate, length)
+             : run.InFlight(std::stoul(aLine.Value("in-flight")), length);
+  std::vector<Duration> first;
+  std::size_t failed = 0;
+  for (const LoadSample& sample : samples) {
+    first.push_back(sample.m_firstData);
+    failed += sample.m_isGood ? 0 : 1;
+  }
+  const double seconds = static_cast<double>(length.count()) / 1e6;
+  std::cout << Json{
+    { "requests", samples.size() },
+    { "failed", failed },
+    { "per_second", static_cast<double>(samples.size()) / seconds },
+    { "first_data_p50_ms", Millis(Percentile(first, 0.5)) },
+    { "first_data_p99_ms", Millis(Percentile(first, 0.99)) }
+  }.dump() << "\n";
+  return failed == 0 ? ExitCode::Ok : ExitCode::Failed;
+}
+
+double
+LinkBytes(const CommandLine& aLine)
+{
+  if (aLine.Value("store").empty()) {
+    return 0;
+  }
+  HttpRequest request;
+  request.m_target = "/stats";
+  const Exchange exchange =
+    CallOnce(Endpoint::Parse(aLine.Value("store")), std::move(request));
+  return Json::parse(exchange.m_response.m_body).at("link_bytes");
+}
+
+ExitCode
+RunReturning(const CommandLine& aLine)
+{
+  ConversationLoad load;
+  load.m_keys = SplitWords(aLine.Value("key"));
+  load.m_model = aLine.Value("model");
+  load.m_conversations = std::stoul(aLine.Value("conversations"));
+  load.m_firstTokens = std::stoll(aLine.Value("tokens"));
+  load.m_maxTokens =
+    static_cast<std::uint32_t>(std::stoul(aLine.Value("max-tokens")));
+  load.m_seed = std::stoull(aLine.Value("seed"));
+  ReturningCallers source(load);
+  LoadRun run(EntryOf(aLine), source, load.m_seed);
+  const double rate = std::stod(aLine.Value("rate"));
+  const Duration length = ParseDuration(aLine.Value("length"));
+  const double before = LinkBytes(aLine);
+  RunSummary summary =
+    Summarize(aLine.Value("name"), rate, run.AtRate(rate, length));
+  const double seconds = static_cast<double>(length.count()) / 1e6;
+  summary.m_linkBytesPerSecond = (LinkBytes(aLine) - before) / seconds;
+  std::cout << RenderJson(summary) << "\n";
+  return ExitCode::Ok;
+}
+
+ExitCode
+RunReport(const CommandLine& aLine)
+{
+  const std::vector<RunSummary> runs =
+    ReadSummaries(ReadWholeFile(aLine.Positionals().at(1)));
+  std::string csv = CsvHeader() + "\n";
+  for (const RunSummary& run : runs) {
+    csv += RenderCsv(run) + "\n";
+  }
+  if (aLine.Has("svg")) {
+    std::ofstream(aLine.Value("svg")) << RenderSvg(runs);
+  }
+  if (aLine.Has("csv")) {
+    std::ofstream(aLine.Value("csv")) << csv;
+  }
+  std::cout << csv;
+  return ExitCode::Ok;
+}
+
 ExitCode
 RunFreePorts(const CommandLine& aLine)
 {
@@ -228,6 +332,15 @@
   if (command == "get" && words.size() == 2) {
     return RunExchange(aLine, "GET");
   }
+  if (command == "run" && words.size() == 2) {
+    return RunRequests(aLine);
+  }
+  if (command == "returning") {
+    return RunReturning(aLine);
+  }
+  if (command == "report" && words.size() == 2) {
+    return RunReport(aLine);
+  }
   if (command == "commits") {
     return RunCommits(aLine);
   }
--- a/src/include/fulmarquay/cache/RestorePlanner.h
+++ b/src/include/fulmarquay/cache/RestorePlanner.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -97,6 +98,11 @@
   RestorePlan Choose(const RestoreQuestion& aQuestion) const override;
 };
 
+/// The policy of a name: `cost`, `always-recompute`, `always-import` or
+/// `engine-affinity`. Throws Error for another name.
+std::unique_ptr<RestorePolicy>
+MakeRestorePolicy(const std::string& aName);
+
 /// The plan of one engine and one split: pieces before `aImportTo` that the
 /// engine lacks are imported, the rest is recomputed.
 RestorePlan
--- a/src/include/fulmarquay/serve/ChatFlow.h
+++ b/src/include/fulmarquay/serve/ChatFlow.h
@@ -21,6 +21,7 @@
 {
   Duration m_firstTokenDeadline = Duration(10'000'000);
   int m_attempts = 3;
+  std::string m_policy = "cost"; ///< a name that MakeRestorePolicy knows
 };
 
 /// Runs prompts: finds cached blocks, plans, calls an engine, streams its
@@ -106,7 +107,7 @@
   const EngineProtocol& m_protocol;
   WriteBack& m_writeBack;
   ChatOptions m_options;
-  CostPolicy m_policy;
+  std::unique_ptr<RestorePolicy> m_policy;
   RetryBudget m_retries;
   std::map<CallerId, std::unique_ptr<Run>> m_runs;
   std::map<CallId, CallerId> m_byCall;
--- a/src/libcache/RestorePlanner.cpp
+++ b/src/libcache/RestorePlanner.cpp
@@ -1,5 +1,7 @@
 #include "fulmarquay/cache/RestorePlanner.h"
 
+#include "fulmarquay/core/Error.h"
+
 #include <algorithm>
 
 namespace fulmarquay {
@@ -123,4 +125,21 @@
   return EvaluatePlan(aQuestion, best, engines[best].m_cachedPieces);
 }
 
+std::unique_ptr<RestorePolicy>
+MakeRestorePolicy(const std::string& aName)
+{
+  std::unique_ptr<RestorePolicy> known[] = {
+    std::make_unique<CostPolicy>(),
+    std::make_unique<RecomputePolicy>(),
+    std::make_unique<ImportPolicy>(),
+    std::make_unique<AffinityPolicy>(),
+  };
+  for (std::unique_ptr<RestorePolicy>& policy : known) {
+    if (policy->Name() == aName) {
+      return std::move(policy);
+    }
+  }
+  throw Error("choose restore policy", "", "no policy is called " + aName);
+}
+
 } // namespace fulmarquay
--- a/src/libcontrol/ControlNode.cpp
+++ b/src/libcontrol/ControlNode.cpp
@@ -198,8 +198,7 @@
 ControlNode::Carry(ReplicaEffects aEffects)
 {
   for (ReplicaEffect& effect : aEffects) {
-    std::visit([this](auto&& aBody) { Carry(std::move(aBody)); },
-               std::move(effect));
+    std::visit([this](auto& aBody) { Carry(std::move(aBody)); }, effect);
   }
 }
 
--- a/src/libcontrol/ProgramSettings.cpp
+++ b/src/libcontrol/ProgramSettings.cpp
@@ -83,6 +83,12 @@
     .Between(kSecond, 3600 * kSecond)
     .Optional("body_limit", Kind::Size, "4MiB", "largest request body")
     .Between(1024, 64LL << 20U)
+    .Optional("restore_policy",
+              Kind::Choice,
+              "cost",
+              "how prompts are placed; the others are baselines for "
+              "experiments")
+    .OneOf({ "cost", "always-recompute", "always-import", "engine-affinity" })
     .Optional("first_token_deadline",
               Kind::Duration,
               "10s",
--- a/src/libserve/ChatFlow.cpp
+++ b/src/libserve/ChatFlow.cpp
@@ -36,7 +36,8 @@
   , m_engines(aEngines)
   , m_protocol(aProtocol)
   , m_writeBack(aWriteBack)
-  , m_options(aOptions)
+  , m_options(std::move(aOptions))
+  , m_policy(MakeRestorePolicy(m_options.m_policy))
 {
 }
 
@@ -197,7 +198,7 @@
     return;
   }
   const RestoreQuestion question = MakeQuestion(aRun, engines);
-  const RestorePlan plan = m_policy.Choose(question);
+  const RestorePlan plan = m_policy->Choose(question);
   const EngineId engine = engines[plan.m_engine];
   if (plan.m_firstToken > m_options.m_firstTokenDeadline && !aRun.m_hasStream) {
     RefuseOverload(aRun, plan.m_firstToken - m_options.m_firstTokenDeadline);
--- /dev/null
+++ b/src/libserve/serve_test.cpp
@@ -0,0 +1,775 @@
+#include "fulmarquay/core/Digest.h"
+#include "fulmarquay/core/Error.h"
+#include "fulmarquay/core/Settings.h"
+#include "fulmarquay/platform/StandinAnswer.h"
+#include "fulmarquay/serve/ConfigHolder.h"
+#include "fulmarquay/serve/EntryNode.h"
+#include "fulmarquay/wire/FrameHub.h"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <set>
+
+// Last: its macros clash with names in other headers.
+#include <criterion/criterion.h>
+
+using namespace fulmarquay;
+
+namespace {
+
+TimePoint
+At(std::int64_t aMillis)
+{
+  return TimePoint(Duration(1'000'000'000 + aMillis * 1000));
+}
+
+std::string
+MakeAnswers(std::uint64_t aNumber)
+{
+  return "[deployment]\nname = d" + std::to_string(aNumber) +
+         "\npiece_tokens = 64\n[account.a]\nkey_hash = " + Sha256Hex("key") +
+         "\ntokens_per_second = 1000000\n[model.m]\nweights = w1\n"
+         "[engine.g1]\naddress = 10.0.0.1:1\ndata_centre = dc1\nmodel = m\n"
+         "[engine.g2]\naddress = 10.0.0.1:2\ndata_centre = dc1\nmodel = m\n"
+         "[service.till]\naddresses = 10.0.0.1:3\nonce_calls = deposit\n";
+}
+
+ConfigDelta
+MakeDelta(std::uint64_t aRevision)
+{
+  ConfigDelta delta;
+  delta.m_to = Revision(aRevision);
+  delta.m_changed = CheckAnswers(MakeAnswers(aRevision), "f").All();
+  delta.m_digest = DigestOf(delta.m_changed);
+  return delta;
+}
+
+/// Puts revisions in force without waiting for the other entries.
+class Impatient : public ConfigHolder
+{
+public:
+  using ConfigHolder::ConfigHolder;
+
+protected:
+  bool AwaitsPeers() const override { return false; }
+};
+
+/// The entries of one data centre and the leader's pushes, under one seed:
+/// cuts between entries and to the leader, restarts, frozen entries.
+template<typename Holder>
+class DataCentre
+{
+public:
+  explicit DataCentre(std::uint64_t aSeed)
+    : m_random(aSeed)
+    , m_entries(3)
+  {
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+      Restart(i);
+    }
+  }
+
+  /// The first violation; empty when there is none.
+  std::string Run()
+  {
+    for (m_now = 0; m_now < 60'000 && m_violation.empty(); m_now += 50) {
+      Step();
+    }
+    m_toLeader.clear();
+    m_between.clear();
+    for (const std::int64_t end = m_now + 12'000; m_now < end; m_now += 50) {
+      DeliverAll();
+      TickAll();
+    }
+    for (const Entry& entry : m_entries) {
+      if (m_violation.empty() && entry.m_holder->InForce() != m_accepted) {
+        m_violation = "a revision is not in force after all faults ended";
+      }
+    }
+    return m_violation;
+  }
+
+private:
+  struct Entry
+  {
+    std::unique_ptr<EntryContext> m_context;
+    std::unique_ptr<Holder> m_holder;
+    Revision m_most; ///< in force at this VM, whatever its process
+    std::int64_t m_confirmed = -1'000'000;
+    std::int64_t m_nextConfirm = 0;
+    std::int64_t m_downUntil = 0;
+    std::uint64_t m_boot = 0;
+  };
+
+  static std::string NameOf(std::size_t aEntry)
+  {
+    return "e" + std::to_string(aEntry);
+  }
+  static Endpoint AddressOf(std::size_t aEntry)
+  {
+    return Endpoint("10.0.0." + std::to_string(aEntry), 1);
+  }
+
+  bool IsUp(const Entry& aEntry) const { return m_now >= aEntry.m_downUntil; }
+
+  void Restart(std::size_t aEntry)
+  {
+    Entry& entry = m_entries[aEntry];
+    entry.m_boot = ++m_boots;
+    entry.m_confirmed = -1'000'000;
+    EntryIdentity identity;
+    identity.m_vm = VmId(NameOf(aEntry));
+    identity.m_boot = BootId(entry.m_boot);
+    std::vector<Endpoint> peers;
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+      if (i != aEntry) {
+        peers.push_back(AddressOf(i));
+      }
+    }
+    entry.m_context = std::make_unique<EntryContext>(identity, 1);
+    entry.m_holder = std::make_unique<Holder>(*entry.m_context, peers);
+  }
+
+  void Step()
+  {
+    if (m_random() % 20 == 0) {
+      m_accepted = Revision(m_accepted.Value() + 1);
+    }
+    const std::size_t entry = m_random() % m_entries.size();
+    const std::size_t other = m_random() % m_entries.size();
+    switch (m_random() % 80) {
+      case 0:
+        m_toLeader.insert(entry);
+        break;
+      case 1:
+        m_toLeader.erase(entry);
+        break;
+      case 2:
+      case 3:
+        m_between.insert({ entry, other });
+        break;
+      case 4:
+      case 5:
+        m_between.clear();
+        break;
+      case 6:
+        Restart(entry);
+        m_entries[entry].m_downUntil = m_now + 100 + m_random() % 4000;
+        break;
+      case 7:
+        // The whole data centre is cut off, and an entry restarts at once.
+        for (std::size_t i = 0; i < m_entries.size(); ++i) {
+          m_toLeader.insert(i);
+        }
+        m_between.clear();
+        Restart(entry);
+        m_entries[entry].m_downUntil = m_now + 50;
+        break;
+      default:
+        break;
+    }
+    DeliverAll();
+    TickAll();
+  }
+
+  void TickAll()
+  {
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+      Entry& entry = m_entries[i];
+      if (!IsUp(entry)) {
+        continue;
+      }
+      if (m_toLeader.count(i) == 0 && m_now >= entry.m_nextConfirm) {
+        Confirm(i);
+      }
+      With(i,
+           [&] { entry.m_holder->OnTick(m_now < entry.m_confirmed + 5'000); });
+    }
+  }
+
+  /// A heartbeat that the leader answers, with a push when it is due.
+  void Confirm(std::size_t aEntry)
+  {
+    Entry& entry = m_entries[aEntry];
+    entry.m_nextConfirm = m_now + 1000;
+    entry.m_confirmed = m_now;
+    std::vector<EntryPeer> peers;
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+      if (m_now < m_entries[i].m_confirmed + 5'000) {
+        peers.push_back({ VmId(NameOf(i)),
+                          BootId(m_entries[i].m_boot),
+                          AddressOf(i).ToString() });
+      }
+    }
+    With(aEntry, [&] { entry.m_holder->OnConfirmed(m_accepted, peers); });
+    if (entry.m_holder->Held() < m_accepted) {
+      With(aEntry,
+           [&] { entry.m_holder->OnPush(MakeDelta(m_accepted.Value())); });
+    }
+  }
+
+  void With(std::size_t aEntry, const std::function<void()>& aStep)
+  {
+    Entry& entry = m_entries[aEntry];
+    entry.m_context->Begin(At(m_now));
+    aStep();
+    for (const EntryEffect& effect : entry.m_context->TakeEffects()) {
+      if (const auto* send = std::get_if<SendToPeer>(&effect)) {
+        for (std::size_t to = 0; to < m_entries.size(); ++to) {
+          if (AddressOf(to) == send->m_address) {
+            m_mail.push_back({ aEntry, to, send->m_message });
+          }
+        }
+      } else if (const auto* reply = std::get_if<ReplyToPeer>(&effect)) {
+        m_mail.push_back(
+          { aEntry, reply->m_connection.Value(), reply->m_message });
+      }
+    }
+    const Revision now = entry.m_holder->InForce();
+    if (now > Revision(0) && now < entry.m_most) {
+      m_violation = "an entry came back with an older revision";
+    }
+    entry.m_most = std::max(entry.m_most, now);
+  }
+
+  void DeliverAll()
+  {
+    const auto mail = std::move(m_mail);
+    m_mail.clear();
+    for (const Mail& item : mail) {
+      const bool isCut = m_between.count({ item.m_from, item.m_to }) != 0;
+      if (isCut || !IsUp(m_entries[item.m_to])) {
+        continue;
+      }
+      Holder& holder = *m_entries[item.m_to].m_holder;
+      With(item.m_to, [&] {
+        if (const auto* held = std::get_if<ConfigHeld>(&item.m_message)) {
+          holder.OnMessage(*held);
+        } else if (std::holds_alternative<ConfigAsk>(item.m_message)) {
+          holder.OnAsk(ConnectionId(item.m_from));
+        } else if (const auto* give =
+                     std::get_if<ConfigGive>(&item.m_message)) {
+          holder.OnGive(*give);
+        }
+      });
+    }
+  }
+
+  struct Mail
+  {
+    std::size_t m_from;
+    std::size_t m_to;
+    CacheMessage m_message;
+  };
+
+  std::mt19937_64 m_random;
+  std::vector<Entry> m_entries;
+  std::int64_t m_now = 0;
+  std::uint64_t m_boots = 0;
+  Revision m_accepted{ 1 };
+  std::set<std::size_t> m_toLeader; ///< entries cut off from the leader
+  std::set<std::pair<std::size_t, std::size_t>> m_between;
+  std::vector<Mail> m_mail;
+  std::string m_violation;
+};
+
+} // namespace
+
+Test(configuration, seeds_never_revert)
+{
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    const std::string violation = DataCentre<ConfigHolder>(seed).Run();
+    cr_assert(violation.empty(),
+              "seed %llu: %s",
+              static_cast<unsigned long long>(seed),
+              violation.c_str());
+  }
+}
+
+Test(configuration, the_seeded_defect_is_caught)
+{
+  std::string violation;
+  for (std::uint64_t seed = 1; seed <= 200 && violation.empty(); ++seed) {
+    violation = DataCentre<Impatient>(seed).Run();
+  }
+  cr_assert_eq(violation, "an entry came back with an older revision");
+}
+
+namespace {
+
+/// An EntryNode with a configuration in force and two engines that the test
+/// plays itself.
+class EntryHarness
+{
+public:
+  EntryHarness()
+    : m_node(MakeOptions())
+  {
+    Feed(ControlLinkChanged{ 0, true });
+    Feed(ControlReply{ 0, MakeReply() });
+    Feed(ControlReply{ 0, ConfigPush{ MakeDelta(1) } });
+    Feed(EntryTick{});
+    for (const StartCall& call : TakeCalls("/report")) {
+      Answer(call,
+             200,
+             R"({"next":0,"first":0,"events":[],"running":0,)"
+             R"("queued_tokens":0,"weights":"w1","leaving":false})");
+    }
+    m_effects.clear();
+  }
+
+  void Feed(const EntryEvent& aEvent)
+  {
+    EntryEffects effects = m_node.Reduce(At(m_now), aEvent);
+    for (EntryEffect& effect : effects) {
+      m_effects.push_back(std::move(effect));
+    }
+  }
+
+  void Pass(std::int64_t aMillis)
+  {
+    for (const std::int64_t end = m_now + aMillis; m_now < end; m_now += 20) {
+      Feed(EntryTick{});
+    }
+  }
+
+  /// Calls to a target that were started since the last time.
+  std::vector<StartCall> TakeCalls(const std::string& aTarget)
+  {
+    std::vector<StartCall> calls;
+    std::erase_if(m_effects, [&](const EntryEffect& aEffect) {
+      const auto* call = std::get_if<StartCall>(&aEffect);
+      const bool isWanted =
+        call != nullptr && call->m_call.m_request.m_target.starts_with(aTarget);
+      if (isWanted) {
+        calls.push_back(*call);
+      }
+      return isWanted;
+    });
+    return calls;
+  }
+
+  void Answer(const StartCall& aCall, int aStatus, const std::string& aBody)
+  {
+    HttpResponse head;
+    head.m_status = aStatus;
+    Feed(CallHead{ aCall.m_call.m_call, head });
+    Feed(CallData{ aCall.m_call.m_call, aBody });
+    Feed(CallEnded{ aCall.m_call.m_call, CallEnd::Whole, "" });
+  }
+
+  void Ask(std::uint64_t aCaller, HttpRequest aRequest)
+  {
+    aRequest.m_headers.push_back({ "Authorization", "Bearer key" });
+    Feed(CallerRequest{ CallerId(aCaller), std::move(aRequest) });
+  }
+
+  /// What a caller got: its status, its bytes, and how they ended.
+  struct Got
+  {
+    int m_status = 0;
+    std::string m_text;
+    bool m_isWhole = false;
+    bool m_isCut = false;
+  };
+
+  Got TakeAnswer(std::uint64_t aCaller)
+  {
+    Got got;
+    for (const EntryEffect& effect : m_effects) {
+      if (const auto* respond = std::get_if<RespondCaller>(&effect)) {
+        if (respond->m_caller == CallerId(aCaller)) {
+          got.m_status = respond->m_response.m_status;
+          got.m_text = respond->m_response.m_body;
+          got.m_isWhole = true;
+        }
+      } else if (const auto* write = std::get_if<WriteCallerStream>(&effect)) {
+        got.m_status = 200;
+        got.m_text += write->m_data;
+      } else if (const auto* end = std::get_if<EndCallerStream>(&effect)) {
+        got.m_isWhole = end->m_isWhole;
+        got.m_isCut = !end->m_isWhole;
+      }
+    }
+    return got;
+  }
+
+  EntryNode& Node() { return m_node; }
+  EntryEffects& Effects() { return m_effects; }
+
+  static HeartbeatReply MakeReply()
+  {
+    HeartbeatReply reply;
+    reply.m_revision = Revision(1);
+    reply.m_leaseUs = 5'000'000;
+    return reply;
+  }
+
+private:
+  static EntryOptions MakeOptions()
+  {
+    EntryOptions options;
+    options.m_identity = { VmId("e1"), DataCentreId("dc1"), BootId(7), "" };
+    options.m_control = { Endpoint("10.0.0.9", 1) };
+    return options;
+  }
+
+  EntryNode m_node;
+  EntryEffects m_effects;
+  std::int64_t m_now = 0;
+};
+
+HttpRequest
+MakePrompt()
+{
+  HttpRequest request;
+  request.m_method = "POST";
+  request.m_target = "/v1/chat/completions";
+  request.m_body = R"({"model":"m","stream":true,"max_tokens":5,)"
+                   R"("messages":[{"role":"user","content":"hi"}]})";
+  return request;
+}
+
+HttpRequest
+MakeDeposit(const std::string& aKey)
+{
+  HttpRequest request;
+  request.m_method = "POST";
+  request.m_target = "/v1/services/till/deposit";
+  request.m_headers = { { "Idempotency-Key", aKey } };
+  return request;
+}
+
+nlohmann::json
+OrderOf(const StartCall& aCall)
+{
+  return nlohmann::json::parse(aCall.m_call.m_request.m_body);
+}
+
+std::string
+Token(const nlohmann::json& aOrder, int aIndex)
+{
+  return nlohmann::json{
+    { "request", aOrder["request"] },
+    { "attempt", aOrder["attempt"] },
+    { "index", aIndex },
+    { "text", "<" + std::to_string(aIndex) + ">" }
+  }.dump() +
+         "\n";
+}
+
+std::string
+End(const nlohmann::json& aOrder, int aTokens)
+{
+  return nlohmann::json{
+    { "request", aOrder["request"] },
+    { "attempt", aOrder["attempt"] },
+    { "end", true },
+    { "tokens", aTokens },
+    { "cached", 0 },
+    { "imported", 0 },
+    { "recomputed", 1 },
+    { "wrong", nlohmann::json::array() }
+  }.dump() +
+         "\n";
+}
+
+/// What the first engine sends; a second attempt always answers well.
+struct StreamFault
+{
+  const char* m_name;
+  std::function<std::string(const nlohmann::json&)> m_bytes;
+  CallEnd m_end;
+  int m_status;
+};
+
+std::vector<StreamFault>
+StreamFaults()
+{
+  const auto tokens = [](const nlohmann::json& aOrder, int aCount) {
+    std::string bytes;
+    for (int i = 0; i < aCount; ++i) {
+      bytes += Token(aOrder, i);
+    }
+    return bytes;
+  };
+  return {
+    { "whole",
+      [=](const auto& aOrder) { return tokens(aOrder, 5) + End(aOrder, 5); },
+      CallEnd::Whole,
+      200 },
+    { "cut after two tokens",
+      [=](const auto& aOrder) { return tokens(aOrder, 2); },
+      CallEnd::Broken,
+      200 },
+    { "ends without the end",
+      [=](const auto& aOrder) { return tokens(aOrder, 5); },
+      CallEnd::Whole,
+      200 },
+    { "an end that counts wrongly",
+      [=](const auto& aOrder) { return tokens(aOrder, 3) + End(aOrder, 5); },
+      CallEnd::Whole,
+      200 },
+    { "a token twice",
+      [=](const auto& aOrder) {
+        return Token(aOrder, 0) + tokens(aOrder, 5) + End(aOrder, 5);
+      },
+      CallEnd::Whole,
+      200 },
+    { "a token missing",
+      [=](const auto& aOrder) {
+        return Token(aOrder, 0) + Token(aOrder, 2) + End(aOrder, 3);
+      },
+      CallEnd::Whole,
+      200 },
+    { "a part of another answer",
+      [=](const auto& aOrder) {
+        nlohmann::json other = aOrder;
+        other["request"] = "another";
+        return Token(other, 0) + tokens(aOrder, 5) + Token(other, 5) +
+               End(other, 0) + End(aOrder, 5);
+      },
+      CallEnd::Whole,
+      200 },
+    { "a part of an earlier attempt",
+      [=](const auto& aOrder) {
+        nlohmann::json other = aOrder;
+        other["attempt"] = 9;
+        return Token(other, 0) + tokens(aOrder, 5) + End(aOrder, 5);
+      },
+      CallEnd::Whole,
+      200 },
+    { "no JSON", [](const auto&) { return "hello\n"; }, CallEnd::Whole, 200 },
+    { "refused", [](const auto&) { return "{}"; }, CallEnd::Whole, 503 },
+    { "no connection", [](const auto&) { return ""; }, CallEnd::NotSent, 0 },
+    { "timeout",
+      [=](const auto& aOrder) { return tokens(aOrder, 1); },
+      CallEnd::TimedOut,
+      200 },
+  };
+}
+
+void
+PlayAttempt(EntryHarness& aEntry,
+            const StartCall& aCall,
+            int aStatus,
+            const std::string& aBytes,
+            CallEnd aEnd)
+{
+  if (aStatus != 0) {
+    HttpResponse head;
+    head.m_status = aStatus;
+    aEntry.Feed(CallHead{ aCall.m_call.m_call, head });
+  }
+  // In small parts, as a network may deliver them.
+  for (std::size_t at = 0; at < aBytes.size(); at += 7) {
+    aEntry.Feed(CallData{ aCall.m_call.m_call, aBytes.substr(at, 7) });
+  }
+  aEntry.Feed(CallEnded{ aCall.m_call.m_call, aEnd, "played" });
+}
+
+std::string
+TextOf(const std::string& aStream)
+{
+  std::string text;
+  for (std::size_t at = aStream.find("\"content\":\""); at != std::string::npos;
+       at = aStream.find("\"content\":\"", at + 1)) {
+    const std::size_t first = at + 11;
+    text += aStream.substr(first, aStream.find('"', first) - first);
+  }
+  return text;
+}
+
+} // namespace
+
+Test(streams, every_caller_gets_the_whole_answer_without_gap_or_repeat)
+{
+  for (const StreamFault& fault : StreamFaults()) {
+    EntryHarness entry;
+    entry.Ask(1, MakePrompt());
+    auto calls = entry.TakeCalls("/generate");
+    cr_assert_eq(calls.size(), 1U, "%s", fault.m_name);
+    PlayAttempt(entry,
+                calls[0],
+                fault.m_status,
+                fault.m_bytes(OrderOf(calls[0])),
+                fault.m_end);
+    calls = entry.TakeCalls("/generate");
+    if (!calls.empty()) {
+      const nlohmann::json order = OrderOf(calls[0]);
+      std::string rest;
+      for (int i = order["offset"]; i < 5; ++i) {
+        rest += Token(order, i);
+      }
+      PlayAttempt(entry, calls[0], 200, rest + End(order, 5), CallEnd::Whole);
+    }
+    const auto got = entry.TakeAnswer(1);
+    cr_assert(got.m_isWhole, "%s", fault.m_name);
+    cr_assert_eq(TextOf(got.m_text),
+                 "<0><1><2><3><4>",
+                 "%s: %s",
+                 fault.m_name,
+                 got.m_text.c_str());
+    cr_assert_neq(got.m_text.find("[DONE]"), std::string::npos);
+  }
+}
+
+Test(streams, a_stream_given_up_is_cut_so_that_the_caller_sees_an_error)
+{
+  EntryHarness entry;
+  entry.Ask(1, MakePrompt());
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    const auto calls = entry.TakeCalls("/generate");
+    cr_assert_eq(calls.size(), 1U);
+    const nlohmann::json order = OrderOf(calls[0]);
+    PlayAttempt(
+      entry, calls[0], 200, Token(order, order["offset"]), CallEnd::Broken);
+    entry.Pass(3000);
+  }
+  const auto got = entry.TakeAnswer(1);
+  cr_assert(got.m_isCut);
+  cr_assert_eq(got.m_text.find("[DONE]"), std::string::npos);
+}
+
+Test(once, nothing_is_sent_before_the_group_grants_it)
+{
+  EntryHarness entry;
+  entry.Ask(1, MakeDeposit("k"));
+  cr_assert(entry.TakeCalls("/deposit").empty());
+  RequestId request;
+  for (const EntryEffect& effect : entry.Effects()) {
+    const auto* send = std::get_if<SendToControl>(&effect);
+    if (send != nullptr) {
+      if (const auto* begin = std::get_if<BeginOnceRequest>(&send->m_message)) {
+        request = begin->m_request;
+      }
+    }
+  }
+  cr_assert_neq(request, RequestId(0));
+  const BeginOnceReply granted{ request, BeginOnceResult() };
+  entry.Feed(ControlReply{ 0, granted });
+  const auto calls = entry.TakeCalls("/deposit");
+  cr_assert_eq(calls.size(), 1U);
+  cr_assert(calls[0].m_call.m_freshConnection);
+  // The same grant again, late: not sent again.
+  entry.Feed(ControlReply{ 0, granted });
+  cr_assert(entry.TakeCalls("/deposit").empty());
+  // A broken call is unknown, and not sent again either.
+  PlayAttempt(entry, calls[0], 0, "", CallEnd::Broken);
+  cr_assert(entry.TakeCalls("/deposit").empty());
+  cr_assert_neq(entry.TakeAnswer(1).m_text.find("\"unknown\""),
+                std::string::npos);
+}
+
+Test(once, a_grant_after_the_refusal_is_never_used)
+{
+  EntryHarness entry;
+  entry.Ask(1, MakeDeposit("k"));
+  RequestId request;
+  for (const EntryEffect& effect : entry.Effects()) {
+    const auto* send = std::get_if<SendToControl>(&effect);
+    const auto* begin = send == nullptr
+                          ? nullptr
+                          : std::get_if<BeginOnceRequest>(&send->m_message);
+    request = begin == nullptr ? request : begin->m_request;
+  }
+  for (int i = 0; i < 14; ++i) {
+    entry.Pass(1000);
+    entry.Feed(ControlReply{ 0, EntryHarness::MakeReply() });
+  }
+  cr_assert_neq(entry.TakeAnswer(1).m_text.find("\"not_run\""),
+                std::string::npos);
+  entry.Feed(ControlReply{ 0, BeginOnceReply{ request, BeginOnceResult() } });
+  cr_assert(entry.TakeCalls("/deposit").empty());
+}
+
+Test(once, without_the_group_a_call_is_refused_at_once)
+{
+  EntryHarness entry;
+  entry.Pass(6000);
+  entry.Ask(1, MakeDeposit("k"));
+  const auto got = entry.TakeAnswer(1);
+  cr_assert_eq(got.m_status, 503);
+  cr_assert_neq(got.m_text.find("\"not_run\""), std::string::npos);
+}
+
+Test(drain, finishes_what_runs_and_then_ends)
+{
+  EntryHarness entry;
+  entry.Ask(1, MakePrompt());
+  const auto calls = entry.TakeCalls("/generate");
+  entry.Feed(DrainOrder{});
+  entry.Pass(5000);
+  const auto isStopped = [&] {
+    return std::any_of(entry.Effects().begin(),
+                       entry.Effects().end(),
+                       [](const EntryEffect& aEffect) {
+                         return std::holds_alternative<EntryStopped>(aEffect);
+                       });
+  };
+  cr_assert_not(isStopped());
+  const nlohmann::json order = OrderOf(calls[0]);
+  std::string bytes;
+  for (int i = 0; i < 5; ++i) {
+    bytes += Token(order, i);
+  }
+  PlayAttempt(entry, calls[0], 200, bytes + End(order, 5), CallEnd::Whole);
+  entry.Pass(100);
+  cr_assert(isStopped());
+  cr_assert(entry.TakeAnswer(1).m_isWhole);
+}
+
+Test(prompts, wrong_bodies_are_refused_by_name)
+{
+  const std::pair<const char*, const char*> cases[] = {
+    { "", "no JSON" },
+    { "[]", "must be an object" },
+    { "{}", "model" },
+    { R"({"model":5})", "model" },
+    { R"({"model":"m"})", "messages" },
+    { R"({"model":"m","messages":[]})", "messages" },
+    { R"({"model":"m","messages":[5]})", "messages" },
+    { R"({"model":"m","messages":[{"role":"user"}]})", "content" },
+    { R"({"model":"m","messages":[{"role":"u","content":"c"}],"max_tokens":0})",
+      "max_tokens" },
+    { R"({"model":"m","messages":[{"role":"u","content":"c"}],"stream":1})",
+      "stream" },
+    { R"({"model":"x","messages":[{"role":"u","content":"c"}]})",
+      "no such model" },
+  };
+  for (const auto& [body, wanted] : cases) {
+    EntryHarness entry;
+    HttpRequest request = MakePrompt();
+    request.m_body = body;
+    entry.Ask(1, std::move(request));
+    const auto got = entry.TakeAnswer(1);
+    cr_assert(got.m_status == 400 || got.m_status == 404, "%s", body);
+    cr_assert_neq(
+      got.m_text.find(wanted), std::string::npos, "%s", got.m_text.c_str());
+    cr_assert_neq(got.m_text.find("not_run"), std::string::npos);
+  }
+}
+
+Test(secrets, no_dump_and_no_log_line_holds_a_key_or_a_prompt)
+{
+  EntryHarness entry;
+  HttpRequest prompt = MakePrompt();
+  prompt.m_body = R"({"model":"m","messages":[{"role":"user",)"
+                  R"("content":"secret-prompt"}]})";
+  entry.Ask(1, std::move(prompt));
+  const auto calls = entry.TakeCalls("/generate");
+  PlayAttempt(entry, calls.at(0), 200, "broken\n", CallEnd::Broken);
+  std::string all = entry.Node().Dump(FrameTraffic());
+  for (const EntryEffect& effect : entry.Effects()) {
+    if (const auto* line = std::get_if<EntryLogLine>(&effect)) {
+      for (const auto& [name, value] : line->m_fields) {
+        all += value;
+      }
+    }
+  }
+  cr_assert_eq(all.find("secret-prompt"), std::string::npos);
+  cr_assert_eq(all.find(Sha256Hex("key")), std::string::npos);
+}
--- a/testsuite/bench-control.sh
+++ b/testsuite/bench-control.sh
@@ -3,6 +3,7 @@
 # target. Prints one line a figure; exits non-zero when a bound is broken.
 BUILD=$1
 RUNS=${RUNS:-17}
+SNAPSHOT_ENTRIES=20000
 cd "$(dirname "$0")/.." || exit 1
 . testsuite/lib.sh
 . testsuite/cluster.sh
--- a/testsuite/cluster.sh
+++ b/testsuite/cluster.sh
@@ -17,7 +17,7 @@
     echo "listen = 127.0.0.1:${CONTROL_PORT[$1]}"
     echo "data_folder = $WORK/state$1"
     echo "entry_lease = 2s"
-    echo "snapshot_entries = 50"
+    echo "snapshot_entries = ${SNAPSHOT_ENTRIES:-50}"
     for i in 1 2 3; do
       echo "[replica.c$i]"
       echo "address = 127.0.0.1:${CONTROL_PORT[$i]}"
--- a/testsuite/scale.sh
+++ b/testsuite/scale.sh
@@ -4,6 +4,7 @@
 # processor time, memory and the time for a configuration to be in force.
 BUILD=$1
 COUNT=$2
+SNAPSHOT_ENTRIES=20000
 cd "$(dirname "$0")/.." || exit 1
 . testsuite/lib.sh
 . testsuite/cluster.sh
