Staged weight rollout by fenced orders; the leader's lists of entries

Cause: orders had numbers in the log and nobody issued them; and the leader built a list of all live entries for every heartbeat, so that its work grew with their square (1.5% of a core at 128 entries).

Change: Rollout (pure) brings engines to a model's weights: two loads at once, half of the engines stay usable, the version in force changes by a revision of its own once half of them are ready; a lost answer is followed by an observation, not by a second order; a new leader waits out its predecessor's lease and longest order before engines that ignore fencing numbers. EntryRegistry keeps a peer list for each data centre and makes it anew only when one of its entries changes.

Found: with three engines the rollout stood still, since it wanted half of them rounded up, which no order of loads can keep (two old and one new become one old and two new while one loads). Check and rule are now half rounded down.

--- a/src/fulmarquay-control/ControlServer.cpp
+++ b/src/fulmarquay-control/ControlServer.cpp
@@ -67,6 +67,7 @@
   , m_stopper(m_context)
   , m_signals(m_context, SIGTERM, SIGINT)
   , m_hub(m_context, *this)
+  , m_client(m_context, *this)
   , m_peers(m_hub, aSettings.Text("control", "vm"), ReplicaAddresses(aSettings))
 {
   OpenDisk(aSettings);
@@ -207,6 +208,35 @@
              { Channel::Control, PackMessage(aEffect.m_message) });
 }
 
+void
+ControlServer::Carry(CallEngine aEffect)
+{
+  m_answers[aEffect.m_call.m_call].m_call = aEffect.m_call.m_call;
+  m_client.Start(std::move(aEffect.m_call));
+}
+
+void
+ControlServer::OnHead(CallId aCall, const HttpResponse& aHead)
+{
+  m_answers.at(aCall).m_status = aHead.m_status;
+}
+
+void
+ControlServer::OnData(CallId aCall, std::string aData)
+{
+  m_answers.at(aCall).m_body += aData;
+}
+
+void
+ControlServer::OnEnd(CallId aCall, CallEnd aEnd, const std::string&)
+{
+  const auto place = m_answers.find(aCall);
+  EngineAnswered answer = std::move(place->second);
+  m_answers.erase(place);
+  answer.m_end = aEnd;
+  Feed(answer);
+}
+
 void
 ControlServer::Carry(const LogLine& aEffect)
 {
--- a/src/fulmarquay-control/ControlServer.h
+++ b/src/fulmarquay-control/ControlServer.h
@@ -5,10 +5,12 @@
 #include "PeerLinks.h"
 #include "fulmarquay/control/ControlNode.h"
 #include "fulmarquay/wire/FrameHub.h"
+#include "fulmarquay/wire/HttpClient.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <map>
 #include <memory>
 
 namespace fulmarquay {
@@ -17,7 +19,9 @@
 
 /// The shell of fulmarquay-control: decodes events for a ControlNode and
 /// carries out its effects.
-class ControlServer : public FrameHandler
+class ControlServer
+  : public FrameHandler
+  , public HttpCallHandler
 {
 public:
   /// Recovers or formats the state disk. Throws Error.
@@ -29,6 +33,9 @@
   void OnConnected(ConnectionId aConnection) override;
   void OnFrame(ConnectionId aConnection, Frame aFrame) override;
   void OnClosed(ConnectionId aConnection) override;
+  void OnHead(CallId aCall, const HttpResponse& aHead) override;
+  void OnData(CallId aCall, std::string aData) override;
+  void OnEnd(CallId aCall, CallEnd aEnd, const std::string& aWhy) override;
 
 private:
   void OpenDisk(const Settings& aSettings);
@@ -39,6 +46,7 @@
   void Carry(PersistSnapshot aEffect);
   void Carry(SaveSnapshot aEffect);
   void Carry(const SendControl& aEffect);
+  void Carry(CallEngine aEffect);
   void Carry(const LogLine& aEffect);
   void OnDiskDone(const DiskWriter::Job& aJob);
   void Tick();
@@ -52,6 +60,8 @@
   std::unique_ptr<LogStore> m_store;
   std::unique_ptr<ControlNode> m_node;
   FrameHub m_hub;
+  HttpClient m_client;
+  std::map<CallId, EngineAnswered> m_answers; ///< of running calls
   PeerLinks m_peers;
   std::unique_ptr<DiskWriter> m_disk;
   Membership m_known;
--- a/src/include/fulmarquay/control/ConfigTable.h
+++ b/src/include/fulmarquay/control/ConfigTable.h
@@ -37,6 +37,10 @@
   /// submission again gets its first result.
   SubmitResult Submit(const SubmitCommand& aCommand);
 
+  /// Puts a model's weight version in force as a revision of its own; ignored
+  /// when it is no longer the model's target.
+  void SwitchWeights(const SwitchWeightsCommand& aCommand);
+
   Revision Current() const { return m_content.m_revision; }
   const ConfigSections& Sections() const { return m_content.m_sections; }
   const std::string& Digest() const { return m_digest; }
@@ -48,6 +52,7 @@
   void Restore(Content aContent);
 
 private:
+  void Accept(ConfigSections aSections);
   SubmitResult Refuse(const SubmitCommand& aCommand) const;
 
   Content m_content;
--- a/src/include/fulmarquay/control/Configuration.h
+++ b/src/include/fulmarquay/control/Configuration.h
@@ -32,7 +32,8 @@
 struct ModelConfig
 {
   std::string m_name;
-  std::string m_weights;
+  std::string m_weights; ///< in force
+  std::string m_target;  ///< what the engines are being brought to
   std::string m_adapter;
 };
 
--- a/src/include/fulmarquay/control/ControlCommands.h
+++ b/src/include/fulmarquay/control/ControlCommands.h
@@ -113,12 +113,21 @@
   MSGPACK_DEFINE(m_engine, m_kind, m_target)
 };
 
+/// Makes a weight version the one in force, once enough engines have it.
+struct SwitchWeightsCommand
+{
+  std::string m_model;
+  std::string m_weights;
+  MSGPACK_DEFINE(m_model, m_weights)
+};
+
 using ControlCommand = std::variant<SubmitCommand,
                                     BeginOnceCommand,
                                     FinishOnceCommand,
                                     LoseEntryCommand,
                                     PruneOnceCommand,
-                                    IssueOrderCommand>;
+                                    IssueOrderCommand,
+                                    SwitchWeightsCommand>;
 
 /// The result of a SubmitCommand.
 struct SubmitResult
--- a/src/include/fulmarquay/control/ControlNode.h
+++ b/src/include/fulmarquay/control/ControlNode.h
@@ -4,6 +4,10 @@
 #include "fulmarquay/consensus/Replica.h"
 #include "fulmarquay/control/ControlMessages.h"
 #include "fulmarquay/control/ControlState.h"
+#include "fulmarquay/control/EntryRegistry.h"
+#include "fulmarquay/control/Rollout.h"
+#include "fulmarquay/platform/EngineProtocol.h"
+#include "fulmarquay/wire/HttpClient.h"
 #include "fulmarquay/core/LogEvent.h"
 
 #include <map>
@@ -28,7 +32,17 @@
   ConnectionId m_connection;
 };
 
-using ControlEvent = std::variant<ReplicaEvent, ControlReceived, ControlClosed>;
+/// The whole answer of a call to an engine.
+struct EngineAnswered
+{
+  CallId m_call;
+  CallEnd m_end = CallEnd::Whole;
+  int m_status = 0;
+  std::string m_body;
+};
+
+using ControlEvent =
+  std::variant<ReplicaEvent, ControlReceived, ControlClosed, EngineAnswered>;
 
 /// Send a message to an entry or an operator.
 struct SendControl
@@ -43,6 +57,12 @@
   Snapshot m_snapshot;
 };
 
+/// Call an engine; then report EngineAnswered.
+struct CallEngine
+{
+  HttpCall m_call;
+};
+
 /// Write a log event.
 struct LogLine
 {
@@ -55,6 +75,7 @@
                                    PersistSnapshot,
                                    SaveSnapshot,
                                    SendControl,
+                                   CallEngine,
                                    LogLine>;
 using ControlEffects = std::vector<ControlEffect>;
 
@@ -89,16 +110,6 @@
   std::string Dump(TimePoint aNow) const;
 
 private:
-  /// What the leader knows of an entry.
-  struct EntrySession
-  {
-    EntryHeartbeat m_last;
-    ConnectionId m_connection;
-    TimePoint m_heard;
-    Revision m_pushed;
-    TimePoint m_pushedAt;
-  };
-
   struct Pending
   {
     Term m_term;
@@ -115,6 +126,7 @@
   void On(const ReplicaEvent& aEvent);
   void On(const ControlReceived& aEvent);
   void On(const ControlClosed& aEvent);
+  void On(const EngineAnswered& aEvent);
 
   void OnMessage(ConnectionId aFrom, const EntryHeartbeat& aMessage);
   void OnMessage(ConnectionId aFrom, const BeginOnceRequest& aMessage);
@@ -148,11 +160,18 @@
   void ReviewEntries();
   void ProbeRunning();
   void ReviewRetention();
+  void StepRollout();
+  void Carry(const std::vector<RolloutAction>& aActions);
+  void Carry(const ObserveEngine& aAction);
+  void Carry(const RequestOrder& aAction);
+  void Carry(const SendOrder& aAction);
+  void Carry(const SwitchWeights& aAction);
+  void StartEngineCall(const EngineId& aEngine,
+                       HttpRequest aRequest,
+                       bool aIsOrder);
   void Push(EntrySession& aSession);
   void PushAll();
-  HeartbeatReply MakeHeartbeatReply(const EntryHeartbeat& aEntry) const;
   bool IsRunningLost(const VmId& aVm, BootId aBoot) const;
-  bool IsLive(const EntrySession& aSession) const;
   void MaybeSnapshot();
   std::string LeaderAddress() const;
   StatusReply MakeStatus(RequestId aRequest) const;
@@ -174,8 +193,19 @@
   std::map<RequestId, Pending> m_proposing;
   std::map<LogIndex, Pending> m_pending;
   std::map<OnceKey, std::vector<Waiter>> m_waiters;
-  std::map<VmId, EntrySession> m_entries;
+  EntryRegistry m_entries;
   std::map<VmId, BootId> m_losing; ///< LoseEntry proposed and not applied
+  std::unique_ptr<EngineProtocol> m_engineProtocol;
+  Rollout m_rollout;
+  Configuration m_configuration; ///< typed form of the accepted one
+  Revision m_configurationRevision;
+  struct EngineCall
+  {
+    EngineId m_engine;
+    bool m_isOrder = false;
+  };
+  std::map<CallId, EngineCall> m_engineCalls;
+  std::uint64_t m_nextCall = 1;
   std::uint64_t m_nextProposal = 1;
   TimePoint m_leadingSince;
   TimePoint m_nextReview;
--- a/src/include/fulmarquay/control/ControlState.h
+++ b/src/include/fulmarquay/control/ControlState.h
@@ -33,6 +33,7 @@
   ControlResult On(const LoseEntryCommand& aCommand);
   ControlResult On(const PruneOnceCommand& aCommand);
   ControlResult On(const IssueOrderCommand& aCommand);
+  ControlResult On(const SwitchWeightsCommand& aCommand);
 
   OnceTable m_once;
   ConfigTable m_config;
--- a/src/libcontrol/ConfigTable.cpp
+++ b/src/libcontrol/ConfigTable.cpp
@@ -13,6 +13,27 @@
 /// Steps that an entry may be behind and still get a delta.
 constexpr std::size_t kKeptDeltas = 64;
 
+const std::string kModelPrefix = "model.";
+constexpr const char* kServing = "serving";
+/// Named as the operator of revisions that a rollout makes.
+constexpr const char* kRolloutOperator = "rollout";
+
+/// Submitted sections with the versions in force of models that stay: only a
+/// rollout changes those.
+ConfigSections
+KeepServing(const ConfigSections& aOld, ConfigSections aNew)
+{
+  for (auto& [name, values] : aNew) {
+    if (!name.starts_with(kModelPrefix)) {
+      continue;
+    }
+    const auto old = aOld.find(name);
+    values[kServing] =
+      old == aOld.end() ? values["weights"] : old->second.at(kServing);
+  }
+  return aNew;
+}
+
 } // namespace
 
 SubmitResult
@@ -21,7 +42,8 @@
   std::vector<Accepted>& accepted = m_content.m_accepted;
   const auto same =
     std::find_if(accepted.begin(), accepted.end(), [&](const Accepted& aEach) {
-      return aEach.m_submission == aCommand.m_submission;
+      return !aEach.m_submission.empty() &&
+             aEach.m_submission == aCommand.m_submission;
     });
   if (same != accepted.end()) {
     return same->m_result;
@@ -29,24 +51,45 @@
   if (aCommand.m_base != m_content.m_revision) {
     return Refuse(aCommand);
   }
-  ConfigDelta delta = MakeDelta(m_content.m_sections, aCommand.m_sections);
+  Accept(KeepServing(m_content.m_sections, aCommand.m_sections));
+  SubmitResult result;
+  result.m_isAccepted = true;
+  result.m_revision = m_content.m_revision;
+  accepted.push_back({ aCommand.m_submission, aCommand.m_operator, result });
+  if (accepted.size() > kKeptSubmissions) {
+    accepted.erase(accepted.begin());
+  }
+  return result;
+}
+
+void
+ConfigTable::Accept(ConfigSections aSections)
+{
+  ConfigDelta delta = MakeDelta(m_content.m_sections, aSections);
   delta.m_from = m_content.m_revision;
   delta.m_to = Revision(m_content.m_revision.Value() + 1);
   m_content.m_revision = delta.m_to;
-  m_content.m_sections = aCommand.m_sections;
+  m_content.m_sections = std::move(aSections);
   m_digest = delta.m_digest;
   m_content.m_deltas.push_back(std::move(delta));
   if (m_content.m_deltas.size() > kKeptDeltas) {
     m_content.m_deltas.erase(m_content.m_deltas.begin());
   }
-  SubmitResult result;
-  result.m_isAccepted = true;
-  result.m_revision = m_content.m_revision;
-  accepted.push_back({ aCommand.m_submission, aCommand.m_operator, result });
-  if (accepted.size() > kKeptSubmissions) {
-    accepted.erase(accepted.begin());
+}
+
+void
+ConfigTable::SwitchWeights(const SwitchWeightsCommand& aCommand)
+{
+  ConfigSections sections = m_content.m_sections;
+  const auto model = sections.find(kModelPrefix + aCommand.m_model);
+  const bool isWanted = model != sections.end() &&
+                        model->second["weights"] == aCommand.m_weights &&
+                        model->second[kServing] != aCommand.m_weights;
+  if (isWanted) {
+    model->second[kServing] = aCommand.m_weights;
+    Accept(std::move(sections));
+    m_content.m_accepted.push_back({ "", kRolloutOperator, SubmitResult() });
   }
-  return result;
 }
 
 SubmitResult
--- a/src/libcontrol/Configuration.cpp
+++ b/src/libcontrol/Configuration.cpp
@@ -40,7 +40,13 @@
     .Optional("weight", Kind::Integer, "1", "share under overload")
     .Between(1, 1000);
   builder.Section("model.*")
-    .Required("weights", Kind::Name, "the weight version for new requests")
+    .Required("weights",
+              Kind::Name,
+              "the weight version that its engines are brought to")
+    .Optional("serving",
+              Kind::Name,
+              "",
+              "the version in force; set by the system, any answer is replaced")
     .Optional("adapter", Kind::Text, "", "the adapter that it runs with");
   builder.Section("engine.*")
     .Required("address", Kind::Address, "where the engine listens")
@@ -97,7 +103,9 @@
   const std::string section = "model." + aName;
   ModelConfig model;
   model.m_name = aName;
-  model.m_weights = aAnswers.Text(section, "weights");
+  model.m_target = aAnswers.Text(section, "weights");
+  const std::string serving = aAnswers.Text(section, "serving");
+  model.m_weights = serving.empty() ? model.m_target : serving;
   model.m_adapter = aAnswers.Text(section, "adapter");
   return model;
 }
@@ -216,7 +224,9 @@
   for (const auto& [section, values] : aSections) {
     text += "[" + section + "]\n";
     for (const auto& [key, value] : values) {
-      text += key + " = " + value + "\n";
+      if (!value.empty()) {
+        text += key + " = " + value + "\n";
+      }
     }
     text += "\n";
   }
--- a/src/libcontrol/ControlNode.cpp
+++ b/src/libcontrol/ControlNode.cpp
@@ -16,6 +16,8 @@
 /// A call that runs for longer may have been given up by its entry.
 constexpr Duration kProbeAge(3'000'000);
 constexpr std::size_t kMostProbes = 64;
+constexpr const char* kLoadOrder = "load";
+constexpr int kStatusConflict = 409;
 constexpr Duration kDefaultRetention(72LL * 3'600'000'000);
 /// Marks a proposal of the node itself: nobody waits for its result.
 constexpr ConnectionId::RepType kNoConnection = 0;
@@ -42,6 +44,8 @@
                          std::unique_ptr<Replica> aReplica)
   : m_options(aOptions)
   , m_replica(std::move(aReplica))
+  , m_entries(aOptions.m_entryLease)
+  , m_engineProtocol(MakeJsonEngineProtocol())
 {
   const std::string& data = m_replica->Log().Base().m_data;
   if (!data.empty()) {
@@ -70,8 +74,10 @@
   const bool isTick = std::holds_alternative<ReplicaTick>(aEvent);
   if (isTick && m_replica->HoldsLease(m_now) && m_now >= m_nextReview) {
     m_nextReview = m_now + kReviewInterval;
+    m_entries.Review(m_now);
     ReviewEntries();
     ReviewRetention();
+    StepRollout();
   }
 }
 
@@ -85,11 +91,7 @@
 void
 ControlNode::On(const ControlClosed& aEvent)
 {
-  for (auto& [vm, session] : m_entries) {
-    if (session.m_connection == aEvent.m_connection) {
-      session.m_connection = ConnectionId(kNoConnection);
-    }
-  }
+  m_entries.OnClosed(aEvent.m_connection);
   for (auto place = m_waiters.begin(); place != m_waiters.end();) {
     std::erase_if(place->second, [&](const Waiter& aEach) {
       return aEach.m_connection == aEvent.m_connection;
@@ -112,36 +114,11 @@
     Refuse(aFrom, RequestId(0));
     return;
   }
-  EntrySession& session = m_entries[aMessage.m_vm];
-  session.m_last = aMessage;
-  session.m_connection = aFrom;
-  session.m_heard = m_now;
-  Emit(SendControl{ aFrom, MakeHeartbeatReply(aMessage) });
-  Push(session);
-}
-
-HeartbeatReply
-ControlNode::MakeHeartbeatReply(const EntryHeartbeat& aEntry) const
-{
-  HeartbeatReply reply;
+  EntrySession& session = m_entries.OnHeartbeat(m_now, aFrom, aMessage);
+  HeartbeatReply reply = m_entries.MakeReply(aMessage);
   reply.m_revision = m_state.Config().Current();
-  reply.m_leaseUs = m_options.m_entryLease.count();
-  reply.m_liveEntries = 0;
-  for (const auto& [vm, session] : m_entries) {
-    const EntryHeartbeat& other = session.m_last;
-    if (!IsLive(session)) {
-      continue;
-    }
-    ++reply.m_liveEntries;
-    if (other.m_dataCentre == aEntry.m_dataCentre) {
-      reply.m_peers.push_back({ vm, other.m_boot, other.m_address });
-    }
-  }
-  reply.m_peersVersion = Checksum64(Pack(reply.m_peers));
-  if (reply.m_peersVersion == aEntry.m_peersSeen) {
-    reply.m_peers.clear();
-  }
-  return reply;
+  Emit(SendControl{ aFrom, std::move(reply) });
+  Push(session);
 }
 
 void
@@ -222,8 +199,20 @@
       for (const OnceKey& key : waited) {
         AnswerWaiters(key);
       }
-    } else if (std::holds_alternative<SubmitCommand>(command)) {
+    } else if (std::holds_alternative<SubmitCommand>(command) ||
+               std::holds_alternative<SwitchWeightsCommand>(command)) {
       PushAll();
+    } else if (const auto* order = std::get_if<IssueOrderCommand>(&command)) {
+      // Only the leader that asked for the number, in the same term, uses it.
+      const auto pending = m_pending.find(entry.m_index);
+      const bool isOurs =
+        pending != m_pending.end() && pending->second.m_term == entry.m_term;
+      if (isOurs && m_replica->HoldsLease(m_now)) {
+        Carry(m_rollout.OnNumber(m_now,
+                                 order->m_engine,
+                                 order->m_target,
+                                 std::get<DoneResult>(result).m_value));
+      }
     }
   }
   AnswerPending(entry, result);
@@ -263,7 +252,9 @@
                 { { "term", std::to_string(aEffect.m_term.Value()) } } });
   m_leadingSince = m_now;
   m_nextPrune = m_now + kPruneInterval;
-  m_entries.clear();
+  m_entries.Clear();
+  m_engineCalls.clear();
+  m_rollout.Start(m_now, m_replica->LeaseLength());
   m_losing.clear();
   if (!aEffect.m_isLeader) {
     RefuseAll();
@@ -373,9 +364,9 @@
   if (record == nullptr || record->State() != OnceState::Intent) {
     return;
   }
-  const auto owner = m_entries.find(record->m_entry);
-  if (owner != m_entries.end() && IsLive(owner->second)) {
-    Emit(SendControl{ owner->second.m_connection,
+  const EntrySession* owner = m_entries.Find(record->m_entry);
+  if (owner != nullptr && m_entries.IsLive(m_now, *owner)) {
+    Emit(SendControl{ owner->m_connection,
                       OnceProbe{ aKey, record->m_boot, record->m_attempt } });
   }
 }
@@ -403,18 +394,12 @@
   }
 }
 
-bool
-ControlNode::IsLive(const EntrySession& aSession) const
-{
-  return m_now < aSession.m_heard + m_options.m_entryLease;
-}
-
 bool
 ControlNode::IsRunningLost(const VmId& aVm, BootId aBoot) const
 {
-  const auto session = m_entries.find(aVm);
-  if (session != m_entries.end() && IsLive(session->second)) {
-    return session->second.m_last.m_boot != aBoot;
+  const EntrySession* session = m_entries.Find(aVm);
+  if (session != nullptr && m_entries.IsLive(m_now, *session)) {
+    return session->m_last.m_boot != aBoot;
   }
   // A new leader first gives every entry the time to find it.
   return m_now > m_leadingSince + m_options.m_entryLease;
@@ -431,9 +416,9 @@
       }
       LoseEntryCommand command;
       command.m_entry = vm;
-      const auto session = m_entries.find(vm);
-      if (session != m_entries.end() && IsLive(session->second)) {
-        command.m_alive = session->second.m_last.m_boot;
+      const EntrySession* session = m_entries.Find(vm);
+      if (session != nullptr && m_entries.IsLive(m_now, *session)) {
+        command.m_alive = session->m_last.m_boot;
       }
       m_losing[vm] = boot;
       lost.push_back(command);
@@ -488,6 +473,112 @@
   ProposeOwn(command);
 }
 
+void
+ControlNode::StepRollout()
+{
+  if (m_configurationRevision != m_state.Config().Current()) {
+    m_configurationRevision = m_state.Config().Current();
+    m_configuration = BuildConfiguration(m_state.Config().Sections());
+  }
+  Carry(m_rollout.Step(m_now, m_configuration));
+}
+
+void
+ControlNode::Carry(const std::vector<RolloutAction>& aActions)
+{
+  for (const RolloutAction& action : aActions) {
+    std::visit([this](const auto& aBody) { Carry(aBody); }, action);
+  }
+}
+
+void
+ControlNode::Carry(const ObserveEngine& aAction)
+{
+  // No cache events are wanted: ask from the end of all.
+  StartEngineCall(
+    aAction.m_engine, m_engineProtocol->Report(UINT64_MAX), false);
+}
+
+void
+ControlNode::Carry(const RequestOrder& aAction)
+{
+  IssueOrderCommand command;
+  command.m_engine = aAction.m_engine;
+  command.m_kind = kLoadOrder;
+  command.m_target = aAction.m_target;
+  ProposeOwn(command);
+}
+
+void
+ControlNode::Carry(const SendOrder& aAction)
+{
+  Emit(LogLine{ LogEvent::OrderIssued,
+                { { "engine", aAction.m_engine.Value() },
+                  { "number", std::to_string(aAction.m_number) },
+                  { "target", aAction.m_target } } });
+  StartEngineCall(
+    aAction.m_engine,
+    m_engineProtocol->Order({ aAction.m_number, kLoadOrder, aAction.m_target }),
+    true);
+}
+
+void
+ControlNode::Carry(const SwitchWeights& aAction)
+{
+  ProposeOwn(SwitchWeightsCommand{ aAction.m_model, aAction.m_weights });
+}
+
+void
+ControlNode::StartEngineCall(const EngineId& aEngine,
+                             HttpRequest aRequest,
+                             bool aIsOrder)
+{
+  const auto engine = m_configuration.m_engines.find(aEngine);
+  if (engine == m_configuration.m_engines.end()) {
+    return;
+  }
+  HttpCall call;
+  call.m_call = CallId(m_nextCall++);
+  call.m_peer = engine->second.m_address;
+  call.m_request = std::move(aRequest);
+  call.m_idleTimeout = Rollout::kOrderTimeout;
+  call.m_freshConnection = aIsOrder;
+  m_engineCalls[call.m_call] = { aEngine, aIsOrder };
+  Emit(CallEngine{ std::move(call) });
+}
+
+void
+ControlNode::On(const EngineAnswered& aEvent)
+{
+  const auto place = m_engineCalls.find(aEvent.m_call);
+  if (place == m_engineCalls.end()) {
+    return;
+  }
+  const EngineCall call = place->second;
+  m_engineCalls.erase(place);
+  const bool isGood = aEvent.m_end == CallEnd::Whole && aEvent.m_status == 200;
+  if (call.m_isOrder) {
+    const bool isFenced =
+      aEvent.m_end == CallEnd::Whole && aEvent.m_status == kStatusConflict;
+    OrderEnd end = isGood ? OrderEnd::Done : OrderEnd::Failed;
+    end = isFenced ? OrderEnd::Fenced : end;
+    m_rollout.OnOrderEnded(m_now, call.m_engine, end);
+    return;
+  }
+  try {
+    if (isGood) {
+      m_rollout.OnObserved(
+        m_now,
+        call.m_engine,
+        m_engineProtocol->ParseReport(aEvent.m_body).m_weights);
+    }
+  } catch (const Error& e) {
+    Emit(LogLine{
+      LogEvent::UpstreamFailed,
+      { { "engine", call.m_engine.Value() }, { "why", e.Reason() } } });
+  }
+}
+
 void
 ControlNode::Push(EntrySession& aSession)
 {
@@ -514,7 +605,7 @@
     LogEvent::ConfigurationAccepted,
     { { "revision", std::to_string(m_state.Config().Current().Value()) },
       { "digest", m_state.Config().Digest() } } });
-  for (auto& [vm, session] : m_entries) {
+  for (auto& [vm, session] : m_entries.All()) {
     Push(session);
   }
 }
@@ -572,13 +663,13 @@
   reply.m_commit = m_replica->Commit().Value();
   reply.m_onceRecords = m_state.Once().Size();
   reply.m_replicas = ReplicaList();
-  for (const auto& [vm, session] : m_entries) {
+  for (const auto& [vm, session] : m_entries.All()) {
     EntryStatus entry;
     entry.m_vm = vm;
     entry.m_dataCentre = session.m_last.m_dataCentre;
     entry.m_inForce = session.m_last.m_inForce;
     entry.m_heardAgoUs = (m_now - session.m_heard).count();
-    entry.m_isLive = IsLive(session);
+    entry.m_isLive = m_entries.IsLive(m_now, session);
     reply.m_entries.push_back(std::move(entry));
   }
   return reply;
@@ -609,10 +700,11 @@
   number("revision", m_state.Config().Current().Value());
   word("digest", m_state.Config().Digest());
   number("once_records", m_state.Once().Size());
-  number("entries", m_entries.size());
+  number("entries", m_entries.All().size());
   number("pending", m_pending.size());
   number("waiters", m_waiters.size());
   number("last_order", m_state.LastOrder());
+  number("engines_given_up", m_rollout.GivenUp().size());
   return text + "}";
 }
 
--- a/src/libcontrol/ControlState.cpp
+++ b/src/libcontrol/ControlState.cpp
@@ -59,6 +59,13 @@
   return DoneResult{ ++m_lastOrder };
 }
 
+ControlResult
+ControlState::On(const SwitchWeightsCommand& aCommand)
+{
+  m_config.SwitchWeights(aCommand);
+  return DoneResult{ m_config.Current().Value() };
+}
+
 std::string
 ControlState::Encode() const
 {
--- /dev/null
+++ b/src/libcontrol/Rollout.cpp
@@ -0,0 +1,206 @@
+#include "fulmarquay/control/Rollout.h"
+
+#include <algorithm>
+
+namespace fulmarquay {
+
+namespace {
+
+constexpr Duration kObserveInterval(1'000'000);
+/// An observation older than this says nothing.
+constexpr Duration kObservationLife(3'000'000);
+constexpr Duration kFencedPause(1'000'000);
+
+} // namespace
+
+void
+Rollout::Start(TimePoint aNow, Duration aOldLease)
+{
+  m_engines.clear();
+  m_firstOrder = aNow + aOldLease + kOrderTimeout;
+}
+
+void
+Rollout::SyncEngines(TimePoint aNow, const Configuration& aConfiguration)
+{
+  std::erase_if(m_engines, [&](const auto& aEach) {
+    return aConfiguration.m_engines.count(aEach.first) == 0;
+  });
+  for (const auto& [id, config] : aConfiguration.m_engines) {
+    const auto [place, isNew] = m_engines.try_emplace(id);
+    Engine& engine = place->second;
+    engine.m_checksFencing = config.m_checksFencing;
+    if (isNew) {
+      engine.m_nextObserve = aNow;
+    }
+  }
+}
+
+std::vector<RolloutAction>
+Rollout::Step(TimePoint aNow, const Configuration& aConfiguration)
+{
+  SyncEngines(aNow, aConfiguration);
+  std::vector<RolloutAction> actions;
+  for (auto& [id, engine] : m_engines) {
+    if (engine.m_order == OrderState::None && aNow >= engine.m_nextObserve) {
+      engine.m_nextObserve = aNow + kObserveInterval;
+      actions.emplace_back(ObserveEngine{ id });
+    }
+  }
+  for (const auto& [name, model] : aConfiguration.m_models) {
+    StepModel(aNow, aConfiguration, model, actions);
+  }
+  return actions;
+}
+
+Rollout::Group
+Rollout::CountGroup(const Configuration& aConfiguration,
+                    const ModelConfig& aModel) const
+{
+  Group group;
+  for (const auto& [id, config] : aConfiguration.m_engines) {
+    if (config.m_model != aModel.m_name) {
+      continue;
+    }
+    const Engine& engine = m_engines.at(id);
+    const bool isIdle = engine.m_order == OrderState::None;
+    ++group.m_size;
+    group.m_serving += isIdle && engine.m_weights == aModel.m_weights ? 1 : 0;
+    group.m_ready += isIdle && engine.m_weights == aModel.m_target ? 1 : 0;
+  }
+  return group;
+}
+
+bool
+Rollout::MayOrder(TimePoint aNow,
+                  const Engine& aEngine,
+                  const ModelConfig& aModel) const
+{
+  const bool isKnown =
+    !aEngine.m_mustObserve && aNow < aEngine.m_observed + kObservationLife;
+  const bool isDue = aNow >= aEngine.m_notBefore &&
+                     (aEngine.m_checksFencing || aNow >= m_firstOrder);
+  const bool isGivenUp = aEngine.m_failures >= kMostFailures &&
+                         aEngine.m_failedTarget == aModel.m_target;
+  return isKnown && isDue && !isGivenUp &&
+         aEngine.m_order == OrderState::None &&
+         aEngine.m_weights != aModel.m_target;
+}
+
+void
+Rollout::StepModel(TimePoint aNow,
+                   const Configuration& aConfiguration,
+                   const ModelConfig& aModel,
+                   std::vector<RolloutAction>& aActions)
+{
+  Group group = CountGroup(aConfiguration, aModel);
+  const bool isSwitched = aModel.m_weights == aModel.m_target;
+  if (!isSwitched && group.m_size > 0 && group.m_ready * 2 >= group.m_size) {
+    aActions.emplace_back(SwitchWeights{ aModel.m_name, aModel.m_target });
+    return;
+  }
+  for (const auto& [id, config] : aConfiguration.m_engines) {
+    Engine& engine = m_engines.at(id);
+    const bool isWanted =
+      config.m_model == aModel.m_name && MayOrder(aNow, engine, aModel);
+    if (!isWanted || Loading() >= kLoadsAtOnce) {
+      continue;
+    }
+    // An engine that serves now is taken only while half of them (rounded
+    // down: no order of loads can keep more of an odd number) remain.
+    const bool isServing = engine.m_weights == aModel.m_weights;
+    const bool isSpare =
+      group.m_size == 1 || group.m_serving - 1 >= group.m_size / 2;
+    if (isServing && !isSpare) {
+      continue;
+    }
+    group.m_serving -= isServing ? 1 : 0;
+    engine.m_order = OrderState::Numbering;
+    engine.m_orderSince = aNow;
+    engine.m_failedTarget = aModel.m_target;
+    aActions.emplace_back(RequestOrder{ id, aModel.m_target });
+  }
+}
+
+int
+Rollout::Loading() const
+{
+  return static_cast<int>(
+    std::count_if(m_engines.begin(), m_engines.end(), [](const auto& aEach) {
+      return aEach.second.m_order != OrderState::None;
+    }));
+}
+
+void
+Rollout::OnObserved(TimePoint aNow,
+                    const EngineId& aEngine,
+                    const std::string& aWeights)
+{
+  const auto place = m_engines.find(aEngine);
+  if (place == m_engines.end()) {
+    return;
+  }
+  Engine& engine = place->second;
+  engine.m_weights = aWeights;
+  engine.m_observed = aNow;
+  // What was observed while an order may be under way is no ground for
+  // another one.
+  if (aNow >= engine.m_notBefore) {
+    engine.m_mustObserve = false;
+  }
+}
+
+std::vector<RolloutAction>
+Rollout::OnNumber(TimePoint aNow,
+                  const EngineId& aEngine,
+                  const std::string& aTarget,
+                  std::uint64_t aNumber)
+{
+  const auto place = m_engines.find(aEngine);
+  const bool isWanted =
+    place != m_engines.end() && place->second.m_order == OrderState::Numbering;
+  if (!isWanted) {
+    return {};
+  }
+  place->second.m_order = OrderState::Sent;
+  place->second.m_orderSince = aNow;
+  return { SendOrder{ aEngine, aNumber, aTarget } };
+}
+
+void
+Rollout::OnOrderEnded(TimePoint aNow, const EngineId& aEngine, OrderEnd aEnd)
+{
+  const auto place = m_engines.find(aEngine);
+  if (place == m_engines.end()) {
+    return;
+  }
+  Engine& engine = place->second;
+  engine.m_order = OrderState::None;
+  engine.m_nextObserve = aNow;
+  engine.m_mustObserve = true;
+  engine.m_weights.clear();
+  if (aEnd == OrderEnd::Done) {
+    engine.m_failures = 0;
+    engine.m_notBefore = aNow;
+  } else if (aEnd == OrderEnd::Fenced) {
+    engine.m_notBefore = aNow + kFencedPause;
+  } else {
+    ++engine.m_failures;
+    engine.m_notBefore = aNow + kOrderTimeout;
+    engine.m_nextObserve = engine.m_notBefore;
+  }
+}
+
+std::vector<EngineId>
+Rollout::GivenUp() const
+{
+  std::vector<EngineId> engines;
+  for (const auto& [id, engine] : m_engines) {
+    if (engine.m_failures >= kMostFailures) {
+      engines.push_back(id);
+    }
+  }
+  return engines;
+}
+
+} // namespace fulmarquay
--- /dev/null
+++ b/src/libcontrol/rollout_test.cpp
@@ -0,0 +1,185 @@
+#include "fulmarquay/control/Rollout.h"
+
+#include <algorithm>
+#include <random>
+#include <set>
+
+// Last: its macros clash with names in other headers.
+#include <criterion/criterion.h>
+
+using namespace fulmarquay;
+
+namespace {
+
+TimePoint
+At(std::int64_t aMillis)
+{
+  return TimePoint(Duration(1'000'000'000 + aMillis * 1000));
+}
+
+/// Engines that load weights, lose answers and get orders of an old leader.
+class Fleet
+{
+public:
+  Fleet(int aEngines, bool aChecksFencing, std::uint64_t aSeed)
+    : m_random(aSeed)
+  {
+    ModelConfig model;
+    model.m_name = "m";
+    model.m_weights = "w1";
+    model.m_target = "w2";
+    m_configuration.m_models["m"] = model;
+    for (int i = 0; i < aEngines; ++i) {
+      const EngineId id("g" + std::to_string(i));
+      EngineConfig engine;
+      engine.m_id = id;
+      engine.m_model = "m";
+      engine.m_checksFencing = aChecksFencing;
+      m_configuration.m_engines[id] = engine;
+      m_weights[id] = "w1";
+    }
+    m_rollout.Start(At(0), Duration(400'000));
+  }
+
+  /// Runs until all have the target, or for aMillis. Returns a violation.
+  std::string Run(std::int64_t aMillis, double aLostAnswers, bool aFails)
+  {
+    for (m_now = 0; m_now < aMillis && !IsFinished(); m_now += 100) {
+      EndLoads();
+      Carry(m_rollout.Step(At(m_now), m_configuration), aLostAnswers, aFails);
+      if (static_cast<int>(m_loading.size()) > Rollout::kLoadsAtOnce) {
+        return "too many loads at once";
+      }
+      const auto serving = std::count_if(
+        m_weights.begin(), m_weights.end(), [&](const auto& aEach) {
+          return aEach.second == m_configuration.m_models["m"].m_weights &&
+                 m_loading.count(aEach.first) == 0;
+        });
+      // Rounded down: between (2 old, 1 new) and (1 old, 2 new) of three
+      // engines one is loading, so either version has one.
+      if (serving < static_cast<long>(m_weights.size() / 2)) {
+        return "less than half of the engines can serve";
+      }
+    }
+    return "";
+  }
+
+  bool IsFinished() const
+  {
+    return m_configuration.m_models.at("m").m_weights == "w2" &&
+           std::all_of(m_weights.begin(),
+                       m_weights.end(),
+                       [](const auto& aEach) { return aEach.second == "w2"; });
+  }
+
+  std::int64_t Now() const { return m_now; }
+  std::int64_t FirstOrder() const { return m_firstOrder; }
+  std::size_t Orders() const { return m_numbers.size(); }
+  const Rollout& Plan() const { return m_rollout; }
+
+private:
+  void EndLoads()
+  {
+    for (auto place = m_loading.begin(); place != m_loading.end();) {
+      if (m_now >= place->second) {
+        m_weights[place->first] = "w2";
+        place = m_loading.erase(place);
+      } else {
+        ++place;
+      }
+    }
+    for (auto place = m_answers.begin(); place != m_answers.end();) {
+      if (m_now >= place->second.first) {
+        m_rollout.OnOrderEnded(At(m_now), place->first, place->second.second);
+        place = m_answers.erase(place);
+      } else {
+        ++place;
+      }
+    }
+  }
+
+  void Carry(const std::vector<RolloutAction>& aActions,
+             double aLostAnswers,
+             bool aFails)
+  {
+    for (const RolloutAction& action : aActions) {
+      if (const auto* observe = std::get_if<ObserveEngine>(&action)) {
+        m_rollout.OnObserved(
+          At(m_now), observe->m_engine, m_weights[observe->m_engine]);
+      } else if (const auto* request = std::get_if<RequestOrder>(&action)) {
+        const std::uint64_t number = m_numbers.size() + 1;
+        m_numbers.insert(number);
+        Carry(m_rollout.OnNumber(
+                At(m_now), request->m_engine, request->m_target, number),
+              aLostAnswers,
+              aFails);
+      } else if (const auto* send = std::get_if<SendOrder>(&action)) {
+        m_firstOrder = m_firstOrder < 0 ? m_now : m_firstOrder;
+        const bool isLost =
+          static_cast<double>(m_random() % 1000) < aLostAnswers * 1000;
+        if (aFails) {
+          m_answers[send->m_engine] = { m_now + 100, OrderEnd::Failed };
+          continue;
+        }
+        m_loading[send->m_engine] = m_now + 300;
+        m_answers[send->m_engine] = { isLost ? m_now + 10'000 : m_now + 300,
+                                      isLost ? OrderEnd::Failed
+                                             : OrderEnd::Done };
+      } else {
+        const auto& change = std::get<SwitchWeights>(action);
+        m_configuration.m_models[change.m_model].m_weights = change.m_weights;
+      }
+    }
+  }
+
+  std::mt19937_64 m_random;
+  Rollout m_rollout;
+  Configuration m_configuration;
+  std::map<EngineId, std::string> m_weights;
+  std::map<EngineId, std::int64_t> m_loading;
+  std::map<EngineId, std::pair<std::int64_t, OrderEnd>> m_answers;
+  std::set<std::uint64_t> m_numbers;
+  std::int64_t m_now = 0;
+  std::int64_t m_firstOrder = -1;
+};
+
+} // namespace
+
+Test(rollout, stages_keep_half_of_the_engines_and_two_loads)
+{
+  for (const int engines : { 1, 2, 3, 7, 20 }) {
+    for (const double lost : { 0.0, 0.3 }) {
+      Fleet fleet(engines, true, 5);
+      cr_assert_eq(fleet.Run(1'200'000, lost, false), "");
+      cr_assert(fleet.IsFinished(), "%d engines", engines);
+    }
+  }
+}
+
+Test(rollout, waits_out_an_old_leaders_orders_where_engines_ignore_fencing)
+{
+  Fleet checks(4, true, 1);
+  checks.Run(60'000, 0, false);
+  cr_assert_lt(checks.FirstOrder(), 2'000);
+  Fleet ignores(4, false, 1);
+  ignores.Run(60'000, 0, false);
+  cr_assert_geq(ignores.FirstOrder(), 10'400);
+}
+
+Test(rollout, an_order_whose_answer_was_lost_is_recognised_by_observation)
+{
+  // Each engine loads though its answer is lost: no second order is needed.
+  Fleet fleet(6, true, 1);
+  cr_assert_eq(fleet.Run(1'200'000, 1.0, false), "");
+  cr_assert(fleet.IsFinished());
+  cr_assert_eq(fleet.Orders(), 6U);
+}
+
+Test(rollout, failing_loads_stop_the_stage_and_are_named)
+{
+  Fleet fleet(6, true, 1);
+  cr_assert_eq(fleet.Run(200'000, 0, true), "");
+  cr_assert_not(fleet.IsFinished());
+  cr_assert_eq(fleet.Plan().GivenUp().size(), 6U);
+  cr_assert_eq(fleet.Orders(), 6U * Rollout::kMostFailures);
+}
