--- a/src/libserve/EngineWatch.cpp
+++ b/src/libserve/EngineWatch.cpp
@@ -10,7 +10,9 @@
 namespace {
 
 constexpr Duration kPollInterval(200'000);
-constexpr Duration kShareInterval(400'000);
+/// Between two shares of loads; news that changes who may get work goes at
+/// once. Each share goes to every entry of the data centre.
+constexpr Duration kShareInterval(2'000'000);
 constexpr Duration kPollTimeout(1'000'000);
 
 } // namespace
@@ -145,6 +147,12 @@
     m_cache.NoteEngine(aEngine, isGap, added, dropped);
   }
   const EngineState* state = m_table.Find(aEngine);
+  const bool isUrgent = !state->m_isKnown ||
+                        aReport.m_isLeaving != state->m_isLeaving ||
+                        aReport.m_weights != state->m_weights;
+  if (isUrgent) {
+    m_nextShare = m_context.Now();
+  }
   if (aReport.m_isLeaving && !state->m_isLeaving) {
     m_context.Log(LogEvent::UpstreamLeaving, { { "engine", aEngine.Value() } });
   }
--- a/testsuite/check-proofs.sh
+++ b/testsuite/check-proofs.sh
@@ -2,7 +2,7 @@
 # Every test and case that docs/PROOFS.md names must exist.
 cd "$(dirname "$0")/.." || exit 1
 missing=0
-for name in $(grep -o '`[a-z_]*/[a-z_0-9]*`' docs/PROOFS.md | tr -d '`' | sort -u); do
+for name in $(grep -oE '`[a-z_]+/[a-z_0-9]+`' docs/PROOFS.md | tr -d '`' | sort -u); do
   suite=${name%%/*} test=${name##*/}
   if ! grep -rqE "Test\($suite, *$test\)" src --include='*_test.cpp' &&
     ! tr -d '\n ' <<<"$(cat src/*/*_test.cpp)" | grep -q "Test($suite,$test)"; then
