--- a/src/fulmarquay-entry/EntryServer.cpp
+++ b/src/fulmarquay-entry/EntryServer.cpp
@@ -119,21 +119,21 @@
 }
 
 void
-EntryServer::Carry(RespondCaller aEffect)
+EntryServer::Carry(const RespondCaller& aEffect)
 {
-  m_server.Respond(aEffect.m_caller, std::move(aEffect.m_response));
+  m_server.Respond(aEffect.m_caller, aEffect.m_response);
 }
 
 void
-EntryServer::Carry(BeginCallerStream aEffect)
+EntryServer::Carry(const BeginCallerStream& aEffect)
 {
-  m_server.StreamHead(aEffect.m_caller, std::move(aEffect.m_head));
+  m_server.StreamHead(aEffect.m_caller, aEffect.m_head);
 }
 
 void
-EntryServer::Carry(WriteCallerStream aEffect)
+EntryServer::Carry(const WriteCallerStream& aEffect)
 {
-  m_server.StreamData(aEffect.m_caller, std::move(aEffect.m_data));
+  m_server.StreamData(aEffect.m_caller, aEffect.m_data);
 }
 
 void
--- a/src/fulmarquay-entry/EntryServer.h
+++ b/src/fulmarquay-entry/EntryServer.h
@@ -48,9 +48,9 @@
   };
 
   void Feed(const EntryEvent& aEvent);
-  void Carry(RespondCaller aEffect);
-  void Carry(BeginCallerStream aEffect);
-  void Carry(WriteCallerStream aEffect);
+  void Carry(const RespondCaller& aEffect);
+  void Carry(const BeginCallerStream& aEffect);
+  void Carry(const WriteCallerStream& aEffect);
   void Carry(EndCallerStream aEffect);
   void Carry(StartCall aEffect);
   void Carry(CancelCall aEffect);
--- a/src/fulmarquay-load/LoadRun.cpp
+++ b/src/fulmarquay-load/LoadRun.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 SameRequest::SameRequest(std::string aTarget,
-                         std::string aKey,
+                         const std::string& aKey,
                          std::string aBody)
 {
   m_request.m_method = "POST";
--- a/src/fulmarquay-load/LoadRun.h
+++ b/src/fulmarquay-load/LoadRun.h
@@ -38,7 +38,7 @@
 class SameRequest : public RequestSource
 {
 public:
-  SameRequest(std::string aTarget, std::string aKey, std::string aBody);
+  SameRequest(std::string aTarget, const std::string& aKey, std::string aBody);
   HttpRequest Next(std::uint64_t aNumber) override;
   void Finish(std::uint64_t aNumber,
               const Exchange& aExchange,
--- a/src/fulmarquay-standin/EngineRole.cpp
+++ b/src/fulmarquay-standin/EngineRole.cpp
@@ -181,7 +181,7 @@
   ++m_running;
   HttpResponse head;
   head.m_headers = { { "Content-Type", "application/x-ndjson" } };
-  Server().StreamHead(aCaller, std::move(head));
+  Server().StreamHead(aCaller, head);
   ArrangePrefill(prompt);
   prompt->m_isImporting = !prompt->m_import.empty();
   if (prompt->m_isImporting) {
--- a/src/fulmarquay-standin/StandinRole.cpp
+++ b/src/fulmarquay-standin/StandinRole.cpp
@@ -76,7 +76,7 @@
   response.m_status = aStatus;
   response.m_headers = { { "Content-Type", "application/json" } };
   response.m_body = std::move(aBody);
-  m_server.Respond(aCaller, std::move(response));
+  m_server.Respond(aCaller, response);
 }
 
 void
--- a/src/include/fulmarquay/wire/HttpServer.h
+++ b/src/include/fulmarquay/wire/HttpServer.h
@@ -52,11 +52,11 @@
   void StopAccepting();
 
   /// Sends a whole answer.
-  void Respond(CallerId aCaller, HttpResponse aResponse);
+  void Respond(CallerId aCaller, const HttpResponse& aResponse);
 
   /// Starts a chunked answer.
-  void StreamHead(CallerId aCaller, HttpResponse aHead);
-  void StreamData(CallerId aCaller, std::string aData);
+  void StreamHead(CallerId aCaller, const HttpResponse& aHead);
+  void StreamData(CallerId aCaller, const std::string& aData);
   /// Ends a chunked answer. `aIsWhole` false closes the connection without
   /// the final chunk, so that the caller sees an error.
   void StreamEnd(CallerId aCaller, bool aIsWhole);
--- a/src/libcache/cache_test.cpp
+++ b/src/libcache/cache_test.cpp
@@ -245,6 +245,7 @@
   std::mt19937_64 random(aSeed);
   aDirectory.SetCapacity(kStore, Bytes(30 * kBlockBytes));
   std::vector<BlockKey> keys;
+  keys.reserve(40);
   for (int i = 0; i < 40; ++i) {
     keys.push_back(Chain("k" + std::to_string(100 + i))[0]);
   }
@@ -321,7 +322,7 @@
 {
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
     Directory directory(DirectoryLimits(), seed);
-    const std::string violation = RunRandom(directory, seed);
+    std::string violation = RunRandom(directory, seed);
     if (!violation.empty()) {
       return violation;
     }
@@ -396,6 +397,7 @@
 Test(rendezvous, a_vm_that_goes_moves_its_own_share_only)
 {
   std::vector<VmId> vms;
+  vms.reserve(8);
   for (int i = 0; i < 8; ++i) {
     vms.emplace_back("vm" + std::to_string(i));
   }
--- a/src/libcontrol/rollout_test.cpp
+++ b/src/libcontrol/rollout_test.cpp
@@ -181,5 +181,5 @@
   cr_assert_eq(fleet.Run(200'000, 0, true), "");
   cr_assert_not(fleet.IsFinished());
   cr_assert_eq(fleet.Plan().GivenUp().size(), 6U);
-  cr_assert_eq(fleet.Orders(), 6U * Rollout::kMostFailures);
+  cr_assert_eq(fleet.Orders(), std::size_t{ 6 } * Rollout::kMostFailures);
 }
--- a/src/libwire/HttpServer.cpp
+++ b/src/libwire/HttpServer.cpp
@@ -104,7 +104,7 @@
   }
 
   void ReadRequest();
-  void Queue(std::string aBytes);
+  void Queue(const std::string& aBytes);
   void Finish(bool aKeepOpen);
   void Close();
   bool WantsClose() const { return m_wantsClose; }
@@ -302,7 +302,7 @@
 }
 
 void
-HttpServer::Impl::Session::Queue(std::string aBytes)
+HttpServer::Impl::Session::Queue(const std::string& aBytes)
 {
   if (m_isClosed) {
     return;
@@ -405,7 +405,7 @@
 }
 
 void
-HttpServer::Respond(CallerId aCaller, HttpResponse aResponse)
+HttpServer::Respond(CallerId aCaller, const HttpResponse& aResponse)
 {
   const auto session = m_impl->Find(aCaller);
   if (!session) {
@@ -421,7 +421,7 @@
 }
 
 void
-HttpServer::StreamHead(CallerId aCaller, HttpResponse aHead)
+HttpServer::StreamHead(CallerId aCaller, const HttpResponse& aHead)
 {
   const auto session = m_impl->Find(aCaller);
   if (session) {
@@ -431,7 +431,7 @@
 }
 
 void
-HttpServer::StreamData(CallerId aCaller, std::string aData)
+HttpServer::StreamData(CallerId aCaller, const std::string& aData)
 {
   const auto session = m_impl->Find(aCaller);
   if (session && !aData.empty()) {
--- a/src/libwire/wire_test.cpp
+++ b/src/libwire/wire_test.cpp
@@ -123,7 +123,7 @@
   {
     HttpResponse response;
     response.m_body = "echo:" + aRequest.m_body;
-    m_server.Respond(aCaller, std::move(response));
+    m_server.Respond(aCaller, response);
   }
   void OnGone(CallerId) override {}
 
