Reading as a newcomer: the control node in three files, unused members gone

Cause: ControlNode.cpp had grown to 800 lines, applying an entry was one long chain of cases, two answers of the questionnaire and two members did nothing.

Change: what the leader does by itself (ControlNodeDuties) and what operators see (ControlNodeStatus) stand in files of their own; what follows from a command is one function a command; unused members are gone; 'weight' and 'status_path' say in the questionnaire that they are kept and not used yet. No behaviour.

--- a/src/include/fulmarquay/cache/CacheMessages.h
+++ b/src/include/fulmarquay/cache/CacheMessages.h
@@ -127,8 +127,7 @@
   BootId m_boot;
   std::uint64_t m_held = 0;
   std::uint64_t m_inForce = 0;
-  std::int64_t m_proofUs = 0; ///< how long ago the leader last confirmed it
-  MSGPACK_DEFINE(m_vm, m_boot, m_held, m_inForce, m_proofUs)
+  MSGPACK_DEFINE(m_vm, m_boot, m_held, m_inForce)
 };
 
 /// Asks another entry for the configuration that it holds.
--- a/src/include/fulmarquay/control/ControlNode.h
+++ b/src/include/fulmarquay/control/ControlNode.h
@@ -110,6 +110,8 @@
   std::string Dump(TimePoint aNow) const;
 
 private:
+  static constexpr Duration kPruneInterval = Duration(60'000'000);
+
   struct Pending
   {
     Term m_term;
@@ -146,6 +148,26 @@
   void Carry(const ProposalRefused& aEffect);
   void Carry(const LeadershipChanged& aEffect);
 
+  // What follows from an applied command, beside its answer.
+  template<typename Other>
+  void AfterApply(const LogEntry& aEntry,
+                  const Other& aCommand,
+                  const ControlResult& aResult);
+  void AfterApply(const LogEntry& aEntry,
+                  const FinishOnceCommand& aCommand,
+                  const ControlResult& aResult);
+  void AfterApply(const LogEntry& aEntry,
+                  const LoseEntryCommand& aCommand,
+                  const ControlResult& aResult);
+  void AfterApply(const LogEntry& aEntry,
+                  const SubmitCommand& aCommand,
+                  const ControlResult& aResult);
+  void AfterApply(const LogEntry& aEntry,
+                  const SwitchWeightsCommand& aCommand,
+                  const ControlResult& aResult);
+  void AfterApply(const LogEntry& aEntry,
+                  const IssueOrderCommand& aCommand,
+                  const ControlResult& aResult);
   void Propose(ConnectionId aFrom,
                RequestId aRequest,
                const ControlCommand& aCommand);
--- a/src/libcontrol/Configuration.cpp
+++ b/src/libcontrol/Configuration.cpp
@@ -37,7 +37,8 @@
               "20000",
               "prompt and answer tokens that the account may use")
     .Between(1, 1'000'000'000)
-    .Optional("weight", Kind::Integer, "1", "share under overload")
+    .Optional(
+      "weight", Kind::Integer, "1", "share under overload; kept, not used yet")
     .Between(1, 1000);
   builder.Section("model.*")
     .Required("weights",
@@ -79,7 +80,7 @@
     .Optional("status_path",
               Kind::Text,
               "",
-              "answers whether a once-only call ran; empty when there is none")
+              "answers whether a once-only call ran; kept, not used yet")
     .Optional("timeout", Kind::Duration, "10s", "longest time for a call")
     .Between(10'000, 600'000'000);
   return builder.Build();
--- /dev/null
+++ b/src/libcontrol/ControlNodeStatus.cpp
@@ -0,0 +1,116 @@
+// What operators see of a control node.
+#include "fulmarquay/control/ControlNode.h"
+
+#include "fulmarquay/core/Digest.h"
+
+#include <utility>
+
+namespace fulmarquay {
+
+namespace {
+
+const char*
+RoleName(ReplicaRole aRole)
+{
+  switch (aRole) {
+    case ReplicaRole::Follower:
+      return "follower";
+    case ReplicaRole::PreCandidate:
+      return "pre-candidate";
+    case ReplicaRole::Candidate:
+      return "candidate";
+    case ReplicaRole::Leader:
+      return "leader";
+  }
+  return "";
+}
+
+} // namespace
+
+std::string
+ControlNode::LeaderAddress() const
+{
+  for (const Member& voter : m_replica->Members().m_voters) {
+    if (voter.m_id == m_replica->Leader()) {
+      return voter.m_address;
+    }
+  }
+  return "";
+}
+
+std::vector<ReplicaStatus>
+ControlNode::ReplicaList() const
+{
+  std::vector<ReplicaStatus> list;
+  const Membership& members = m_replica->Members();
+  for (const Member& voter : members.m_voters) {
+    const bool isLeader = voter.m_id == m_replica->Leader();
+    list.push_back({ voter.m_id.Value(),
+                     voter.m_vm,
+                     voter.m_address,
+                     isLeader ? "leader" : "voter" });
+  }
+  for (const Member& learner : members.m_learners) {
+    list.push_back(
+      { learner.m_id.Value(), learner.m_vm, learner.m_address, "learner" });
+  }
+  return list;
+}
+
+StatusReply
+ControlNode::MakeStatus(RequestId aRequest) const
+{
+  StatusReply reply;
+  reply.m_request = aRequest;
+  reply.m_revision = m_state.Config().Current();
+  reply.m_digest = m_state.Config().Digest();
+  reply.m_term = m_replica->CurrentTerm().Value();
+  reply.m_commit = m_replica->Commit().Value();
+  reply.m_onceRecords = m_state.Once().Size();
+  reply.m_replicas = ReplicaList();
+  for (const auto& [vm, session] : m_entries.All()) {
+    EntryStatus entry;
+    entry.m_vm = vm;
+    entry.m_dataCentre = session.m_last.m_dataCentre;
+    entry.m_inForce = session.m_last.m_inForce;
+    entry.m_heardAgoUs = (m_now - session.m_heard).count();
+    entry.m_isLive = m_entries.IsLive(m_now, session);
+    reply.m_entries.push_back(std::move(entry));
+  }
+  return reply;
+}
+
+std::string
+ControlNode::Dump(TimePoint aNow) const
+{
+  const Snapshot& base = m_replica->Log().Base();
+  std::string text = "{\"program\":\"fulmarquay-control\"";
+  const auto number = [&](const char* aName, std::uint64_t aValue) {
+    text += std::string(",\"") + aName + "\":" + std::to_string(aValue);
+  };
+  const auto word = [&](const char* aName, const std::string& aValue) {
+    text += std::string(",\"") + aName + "\":\"" + aValue + "\"";
+  };
+  word("replica", HexOf(m_replica->Id().Value()));
+  word("role", RoleName(m_replica->Role()));
+  number("term", m_replica->CurrentTerm().Value());
+  word("leader", HexOf(m_replica->Leader().Value()));
+  text += std::string(",\"holds_lease\":") +
+          (m_replica->HoldsLease(aNow) ? "true" : "false");
+  number("commit", m_replica->Commit().Value());
+  number("last_index", m_replica->Log().LastIndex().Value());
+  number("snapshot_index", base.m_index.Value());
+  number("voters", m_replica->Members().m_voters.size());
+  number("learners", m_replica->Members().m_learners.size());
+  number("revision", m_state.Config().Current().Value());
+  word("digest", m_state.Config().Digest());
+  number("once_records", m_state.Once().Size());
+  number("entries", m_entries.All().size());
+  number("pending", m_pending.size());
+  number("waiters", m_waiters.size());
+  number("last_order", m_state.LastOrder());
+  number("engines_given_up", m_rollout.GivenUp().size());
+  return text + "}";
+}
+
+} // namespace fulmarquay
--- a/src/libwire/HttpServer.cpp
+++ b/src/libwire/HttpServer.cpp
@@ -107,7 +107,6 @@
   void Queue(const std::string& aBytes);
   void Finish(bool aKeepOpen);
   void Close();
-  bool WantsClose() const { return m_wantsClose; }
 
 private:
   void OnRead(const error_code& aError);
@@ -126,7 +125,6 @@
   CallerId m_caller;
   bool m_isFinished = false;
   bool m_keepOpen = true;
-  bool m_wantsClose = false;
   bool m_isClosed = false;
 };
 
