Bounded decoding: no announced msgpack size above the input

Cause: the first run of the tests under ASan+UBSan failed in wire, consensus and control: a damaged message of a few bytes announced an array of four billion items, and the decoder asked for the room before it looked for them (100 GB refused by the allocator). Without sanitizers the allocation failed and was taken for a bad message; a smaller lie would have been granted. Ruled out: the frame limit, which bounds the message and not what it announces.

Change: unpacking has limits: no size above the message's own, depth 32. A test with arrays, maps and nesting of false sizes: before std::bad_alloc, now refused as overflow; a string is refused for its missing bytes before room is made.

TSan: not run.

--- a/cmake/sanitize.sh
+++ b/cmake/sanitize.sh
@@ -2,7 +2,7 @@
 # Builds and runs the library tests under ASan+UBSan and under TSan.
 set -eu
 jobs=$1
-for preset in asan tsan; do
+for preset in ${PRESETS:-asan tsan}; do
   cmake --preset "$preset" -B "build-$preset" >/dev/null
   cmake --build "build-$preset" -j "$jobs"
   ctest --test-dir "build-$preset" --output-on-failure -j 3 -L library
--- a/src/include/fulmarquay/wire/Codec.h
+++ b/src/include/fulmarquay/wire/Codec.h
@@ -12,6 +12,17 @@
 
 namespace fulmarquay {
 
+/// Takes msgpack bytes apart. No announced size may exceed the input, so that
+/// a short hostile message can't reserve memory. Throws msgpack's exceptions.
+inline msgpack::object_handle
+UnpackBounded(std::string_view aBytes)
+{
+  constexpr std::size_t kMostDepth = 32;
+  const std::size_t most = aBytes.size();
+  const msgpack::unpack_limit limit(most, most, most, most, most, kMostDepth);
+  return msgpack::unpack(aBytes.data(), aBytes.size(), nullptr, nullptr, limit);
+}
+
 /// Encodes one value with msgpack.
 template<typename T>
 std::string
@@ -28,8 +39,7 @@
 Unpack(std::string_view aBytes)
 {
   try {
-    const msgpack::object_handle handle =
-      msgpack::unpack(aBytes.data(), aBytes.size());
+    const msgpack::object_handle handle = UnpackBounded(aBytes);
     return handle.get().as<T>();
   } catch (const std::exception& e) {
     throw Error("decode message", "", e.what());
@@ -75,8 +85,7 @@
 UnpackMessage(std::string_view aBytes)
 {
   try {
-    const msgpack::object_handle handle =
-      msgpack::unpack(aBytes.data(), aBytes.size());
+    const msgpack::object_handle handle = UnpackBounded(aBytes);
     const msgpack::object& object = handle.get();
     if (object.type != msgpack::type::ARRAY || object.via.array.size != 2) {
       throw Error("decode message", "", "not a pair");
--- a/src/libwire/wire_test.cpp
+++ b/src/libwire/wire_test.cpp
@@ -93,6 +93,36 @@
 
 namespace {
 
+std::string
+RefusalOf(const std::string& aBytes)
+{
+  try {
+    UnpackMessage<Message>(aBytes);
+    return "";
+  } catch (const Error& e) {
+    return e.Reason();
+  }
+}
+
+} // namespace
+
+Test(codec, an_announced_size_above_the_input_reserves_nothing)
+{
+  // Arrays and maps of four billion items; deep nesting.
+  for (const std::string& bytes : { std::string("\xdd\xff\xff\xff\xff", 5),
+                                    std::string("\xdf\xff\xff\xff\xff", 5),
+                                    std::string(10'000, '\x91') }) {
+    const std::string reason = RefusalOf(bytes);
+    cr_assert_neq(
+      reason.find("overflow"), std::string::npos, "%s", reason.c_str());
+  }
+  // A string is refused for its missing bytes before room is made for it.
+  cr_assert_eq(RefusalOf(std::string("\xdb\xff\xff\xff\xff", 5)),
+               "insufficient bytes");
+}
+
+namespace {
+
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
