Stand-in engine: one answer for each prompt whose import fails

When an import failed its checks while the rest of the prompt was still being computed, the stand-in began to answer twice, over the same counter, and ended twice. The entry dropped what came twice, so callers saw nothing of it. Ruled out: the entry's own count (0) and the leaving state (no prompt was placed there).

Change: the stand-in counts the parts that are still being computed and answers when none is left.

--- a/src/fulmarquay-standin/EngineRole.cpp
+++ b/src/fulmarquay-standin/EngineRole.cpp
@@ -75,7 +75,7 @@
   // Prefill.
   std::int64_t m_promptTokens = 0;
   std::int64_t m_recomputed = 0;
-  bool m_isPrefilled = false;
+  int m_prefills = 0; ///< parts of the prompt still being computed
   std::uint32_t m_sentNow = 0;
 };
 
@@ -197,11 +197,18 @@
     static_cast<std::int64_t>(aPrompt->m_cached + aPrompt->m_import.size());
   const std::int64_t tokens = std::max<std::int64_t>(
     1, aPrompt->m_promptTokens - there * m_model.Options().m_pieceTokens);
-  aPrompt->m_recomputed += tokens;
+  StartPrefill(aPrompt, tokens);
+}
+
+void
+EngineRole::StartPrefill(const PromptPtr& aPrompt, std::int64_t aTokens)
+{
+  ++aPrompt->m_prefills;
+  aPrompt->m_recomputed += aTokens;
   const TimePoint now = MonotonicNow();
-  const TimePoint done = m_model.QueuePrefill(now, tokens);
+  const TimePoint done = m_model.QueuePrefill(now, aTokens);
   After(done - now, [this, aPrompt] {
-    aPrompt->m_isPrefilled = true;
+    --aPrompt->m_prefills;
     MaybeDecode(aPrompt);
   });
 }
@@ -281,20 +288,13 @@
   prompt->m_isImporting = false;
   const auto missing =
     static_cast<std::int64_t>(prompt->m_import.size() - prompt->m_imported);
-  const std::int64_t tokens = missing * m_model.Options().m_pieceTokens;
-  prompt->m_recomputed += tokens;
-  prompt->m_isPrefilled = false;
-  const TimePoint now = MonotonicNow();
-  After(m_model.QueuePrefill(now, tokens) - now, [this, prompt] {
-    prompt->m_isPrefilled = true;
-    MaybeDecode(prompt);
-  });
+  StartPrefill(prompt, missing * m_model.Options().m_pieceTokens);
 }
 
 void
 EngineRole::MaybeDecode(const PromptPtr& aPrompt)
 {
-  if (aPrompt->m_isPrefilled && !aPrompt->m_isImporting) {
+  if (aPrompt->m_prefills == 0 && !aPrompt->m_isImporting) {
     for (const BlockKey& key : aPrompt->m_keys) {
       m_model.Insert(MonotonicNow(), key, aPrompt->m_root);
     }
--- a/src/fulmarquay-standin/EngineRole.h
+++ b/src/fulmarquay-standin/EngineRole.h
@@ -55,6 +55,7 @@
   void ImportNext(const PromptPtr& aPrompt);
   void OnImported(const Transfer& aTransfer, bool aIsWhole);
   void ArrangePrefill(const PromptPtr& aPrompt);
+  void StartPrefill(const PromptPtr& aPrompt, std::int64_t aTokens);
   void MaybeDecode(const PromptPtr& aPrompt);
   void Decode(const PromptPtr& aPrompt);
   void WriteLine(const PromptPtr& aPrompt, const nlohmann::json& aLine);
