--- a/src/fulmarquay-load/ControlLoad.cpp
+++ b/src/fulmarquay-load/ControlLoad.cpp
@@ -92,8 +92,7 @@
   }
   const TimePoint now = MonotonicNow();
   m_result.m_latencies.push_back(now - place->second.m_first);
-  m_result.m_longestGap =
-    std::max(m_result.m_longestGap, now - m_lastAnswer);
+  m_result.m_longestGap = std::max(m_result.m_longestGap, now - m_lastAnswer);
   m_lastAnswer = now;
   m_asked.erase(place);
   SendNew();
