--- a/Makefile
+++ b/Makefile
@@ -32,10 +32,10 @@
 	@bash testsuite/bench.sh $(BUILD)
 
 format:
-	@git ls-files 'src/*.cpp' 'src/*.h' | xargs clang-format -i
+	@git ls-files 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' | xargs clang-format -i
 
 format-check:
-	@git ls-files 'src/*.cpp' 'src/*.h' | xargs clang-format --dry-run -Werror
+	@git ls-files 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h' | xargs clang-format --dry-run -Werror
 
 lint: deps build
 	@sh cmake/lint.sh $(BUILD) $(JOBS)
--- a/src/fulmarquay-control/fulmarquay-control.cpp
+++ b/src/fulmarquay-control/fulmarquay-control.cpp
@@ -1,6 +1,6 @@
 #include <utility>
 
-#include "ControlServer.h"
+#include "fulmarquay/daemon/ControlServer.h"
 
 #include "fulmarquay/control/ProgramSettings.h"
 #include "fulmarquay/core/LogEvent.h"
@@ -22,18 +22,17 @@
   spec.m_details = "Examples:\n"
                    "  fulmarquay-control --settings control.ini --bootstrap\n"
                    "  fulmarquay-control --settings control.ini\n";
-  return RunDaemon(aCount,
-                   aWords,
-                   std::move(spec),
-                   ControlSettings(),
-                   [](const Settings& aSettings, const CommandLine& aLine) {
-                     StartLog("fulmarquay-control",
-                              aSettings.Text("control", "log_format"));
-                     if (aLine.Has("bootstrap")) {
-                       Bootstrap(aSettings);
-                       return;
-                     }
-                     ControlServer server(aSettings);
-                     server.Run();
-                   });
+  return RunDaemon(
+    aCount,
+    aWords,
+    std::move(spec),
+    ControlSettings(),
+    [](const Settings& aSettings, const CommandLine& aLine) {
+      StartLog("fulmarquay-control", aSettings.Text("control", "log_format"));
+      if (aLine.Has("bootstrap")) {
+        Bootstrap(aSettings);
+        return;
+      }
+      ControlServer::Builder(aSettings, aLine.SettingsFile()).Build()->Run();
+    });
 }
--- a/src/fulmarquay-entry/fulmarquay-entry.cpp
+++ b/src/fulmarquay-entry/fulmarquay-entry.cpp
@@ -1,6 +1,6 @@
 #include <utility>
 
-#include "EntryServer.h"
+#include "fulmarquay/daemon/EntryServer.h"
 
 #include "fulmarquay/control/ProgramSettings.h"
 #include "fulmarquay/core/Program.h"
@@ -17,14 +17,13 @@
   spec.m_details = "Examples:\n"
                    "  fulmarquay-entry --settings entry.ini\n"
                    "  fulmarquay-entry --check-settings entry.ini\n";
-  return RunDaemon(aCount,
-                   aWords,
-                   std::move(spec),
-                   EntrySettings(),
-                   [](const Settings& aSettings, const CommandLine&) {
-                     StartLog("fulmarquay-entry",
-                              aSettings.Text("entry", "log_format"));
-                     EntryServer server(aSettings);
-                     server.Run();
-                   });
+  return RunDaemon(
+    aCount,
+    aWords,
+    std::move(spec),
+    EntrySettings(),
+    [](const Settings& aSettings, const CommandLine& aLine) {
+      StartLog("fulmarquay-entry", aSettings.Text("entry", "log_format"));
+      EntryServer::Builder(aSettings, aLine.SettingsFile()).Build()->Run();
+    });
 }
--- a/src/fulmarquay-load/Conversation.cpp
+++ b/src/fulmarquay-load/Conversation.cpp
@@ -2,7 +2,7 @@
 
 #include "Caller.h"
 #include "fulmarquay/cache/BlockKey.h"
-#include "fulmarquay/platform/StandinAnswer.h"
+#include "fulmarquay/upstream/StandinAnswer.h"
 
 #include <nlohmann/json.hpp>
 #include <random>
--- a/src/fulmarquay-standin/EngineRole.cpp
+++ b/src/fulmarquay-standin/EngineRole.cpp
@@ -5,7 +5,7 @@
 #include "fulmarquay/core/Clock.h"
 #include "fulmarquay/core/Digest.h"
 #include "fulmarquay/core/Settings.h"
-#include "fulmarquay/platform/StandinAnswer.h"
+#include "fulmarquay/upstream/StandinAnswer.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/src/fulmarquay-standin/EngineRole.h
+++ b/src/fulmarquay-standin/EngineRole.h
@@ -3,8 +3,8 @@
 
 #include "EngineModel.h"
 #include "StandinRole.h"
-#include "fulmarquay/platform/EngineProtocol.h"
-#include "fulmarquay/platform/StoreProtocol.h"
+#include "fulmarquay/upstream/EngineProtocol.h"
+#include "fulmarquay/upstream/StoreProtocol.h"
 
 #include <nlohmann/json_fwd.hpp>
 
--- a/src/include/fulmarquay/consensus/Replica.h
+++ b/src/include/fulmarquay/consensus/Replica.h
@@ -151,6 +151,8 @@
   bool MayChangeMembership() const;
   bool IsCaughtUp(ReplicaId aId) const;
   void ReviewLearner(const Member& aLearner);
+  std::optional<Member> FindLostVoter() const;
+  void RemoveVoter(const Member& aVoter);
   void ProposeMembership(const Membership& aMembership);
   void ContinueTransfer();
   void SyncProgress();
--- a/src/include/fulmarquay/consensus/ReplicaEffects.h
+++ b/src/include/fulmarquay/consensus/ReplicaEffects.h
@@ -66,6 +66,12 @@
   Term m_term;
 };
 
+/// The leader removes a voter that was silent for too long.
+struct VoterLost
+{
+  Member m_voter;
+};
+
 using ReplicaEffect = std::variant<SendConsensus,
                                    PersistBatch,
                                    PersistSnapshot,
@@ -73,7 +79,8 @@
                                    RestoreMachine,
                                    ProposalAppended,
                                    ProposalRefused,
-                                   LeadershipChanged>;
+                                   LeadershipChanged,
+                                   VoterLost>;
 
 /// Effects in the order in which they are to be carried out.
 using ReplicaEffects = std::vector<ReplicaEffect>;
--- a/src/include/fulmarquay/control/Configuration.h
+++ b/src/include/fulmarquay/control/Configuration.h
@@ -47,6 +47,7 @@
   bool m_checksFencing = false;
   std::int64_t m_slots = 8;            ///< requests that it runs at once
   std::int64_t m_prefillPerSecond = 0; ///< tokens
+  std::string m_listedWeights;         ///< by the VM list; empty: not told
 };
 
 /// A KV cache store VM and the link to it.
--- a/src/include/fulmarquay/control/ControlCommands.h
+++ b/src/include/fulmarquay/control/ControlCommands.h
@@ -121,13 +121,31 @@
   MSGPACK_DEFINE(m_model, m_weights)
 };
 
+/// Puts a route document in force unless it has that revision or a newer one.
+struct PublishRoutesCommand
+{
+  Revision m_revision;
+  std::string m_source; ///< as the operator sent it
+  MSGPACK_DEFINE(m_revision, m_source)
+};
+
+/// Names a weight version of a model unless a newer one is named.
+struct NameWeightsCommand
+{
+  std::string m_model;
+  std::int64_t m_version = 0;
+  MSGPACK_DEFINE(m_model, m_version)
+};
+
 using ControlCommand = std::variant<SubmitCommand,
                                     BeginOnceCommand,
                                     FinishOnceCommand,
                                     LoseEntryCommand,
                                     PruneOnceCommand,
                                     IssueOrderCommand,
-                                    SwitchWeightsCommand>;
+                                    SwitchWeightsCommand,
+                                    PublishRoutesCommand,
+                                    NameWeightsCommand>;
 
 /// The result of a SubmitCommand.
 struct SubmitResult
--- a/src/include/fulmarquay/control/ControlMessages.h
+++ b/src/include/fulmarquay/control/ControlMessages.h
@@ -3,6 +3,8 @@
 
 #include "fulmarquay/control/ConfigDelta.h"
 #include "fulmarquay/control/ControlCommands.h"
+#include "fulmarquay/control/WorkerList.h"
+#include "fulmarquay/route/RouteDelta.h"
 
 #include <string>
 #include <variant>
@@ -20,13 +22,17 @@
   Revision m_held;
   Revision m_inForce;
   std::uint64_t m_peersSeen = 0; ///< version of the peer list it has
+  Revision m_routes;             ///< route document in force
+  std::uint64_t m_workers = 0;   ///< number of the worker list it has
   MSGPACK_DEFINE(m_vm,
                  m_dataCentre,
                  m_boot,
                  m_address,
                  m_held,
                  m_inForce,
-                 m_peersSeen)
+                 m_peersSeen,
+                 m_routes,
+                 m_workers)
 };
 
 /// Another entry of the same data centre.
@@ -48,7 +54,16 @@
   std::uint64_t m_peersVersion = 0;
   /// Live entries of its data centre; empty when it has this version.
   std::vector<EntryPeer> m_peers;
-  MSGPACK_DEFINE(m_revision, m_leaseUs, m_liveEntries, m_peersVersion, m_peers)
+  Revision m_routes; ///< newest committed route document
+  /// Framed listeners of all replicas.
+  std::vector<std::string> m_replicas;
+  MSGPACK_DEFINE(m_revision,
+                 m_leaseUs,
+                 m_liveEntries,
+                 m_peersVersion,
+                 m_peers,
+                 m_routes,
+                 m_replicas)
 };
 
 /// The leader brings an entry to the accepted configuration.
@@ -175,6 +190,20 @@
   MSGPACK_DEFINE(m_request, m_leader)
 };
 
+/// The leader brings an entry to the committed route document.
+struct RoutePush
+{
+  RouteDelta m_delta;
+  MSGPACK_DEFINE(m_delta)
+};
+
+/// The leader gives an entry the workers and named weights.
+struct WorkerPush
+{
+  WorkerList m_list;
+  MSGPACK_DEFINE(m_list)
+};
+
 /// The protocol of Channel::Control, both directions.
 using ControlMessage = std::variant<EntryHeartbeat,
                                     HeartbeatReply,
@@ -188,7 +217,9 @@
                                     StatusRequest,
                                     StatusReply,
                                     NotLeader,
-                                    OnceProbe>;
+                                    OnceProbe,
+                                    RoutePush,
+                                    WorkerPush>;
 
 } // namespace fulmarquay
 
--- a/src/include/fulmarquay/control/ControlNode.h
+++ b/src/include/fulmarquay/control/ControlNode.h
@@ -5,8 +5,9 @@
 #include "fulmarquay/control/ControlMessages.h"
 #include "fulmarquay/control/ControlState.h"
 #include "fulmarquay/control/EntryRegistry.h"
+#include "fulmarquay/control/FleetDesk.h"
 #include "fulmarquay/control/Rollout.h"
-#include "fulmarquay/platform/EngineProtocol.h"
+#include "fulmarquay/upstream/EngineProtocol.h"
 #include "fulmarquay/wire/HttpClient.h"
 #include "fulmarquay/core/LogEvent.h"
 
@@ -41,8 +42,18 @@
   std::string m_body;
 };
 
-using ControlEvent =
-  std::variant<ReplicaEvent, ControlReceived, ControlClosed, EngineAnswered>;
+/// A decoded call of the operators' HTTP interface.
+struct OperatorCalled
+{
+  CallerId m_caller;
+  OperatorRequest m_request;
+};
+
+using ControlEvent = std::variant<ReplicaEvent,
+                                  ControlReceived,
+                                  ControlClosed,
+                                  EngineAnswered,
+                                  OperatorCalled>;
 
 /// Send a message to an entry or an operator.
 struct SendControl
@@ -70,12 +81,20 @@
   std::vector<std::pair<std::string, std::string>> m_fields;
 };
 
+/// Answer a call of the operators' HTTP interface.
+struct AnswerOperator
+{
+  CallerId m_caller;
+  OperatorAnswer m_answer;
+};
+
 using ControlEffect = std::variant<SendConsensus,
                                    PersistBatch,
                                    PersistSnapshot,
                                    SaveSnapshot,
                                    SendControl,
                                    CallEngine,
+                                   AnswerOperator,
                                    LogLine>;
 using ControlEffects = std::vector<ControlEffect>;
 
@@ -91,12 +110,17 @@
 /// log, and what the leader does for entries and operators.
 ///
 /// Pure like Replica. Not thread-safe.
-class ControlNode
+class ControlNode : private FleetDeskOwner
 {
 public:
   /// Starts from the replica's snapshot.
   ControlNode(ControlOptions aOptions, std::unique_ptr<Replica> aReplica);
 
+  /// Serves published routes and a VM list as well. Call it before the first
+  /// event.
+  void AddFleet(FleetOptions aOptions,
+                std::unique_ptr<FleetProtocol> aProtocol);
+
   /// Takes one event; returns effects in the order to carry them out.
   /// `aWall` is used for retention only.
   ControlEffects Reduce(TimePoint aNow,
@@ -117,6 +141,7 @@
     Term m_term;
     ConnectionId m_connection;
     RequestId m_request;
+    CallerId m_caller; ///< of an operator's HTTP call; 0: none
   };
 
   struct Waiter
@@ -129,6 +154,22 @@
   void On(const ControlReceived& aEvent);
   void On(const ControlClosed& aEvent);
   void On(const EngineAnswered& aEvent);
+  void On(const OperatorCalled& aEvent);
+
+  // FleetDeskOwner.
+  TimePoint Now() const override { return m_now; }
+  bool MayLead() const override { return m_replica->HoldsLease(m_now); }
+  bool IsLeading() const override;
+  std::uint64_t CurrentTerm() const override;
+  std::string LeaderAddress() const override;
+  const PublishTable& Published() const override;
+  EntryRegistry& Entries() override { return m_entries; }
+  void ProposeFor(CallerId aCaller, const ControlCommand& aCommand) override;
+  CallId CallUpstream(HttpCall aCall) override;
+  void Answer(CallerId aCaller, OperatorAnswer aAnswer) override;
+  void Push(ConnectionId aTo, ControlMessage aMessage) override;
+  void Log(LogEvent aEvent,
+           std::vector<std::pair<std::string, std::string>> aFields) override;
 
   void OnMessage(ConnectionId aFrom, const EntryHeartbeat& aMessage);
   void OnMessage(ConnectionId aFrom, const BeginOnceRequest& aMessage);
@@ -147,6 +188,7 @@
   void Carry(const ProposalAppended& aEffect);
   void Carry(const ProposalRefused& aEffect);
   void Carry(const LeadershipChanged& aEffect);
+  void Carry(const VoterLost& aEffect);
 
   // What follows from an applied command, beside its answer.
   template<typename Other>
@@ -168,6 +210,13 @@
   void AfterApply(const LogEntry& aEntry,
                   const IssueOrderCommand& aCommand,
                   const ControlResult& aResult);
+  void AfterApply(const LogEntry& aEntry,
+                  const PublishRoutesCommand& aCommand,
+                  const ControlResult& aResult);
+  void AfterApply(const LogEntry& aEntry,
+                  const NameWeightsCommand& aCommand,
+                  const ControlResult& aResult);
+  void Propose(const Pending& aPending, const ControlCommand& aCommand);
   void Propose(ConnectionId aFrom,
                RequestId aRequest,
                const ControlCommand& aCommand);
@@ -195,7 +244,7 @@
   void PushAll();
   bool IsRunningLost(const VmId& aVm, BootId aBoot) const;
   void MaybeSnapshot();
-  std::string LeaderAddress() const;
+  void RefusePending(const Pending& aPending);
   StatusReply MakeStatus(RequestId aRequest) const;
   std::vector<ReplicaStatus> ReplicaList() const;
 
@@ -227,6 +276,7 @@
     bool m_isOrder = false;
   };
   std::map<CallId, EngineCall> m_engineCalls;
+  std::unique_ptr<FleetDesk> m_fleet; ///< null: no published routes
   std::uint64_t m_nextCall = 1;
   std::uint64_t m_nextProposal = 1;
   TimePoint m_leadingSince;
--- a/src/include/fulmarquay/control/ControlState.h
+++ b/src/include/fulmarquay/control/ControlState.h
@@ -3,6 +3,7 @@
 
 #include "fulmarquay/control/ConfigTable.h"
 #include "fulmarquay/control/OnceTable.h"
+#include "fulmarquay/control/PublishTable.h"
 
 #include <string>
 #include <string_view>
@@ -24,6 +25,7 @@
 
   const OnceTable& Once() const { return m_once; }
   const ConfigTable& Config() const { return m_config; }
+  const PublishTable& Published() const { return m_published; }
   std::uint64_t LastOrder() const { return m_lastOrder; }
 
 private:
@@ -34,9 +36,12 @@
   ControlResult On(const PruneOnceCommand& aCommand);
   ControlResult On(const IssueOrderCommand& aCommand);
   ControlResult On(const SwitchWeightsCommand& aCommand);
+  ControlResult On(const PublishRoutesCommand& aCommand);
+  ControlResult On(const NameWeightsCommand& aCommand);
 
   OnceTable m_once;
   ConfigTable m_config;
+  PublishTable m_published;
   std::uint64_t m_lastOrder = 0;
 };
 
--- a/src/include/fulmarquay/control/EntryRegistry.h
+++ b/src/include/fulmarquay/control/EntryRegistry.h
@@ -17,6 +17,10 @@
   bool m_isListed = false; ///< in the peer list of its data centre
   Revision m_pushed;
   TimePoint m_pushedAt;
+  Revision m_routesPushed;
+  TimePoint m_routesPushedAt;
+  std::uint64_t m_workersPushed = 0; ///< number of the worker list
+  TimePoint m_workersPushedAt;
 };
 
 /// The entries that the leader hears, and for each data centre the list of
--- a/src/include/fulmarquay/control/Rollout.h
+++ b/src/include/fulmarquay/control/Rollout.h
@@ -30,6 +30,7 @@
   EngineId m_engine;
   std::uint64_t m_number = 0;
   std::string m_target;
+  std::int64_t m_sequence = -1; ///< orders the engine had accepted; -1: unknown
 };
 
 /// Make a weight version the one that new requests of a model run under.
@@ -46,13 +47,42 @@
 enum class OrderEnd
 {
   Done,
-  Fenced, ///< the engine has seen a higher number
-  Failed, ///< refused, or its answer was lost: it may still be carried out
+  Fenced,   ///< the engine has seen a higher number
+  Failed,   ///< refused, or its answer was lost: it may still be carried out
+  Accepted, ///< the engine is carrying it out; observing tells when it is done
+};
+
+/// What an engine says of itself.
+struct EngineObservation
+{
+  std::string m_weights;
+  bool m_isBusy = false;        ///< an order is being carried out
+  std::int64_t m_sequence = -1; ///< orders accepted; -1: it does not count them
+};
+
+/// How engines are brought to their weights.
+struct RolloutOptions
+{
+  /// Engines that load at once: this many, or this share of a model's
+  /// engines, whichever is more. More at once load more slowly.
+  int m_loadsAtOnce = 2;
+  double m_loadShare = 0;
+  /// Longest time for the answer of an order, and after a lost one until the
+  /// next, where engines don't count orders.
+  Duration m_orderTimeout = Duration(10'000'000);
+  /// A new leader gives engines that ignore fencing numbers no order for this
+  /// long beyond the old leader's lease; 0: m_orderTimeout.
+  Duration m_takeoverWait{};
+  /// Between two observations of an engine that is not settled.
+  Duration m_observeInterval = Duration(1'000'000);
+  /// Failed orders in a row after which an engine is left as it is.
+  int m_mostFailures = 3;
 };
 
 /// Brings the engines of each model to the configured weights by stages: at
-/// most kLoadsAtOnce load at a time, half of the engines stay usable, and the
-/// version in force changes once half of them have the new one.
+/// most so many as RolloutOptions allow load at a time, half of the engines
+/// stay usable, and the version in force changes once half of them have the new
+/// one.
 ///
 /// Only the leader with its lease steps it. Before its first order to engines
 /// that ignore fencing numbers it waits until no order of an earlier leader
@@ -61,11 +91,9 @@
 class Rollout
 {
 public:
-  static constexpr int kLoadsAtOnce = 2;
-  /// Longest time that an order takes.
-  static constexpr Duration kOrderTimeout = Duration(10'000'000);
-  /// Failed orders in a row after which an engine is left as it is.
-  static constexpr int kMostFailures = 3;
+  explicit Rollout(RolloutOptions aOptions = {});
+
+  const RolloutOptions& Options() const { return m_options; }
 
   /// A new term of leadership; `aOldLease` is how long an earlier leader may
   /// still have believed in its own.
@@ -76,7 +104,7 @@
 
   void OnObserved(TimePoint aNow,
                   const EngineId& aEngine,
-                  const std::string& aWeights);
+                  const EngineObservation& aObservation);
   /// The order's number is in the log.
   std::vector<RolloutAction> OnNumber(TimePoint aNow,
                                       const EngineId& aEngine,
@@ -93,6 +121,7 @@
     None,
     Numbering,
     Sent,
+    Loading,
   };
 
   struct Engine
@@ -106,6 +135,8 @@
     bool m_checksFencing = false;
     bool m_mustObserve = true; ///< before the next order
     bool m_isSettled = false;  ///< has its target
+    std::int64_t m_sequence = -1;
+    TimePoint m_settledAt;
     int m_failures = 0;
     std::string m_failedTarget;
   };
@@ -127,8 +158,13 @@
                  const Configuration& aConfiguration,
                  const ModelConfig& aModel,
                  std::vector<RolloutAction>& aActions);
+  void SyncEngine(TimePoint aNow,
+                  const EngineConfig& aConfig,
+                  const Configuration& aConfiguration);
   int Loading() const;
+  int MostLoading(const Group& aGroup) const;
 
+  RolloutOptions m_options;
   std::map<EngineId, Engine> m_engines;
   TimePoint m_firstOrder; ///< for engines that ignore fencing numbers
 };
--- a/src/include/fulmarquay/core/Clock.h
+++ b/src/include/fulmarquay/core/Clock.h
@@ -10,7 +10,7 @@
 // Only the programs' shells read clocks and random devices; reducers get
 // their values in events.
 
-/// The monotonic clock of this process.
+/// The monotonic clock of this VM, which goes on while the VM is suspended.
 TimePoint
 MonotonicNow();
 
--- a/src/include/fulmarquay/core/CommandLine.h
+++ b/src/include/fulmarquay/core/CommandLine.h
@@ -51,6 +51,9 @@
   std::string Value(const std::string& aName) const;
   const std::vector<std::string>& Positionals() const;
 
+  /// The file of `--settings`; without one, that of FULMARQUAY_BOOT.
+  std::string SettingsFile() const;
+
 private:
   class Impl;
   std::unique_ptr<Impl> m_impl;
--- a/src/include/fulmarquay/core/LogEvent.h
+++ b/src/include/fulmarquay/core/LogEvent.h
@@ -14,6 +14,8 @@
   ProcessStopping = 1002,
   ProcessFailed = 1003,
   ListenFailed = 1004,
+  SettingsReloaded = 1005,
+  LogLinesLeftOut = 1006,
   PeerConnected = 1101,
   PeerLost = 1102,
   BadFrame = 1103,
@@ -25,10 +27,20 @@
   DiskFailed = 2006,
   SnapshotSaved = 2007,
   ReplicaJoining = 2008,
+  VoterReplaced = 2009,
   ConfigurationAccepted = 2101,
   ConfigurationInForce = 2102,
+  RoutesPublished = 2111,
+  RoutesInForce = 2112,
+  RoutesRefused = 2113,
   EntryLost = 2201,
   OrderIssued = 2301,
+  WeightsNamed = 2302,
+  OrderEnded = 2303,
+  VmListChanged = 2401,
+  VmListFailed = 2402,
+  KeyLeaseLost = 2501,
+  KeyLeaseRegained = 2502,
   UpstreamFailed = 3001,
   UpstreamLeaving = 3002,
   AnswerMismatch = 3003,
@@ -36,6 +48,13 @@
   OutcomePending = 3102,
   DrainStarted = 3201,
   DrainFinished = 3202,
+  RequestSent = 3301,
+  RequestAnswered = 3302,
+  RequestRefused = 3303,
+  RequestFailed = 3304,
+  RequestAbandoned = 3305,
+  RequestRepeated = 3306,
+  WorkerSuspected = 3401,
 };
 
 /// One line of docs/LOG-EVENTS.md.
@@ -64,10 +83,20 @@
 };
 
 /// Sets up the log of this process: `text` (key=value) or `json` lines on
-/// standard error. Call once, before the first WriteLog.
+/// standard output. Call once, before the first WriteLog.
 void
 StartLog(const std::string& aProgram, const std::string& aFormat);
 
+/// From now on lines wait for FlushLog instead of being written one by one.
+/// For processes that call FlushLog from a ticker.
+void
+BufferLog();
+
+/// Writes waiting lines as far as standard output takes them without
+/// blocking. Lines beyond the bounds of LogBuffer were left out and counted.
+void
+FlushLog();
+
 /// Writes one event. Thread-safe.
 void
 WriteLog(LogEvent aEvent, const std::vector<LogField>& aFields = {});
--- a/src/include/fulmarquay/core/Units.h
+++ b/src/include/fulmarquay/core/Units.h
@@ -10,7 +10,8 @@
 /// A length of time. Every timer and rate of the system counts microseconds.
 using Duration = std::chrono::microseconds;
 
-/// A point on a process's monotonic clock. Comparable only within a process.
+/// A point on a VM's monotonic clock, suspended time included. Comparable only
+/// within a process.
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
 /// A point on the calendar clock, in microseconds since 1970-01-01 UTC.
--- /dev/null
+++ b/src/include/fulmarquay/daemon/AnswerServer.h
@@ -0,0 +1,32 @@
+#ifndef FULMARQUAY_DAEMON_ANSWERSERVER_H
+#define FULMARQUAY_DAEMON_ANSWERSERVER_H
+
+#include "fulmarquay/wire/HttpServer.h"
+
+#include <functional>
+
+namespace fulmarquay {
+
+/// An HTTP listener whose answers are known at once: readiness, metrics.
+/// Runs on the context's thread.
+class AnswerServer : private HttpHandler
+{
+public:
+  using Answer = std::function<HttpResponse(const HttpRequest&)>;
+
+  /// Listens. Throws Error when the port can't be had.
+  AnswerServer(boost::asio::io_context& aContext,
+               const Endpoint& aEndpoint,
+               Answer aAnswer);
+
+private:
+  void OnRequest(CallerId aCaller, HttpRequest aRequest) override;
+  void OnGone(CallerId aCaller) override;
+
+  Answer m_answer;
+  HttpServer m_server;
+};
+
+} // namespace fulmarquay
+
+#endif
--- a/src/fulmarquay-control/DiskWriter.h
+++ b/src/include/fulmarquay/daemon/DiskWriter.h
@@ -1,5 +1,5 @@
-#ifndef FULMARQUAY_CONTROL_DISKWRITER_H
-#define FULMARQUAY_CONTROL_DISKWRITER_H
+#ifndef FULMARQUAY_DAEMON_DISKWRITER_H
+#define FULMARQUAY_DAEMON_DISKWRITER_H
 
 #include "fulmarquay/consensus/LogStore.h"
 #include "fulmarquay/consensus/ReplicaEffects.h"
--- a/src/fulmarquay-entry/EntryServer.h
+++ b/src/include/fulmarquay/daemon/EntryServer.h
@@ -1,6 +1,8 @@
-#ifndef FULMARQUAY_ENTRY_ENTRYSERVER_H
-#define FULMARQUAY_ENTRY_ENTRYSERVER_H
+#ifndef FULMARQUAY_DAEMON_ENTRYSERVER_H
+#define FULMARQUAY_DAEMON_ENTRYSERVER_H
 
+#include "fulmarquay/core/Settings.h"
+#include "fulmarquay/daemon/AnswerServer.h"
 #include "fulmarquay/serve/EntryNode.h"
 #include "fulmarquay/wire/FrameHub.h"
 #include "fulmarquay/wire/HttpClient.h"
@@ -10,12 +12,12 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
+#include <memory>
+#include <string>
 #include <vector>
 
 namespace fulmarquay {
 
-class Settings;
-
 /// The shell of fulmarquay-entry: decodes events for an EntryNode and carries
 /// out its effects.
 class EntryServer
@@ -24,8 +26,7 @@
   , public HttpCallHandler
 {
 public:
-  /// Opens the ports. Throws Error.
-  explicit EntryServer(const Settings& aSettings);
+  class Builder;
 
   /// Serves until a drain after SIGTERM or SIGINT has ended.
   void Run();
@@ -40,6 +41,11 @@
   void OnEnd(CallId aCall, CallEnd aEnd, const std::string& aWhy) override;
 
 private:
+  explicit EntryServer(const Builder& aBuilder);
+  void ListenForPlatform(const Settings& aSettings);
+  void AwaitReload();
+  void FollowLimits();
+
   struct ControlLink
   {
     Endpoint m_address;
@@ -55,6 +61,7 @@
   void Carry(StartCall aEffect);
   void Carry(CancelCall aEffect);
   void Carry(const SendToControl& aEffect);
+  void Carry(const AddControlLink& aEffect);
   void Carry(const SendToPeer& aEffect);
   void Carry(const ReplyToPeer& aEffect);
   void Carry(const EntryLogLine& aEffect);
@@ -66,6 +73,7 @@
   boost::asio::io_context m_context;
   boost::asio::steady_timer m_ticker;
   boost::asio::signal_set m_signals;
+  boost::asio::signal_set m_reload;
   EntryNode m_node;
   FrameHub m_hub;
   HttpServer m_server;
@@ -73,6 +81,29 @@
   std::vector<ControlLink> m_control;
   std::map<Endpoint, ConnectionId> m_peers;
   int m_ticks = 0;
+  std::string m_settingsFile;
+  Revision m_limitsRevision;
+  std::unique_ptr<AnswerServer> m_readyHttp;
+  std::unique_ptr<AnswerServer> m_metricsHttp;
+};
+
+/// Composes an entry server.
+class EntryServer::Builder
+{
+public:
+  Builder(Settings aSettings, std::string aSettingsFile);
+
+  /// Serves published routes, in this form of requests.
+  Builder& Relay(std::shared_ptr<const RelayProtocol> aProtocol);
+
+  /// Opens the ports. Throws Error.
+  std::unique_ptr<EntryServer> Build();
+
+private:
+  friend class EntryServer;
+  Settings m_settings;
+  std::string m_settingsFile;
+  std::shared_ptr<const RelayProtocol> m_relay;
 };
 
 } // namespace fulmarquay
--- a/src/fulmarquay-control/PeerLinks.h
+++ b/src/include/fulmarquay/daemon/PeerLinks.h
@@ -1,5 +1,5 @@
-#ifndef FULMARQUAY_CONTROL_PEERLINKS_H
-#define FULMARQUAY_CONTROL_PEERLINKS_H
+#ifndef FULMARQUAY_DAEMON_PEERLINKS_H
+#define FULMARQUAY_DAEMON_PEERLINKS_H
 
 #include "fulmarquay/consensus/ConsensusTypes.h"
 #include "fulmarquay/core/Endpoint.h"
@@ -23,6 +23,9 @@
             std::string aOwnVm,
             const std::map<std::string, Endpoint>& aConfigured);
 
+  /// Adds links to VMs of changed settings.
+  void Configure(const std::map<std::string, Endpoint>& aConfigured);
+
   /// Adds links to members that the settings don't name.
   void Learn(const Membership& aMembership);
 
--- a/src/include/fulmarquay/serve/CacheFlow.h
+++ b/src/include/fulmarquay/serve/CacheFlow.h
@@ -3,7 +3,7 @@
 
 #include "fulmarquay/cache/BlockDirectory.h"
 #include "fulmarquay/cache/LinkSchedule.h"
-#include "fulmarquay/platform/StoreProtocol.h"
+#include "fulmarquay/upstream/StoreProtocol.h"
 #include "fulmarquay/serve/ConfigHolder.h"
 #include "fulmarquay/serve/EntryContext.h"
 
--- a/src/include/fulmarquay/serve/ChatFlow.h
+++ b/src/include/fulmarquay/serve/ChatFlow.h
@@ -2,7 +2,7 @@
 #define FULMARQUAY_SERVE_CHATFLOW_H
 
 #include "fulmarquay/cache/RestorePlanner.h"
-#include "fulmarquay/platform/EngineProtocol.h"
+#include "fulmarquay/upstream/EngineProtocol.h"
 #include "fulmarquay/route/RetryBudget.h"
 #include "fulmarquay/serve/CacheFlow.h"
 #include "fulmarquay/serve/ChatRequest.h"
--- a/src/include/fulmarquay/serve/ControlSession.h
+++ b/src/include/fulmarquay/serve/ControlSession.h
@@ -20,6 +20,8 @@
   virtual void OnHeartbeatReply(const HeartbeatReply& aReply) = 0;
   virtual void OnConfigPush(const ConfigPush& aPush) = 0;
   virtual void OnOnceProbe(const OnceProbe& aProbe) = 0;
+  virtual void OnRoutePush(const RoutePush& aPush) = 0;
+  virtual void OnWorkerPush(const WorkerPush& aPush) = 0;
 };
 
 /// The entry's side of Channel::Control: finds the leader, keeps the lease by
@@ -35,7 +37,9 @@
 
   ControlSession(EntryContext& aContext,
                  ControlSessionOwner& aOwner,
-                 std::vector<Endpoint> aReplicas);
+                 std::vector<Endpoint> aReplicas,
+                 Duration aSteadyInterval,
+                 bool aLearnsReplicas);
 
   void OnTick();
   void OnLink(const ControlLinkChanged& aEvent);
@@ -74,6 +78,8 @@
   void OnReply(const FinishOnceReply& aReply);
   void OnReply(const NotLeader& aReply);
   void OnReply(const OnceProbe& aProbe);
+  void OnReply(const RoutePush& aPush);
+  void OnReply(const WorkerPush& aPush);
   template<typename Other>
   void OnReply(const Other&)
   {
@@ -84,10 +90,15 @@
   void Send(Asked& aAsked);
   void SetLeader(std::size_t aLink);
   void TryNextReplica();
+  /// The link of a replica, made when it is new and new ones may be learned;
+  /// else the number of links.
+  std::size_t LinkOf(const std::string& aReplica);
   void ExpireAsked();
 
   EntryContext& m_context;
   ControlSessionOwner& m_owner;
+  Duration m_steadyInterval; ///< between heartbeats on a steady link
+  bool m_learnsReplicas;     ///< else the settings name all of them
   std::vector<Endpoint> m_replicas;
   std::vector<bool> m_isOpen;
   std::size_t m_leader = 0; ///< best guess
--- a/src/include/fulmarquay/serve/EngineWatch.h
+++ b/src/include/fulmarquay/serve/EngineWatch.h
@@ -1,7 +1,7 @@
 #ifndef FULMARQUAY_SERVE_ENGINEWATCH_H
 #define FULMARQUAY_SERVE_ENGINEWATCH_H
 
-#include "fulmarquay/platform/EngineProtocol.h"
+#include "fulmarquay/upstream/EngineProtocol.h"
 #include "fulmarquay/route/EngineTable.h"
 #include "fulmarquay/serve/CacheFlow.h"
 
--- a/src/include/fulmarquay/serve/EntryEvents.h
+++ b/src/include/fulmarquay/serve/EntryEvents.h
@@ -138,6 +138,12 @@
   ControlMessage m_message;
 };
 
+/// Connect to another control replica; its link is the next index.
+struct AddControlLink
+{
+  Endpoint m_address;
+};
+
 /// Send to another entry by its address.
 struct SendToPeer
 {
@@ -170,6 +176,7 @@
                                  StartCall,
                                  CancelCall,
                                  SendToControl,
+                                 AddControlLink,
                                  SendToPeer,
                                  ReplyToPeer,
                                  EntryLogLine,
--- a/src/include/fulmarquay/serve/EntryNode.h
+++ b/src/include/fulmarquay/serve/EntryNode.h
@@ -5,6 +5,7 @@
 #include "fulmarquay/serve/ChatFlow.h"
 #include "fulmarquay/serve/ConfigHolder.h"
 #include "fulmarquay/serve/ControlSession.h"
+#include "fulmarquay/serve/RelayFlow.h"
 #include "fulmarquay/serve/ServiceFlow.h"
 
 #include <memory>
@@ -24,6 +25,15 @@
   Duration m_drainDelay = Duration(1'000'000);
   Duration m_drainLimit = Duration(120'000'000);
   ChatOptions m_chat;
+  Duration m_heartbeat = Duration(2'000'000);
+  /// m_control names some replicas only; the leader tells of the others.
+  bool m_learnsReplicas = false;
+  /// Serves published routes in this form instead of the questionnaire's
+  /// requests; null: it does not.
+  std::shared_ptr<const RelayProtocol> m_relayProtocol;
+  RelayOptions m_relay;
+  /// Keys are honoured for this long after a heartbeat that was answered.
+  Duration m_keyLease = Duration(4'000'000);
   std::uint64_t m_seed = 1;
 };
 
@@ -44,11 +54,25 @@
   const ConfigHolder& Config() const { return m_config; }
   const EntryContext& Context() const { return m_context; }
 
+  /// Whether the balancer should send new connections here.
+  bool IsReady() const;
+
+  /// All metrics in the text exposition format.
+  std::string RenderMetrics();
+
+  /// The route document in force; 0: none.
+  Revision RoutesRevision() const;
+
+  /// What callers may send, by the routes in force.
+  CallerLimits Limits() const;
+
 private:
   EntryHeartbeat MakeHeartbeat() const override;
   void OnHeartbeatReply(const HeartbeatReply& aReply) override;
   void OnConfigPush(const ConfigPush& aPush) override;
   void OnOnceProbe(const OnceProbe& aProbe) override;
+  void OnRoutePush(const RoutePush& aPush) override;
+  void OnWorkerPush(const WorkerPush& aPush) override;
 
   void On(const EntryTick&);
   void On(const CallerRequest& aEvent);
@@ -71,7 +95,6 @@
                     const HttpRequest& aRequest);
   const AccountConfig* Authenticate(const HttpRequest& aRequest) const;
   void Respond(CallerId aCaller, int aStatus, const std::string& aBody);
-  bool IsReady() const;
   std::size_t Running() const;
 
   EntryOptions m_options;
@@ -84,6 +107,7 @@
   WriteBack m_writeBack;
   ChatFlow m_chat;
   ServiceFlow m_services;
+  std::unique_ptr<RelayFlow> m_relay; ///< null: routes are not served
   AccountLimits m_limits;
   Revision m_noticed;
   std::uint64_t m_peersSeen = 0;
--- /dev/null
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -0,0 +1,141 @@
+#ifndef FULMARQUAY_SERVE_RELAYFLOW_H
+#define FULMARQUAY_SERVE_RELAYFLOW_H
+
+#include "fulmarquay/route/RetryBudget.h"
+#include "fulmarquay/route/RouteTable.h"
+#include "fulmarquay/serve/EntryContext.h"
+#include "fulmarquay/serve/EventBorders.h"
+#include "fulmarquay/serve/Placement.h"
+#include "fulmarquay/serve/RelayProtocol.h"
+#include "fulmarquay/serve/WorkerTable.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace fulmarquay {
+
+/// How requests are relayed.
+struct RelayOptions
+{
+  Duration m_oldWeightsLimit = Duration(6'000'000);
+  /// Repeats at second workers, as a share of a pool's requests, and how many
+  /// more all entries together may send in a window.
+  double m_retryShare = 0.15;
+  double m_retrySlack = 20;
+};
+
+/// The way of a request: route, account, worker, answer. At most one worker
+/// works on a request at any time; what may be repeated follows from the
+/// route. Part of the entry's reducer; not thread-safe.
+class RelayFlow : public CallSink
+{
+public:
+  RelayFlow(EntryContext& aContext,
+            const RelayProtocol& aProtocol,
+            RelayOptions aOptions);
+
+  /// Takes a route delta or a worker list from the leader. Throws Error when
+  /// a delta does not fit.
+  void OnRoutes(const RouteDelta& aDelta);
+  void OnWorkers(const WorkerList& aList);
+
+  /// Until when keys may be honoured, and how many entries share the work.
+  void OnConfirmed(TimePoint aKeysUntil, std::uint32_t aEntries);
+
+  void Start(CallerId aCaller, HttpRequest aRequest);
+  void OnGone(CallerId aCaller);
+  void OnTick();
+
+  void OnHead(CallId aCall, const HttpResponse& aHead) override;
+  void OnData(CallId aCall, const std::string& aData) override;
+  void OnEnd(CallId aCall, CallEnd aEnd, const std::string& aWhy) override;
+
+  const RouteTable& Routes() const { return m_routes; }
+  const WorkerTable& Workers() const { return m_workers; }
+  bool HasKeys() const { return m_context.Now() < m_keysUntil; }
+  /// Whether it knows routes and workers and may honour keys.
+  bool IsReady() const;
+  std::size_t Running() const { return m_byCaller.size(); }
+
+private:
+  /// One request of a caller.
+  struct Relayed
+  {
+    CallerId m_caller;
+    RelayRequest m_request;
+    RouteRule m_rule;
+    std::string m_route;
+    std::string m_account;
+    std::string m_cacheScope;
+    std::int64_t m_rank = 0;
+    TimePoint m_arrived;
+    TimePoint m_due;
+    PoolId m_pool;
+    WorkerId m_worker;
+    std::set<WorkerId> m_tried;
+    CallId m_call;
+    int m_sends = 0;          ///< workers that may have got it
+    int m_misses = 0;         ///< workers that could not be reached
+    bool m_isRunning = false; ///< a call is under way
+    bool m_mayHaveRun = false;
+    std::int64_t m_counted = 0; ///< waiting tokens counted at the worker
+    HttpResponse m_head;
+    RelayHead m_facts;
+    bool m_isRead = false;      ///< the worker has sent a first event
+    bool m_isStreaming = false; ///< the caller has got a head
+    EventBorders m_borders;
+  };
+  using RelayedPtr = std::unique_ptr<Relayed>;
+
+  void Admit(Relayed& aRelayed);
+  bool Identify(Relayed& aRelayed, const RouteRule& aRule);
+  const PoolShare& ChoosePool(const Relayed& aRelayed) const;
+  void Place(Relayed& aRelayed);
+  void Send(Relayed& aRelayed, WorkerState& aWorker);
+  std::string ScopeFor(const Relayed& aRelayed,
+                       const WorkerState& aWorker) const;
+  void Release(Relayed& aRelayed);
+  void OnRead(Relayed& aRelayed);
+  Relayed* Find(CallId aCall);
+
+  // The end of a call.
+  void OnWhole(Relayed& aRelayed);
+  void OnNotRun(Relayed& aRelayed);
+  void OnUnreached(Relayed& aRelayed, const std::string& aWhy);
+  void OnBroken(Relayed& aRelayed, const std::string& aWhy);
+  bool MayResume(const Relayed& aRelayed) const;
+  bool TakeRepeat(Relayed& aRelayed);
+
+  // The end of a request; the object is gone afterwards.
+  void Refuse(Relayed& aRelayed,
+              int aStatus,
+              const std::string& aReason,
+              Duration aRetryAfter);
+  void Fail(Relayed& aRelayed, int aStatus, const std::string& aReason);
+  void Finish(Relayed& aRelayed, int aStatus);
+  void Expire(Relayed& aRelayed);
+  void Forget(Relayed& aRelayed);
+  Duration Age(const Relayed& aRelayed) const;
+  RetryBudget& BudgetOf(const PoolId& aPool);
+
+  EntryContext& m_context;
+  const RelayProtocol& m_protocol;
+  RelayOptions m_options;
+  RouteTable m_routes;
+  WorkerTable m_workers;
+  Placement m_placement;
+  TimePoint m_keysUntil;
+  bool m_hadKeys = false;
+  std::uint32_t m_entries = 1;
+  std::unordered_map<CallerId, RelayedPtr> m_byCaller;
+  std::unordered_map<CallId, Relayed*> m_byCall;
+  std::multimap<TimePoint, CallerId> m_due;
+  std::map<PoolId, RetryBudget> m_budgets;
+};
+
+} // namespace fulmarquay
+
+#endif
--- a/src/include/fulmarquay/serve/WriteBack.h
+++ b/src/include/fulmarquay/serve/WriteBack.h
@@ -1,7 +1,7 @@
 #ifndef FULMARQUAY_SERVE_WRITEBACK_H
 #define FULMARQUAY_SERVE_WRITEBACK_H
 
-#include "fulmarquay/platform/EngineProtocol.h"
+#include "fulmarquay/upstream/EngineProtocol.h"
 #include "fulmarquay/serve/CacheFlow.h"
 
 #include <map>
--- a/src/include/fulmarquay/platform/EngineProtocol.h
+++ b/src/include/fulmarquay/upstream/EngineProtocol.h
@@ -1,5 +1,5 @@
-#ifndef FULMARQUAY_PLATFORM_ENGINEPROTOCOL_H
-#define FULMARQUAY_PLATFORM_ENGINEPROTOCOL_H
+#ifndef FULMARQUAY_UPSTREAM_ENGINEPROTOCOL_H
+#define FULMARQUAY_UPSTREAM_ENGINEPROTOCOL_H
 
 #include "fulmarquay/cache/BlockDirectory.h"
 #include "fulmarquay/wire/HttpMessage.h"
--- a/src/include/fulmarquay/platform/StoreProtocol.h
+++ b/src/include/fulmarquay/upstream/StoreProtocol.h
@@ -1,5 +1,5 @@
-#ifndef FULMARQUAY_PLATFORM_STOREPROTOCOL_H
-#define FULMARQUAY_PLATFORM_STOREPROTOCOL_H
+#ifndef FULMARQUAY_UPSTREAM_STOREPROTOCOL_H
+#define FULMARQUAY_UPSTREAM_STOREPROTOCOL_H
 
 #include "fulmarquay/cache/BlockDirectory.h"
 #include "fulmarquay/wire/HttpMessage.h"
--- a/src/include/fulmarquay/wire/HttpClient.h
+++ b/src/include/fulmarquay/wire/HttpClient.h
@@ -40,13 +40,17 @@
   CallId m_call;
   Endpoint m_peer;
   HttpRequest m_request;
-  /// Longest time without progress.
+  /// Longest time without progress; 0: the caller bounds the call itself.
   Duration m_idleTimeout = Duration(30'000'000);
   /// Longest time to open a connection.
   Duration m_connectTimeout = Duration(1'000'000);
   /// Never reuse an idle connection: its peer may have closed it, and then
   /// nobody knows whether the request was read.
   bool m_freshConnection = false;
+  /// A header that the answer must carry with this value. An answer with
+  /// another value belongs to an earlier request on the connection and is
+  /// dropped. Without a name, every answer is taken.
+  HttpHeader m_answerMark;
 };
 
 /// An HTTP/1.1 client with idle connections kept for each peer.
--- a/src/include/fulmarquay/wire/HttpServer.h
+++ b/src/include/fulmarquay/wire/HttpServer.h
@@ -48,6 +48,12 @@
   /// Accepts connections. Throws Error when the port can't be had.
   void Listen(const Endpoint& aEndpoint);
 
+  /// Changes what callers may send from their next request on.
+  void SetLimits(const HttpServerLimits& aLimits);
+
+  /// From now on each answer closes its connection, and says so.
+  void CloseAfterAnswers();
+
   /// Stops accepting; open connections go on and close after their answer.
   void StopAccepting();
 
@@ -64,6 +70,9 @@
   /// Requests read and not yet answered.
   std::size_t Running() const;
 
+  /// Open connections, idle ones included.
+  std::size_t Connections() const;
+
 private:
   class Impl;
   std::shared_ptr<Impl> m_impl;
--- a/src/libconsensus/ReplicaFollower.cpp
+++ b/src/libconsensus/ReplicaFollower.cpp
@@ -10,14 +10,18 @@
 namespace {
 
 constexpr Duration kJoinInterval(300'000);
+/// A member without a leader for this long may have been removed while it was
+/// cut off, and asks to join again.
+constexpr Duration kRejoinAfter(2'000'000);
 
 } // namespace
 
 void
 Replica::AskToJoin()
 {
-  const bool isMember = m_membership.Contains(Id());
-  if (isMember || !m_options.m_wantsVote || m_now < m_nextJoin) {
+  const bool isLed =
+    m_membership.Contains(Id()) && m_now < m_leaderHeard + kRejoinAfter;
+  if (isLed || !m_options.m_wantsVote || m_now < m_nextJoin) {
     return;
   }
   m_nextJoin = m_now + kJoinInterval;
--- a/src/libconsensus/ReplicaLeader.cpp
+++ b/src/libconsensus/ReplicaLeader.cpp
@@ -15,6 +15,11 @@
 constexpr std::size_t kSnapshotPartBytes = 256U << 10U;
 /// A learner this close to the end of the log has caught up.
 constexpr std::uint64_t kCaughtUpEntries = 64;
+/// A voter that was not heard for this long gives its place to a learner that
+/// has caught up, and leaves a group that is larger than kLeastVoters.
+constexpr Duration kVoterLostAfter(2'500'000);
+/// A group that tolerates one lost voter; it is never made smaller.
+constexpr std::size_t kLeastVoters = 3;
 
 } // namespace
 
@@ -318,6 +323,34 @@
       return;
     }
   }
+  if (m_membership.m_voters.size() > kLeastVoters) {
+    if (const std::optional<Member> lost = FindLostVoter()) {
+      RemoveVoter(*lost);
+    }
+  }
+}
+
+std::optional<Member>
+Replica::FindLostVoter() const
+{
+  for (const Member& voter : m_membership.m_voters) {
+    const bool isLost =
+      voter.m_id != Id() &&
+      m_now >= m_progress.at(voter.m_id).m_heard + kVoterLostAfter;
+    if (isLost) {
+      return voter;
+    }
+  }
+  return std::nullopt;
+}
+
+void
+Replica::RemoveVoter(const Member& aVoter)
+{
+  Membership membership = m_membership;
+  std::erase(membership.m_voters, aVoter);
+  m_effects.emplace_back(VoterLost{ aVoter });
+  ProposeMembership(membership);
 }
 
 void
@@ -330,6 +363,10 @@
   // One step at a time: first the lost incarnation goes, then its successor
   // gets the vote.
   if (std::erase_if(membership.m_voters, isReplaced) == 0) {
+    if (const std::optional<Member> lost = FindLostVoter()) {
+      RemoveVoter(*lost);
+      return;
+    }
     std::erase(membership.m_learners, aLearner);
     membership.m_voters.push_back(aLearner);
   }
--- a/src/libcontrol/ControlNode.cpp
+++ b/src/libcontrol/ControlNode.cpp
@@ -46,6 +46,9 @@
     m_isSavingSnapshot = false;
   }
   Carry(m_replica->Reduce(m_now, aEvent));
+  if (m_fleet && std::holds_alternative<ReplicaTick>(aEvent)) {
+    m_fleet->OnTick();
+  }
   const bool isTick = std::holds_alternative<ReplicaTick>(aEvent);
   if (isTick && m_replica->HoldsLease(m_now) && m_now >= m_nextReview) {
     m_nextReview = m_now + kReviewInterval;
@@ -92,8 +95,17 @@
   EntrySession& session = m_entries.OnHeartbeat(m_now, aFrom, aMessage);
   HeartbeatReply reply = m_entries.MakeReply(aMessage);
   reply.m_revision = m_state.Config().Current();
+  if (m_fleet) {
+    m_fleet->FillReply(reply);
+  }
+  for (const Member& voter : m_replica->Members().m_voters) {
+    reply.m_replicas.push_back(voter.m_address);
+  }
   Emit(SendControl{ aFrom, std::move(reply) });
   Push(session);
+  if (m_fleet) {
+    m_fleet->PushTo(session);
+  }
 }
 
 void
@@ -225,10 +237,33 @@
   const bool isOurs =
     pending != m_pending.end() && pending->second.m_term == aEntry.m_term;
   if (isOurs && m_replica->HoldsLease(m_now)) {
-    Carry(m_rollout.OnNumber(m_now,
-                             aCommand.m_engine,
-                             aCommand.m_target,
-                             std::get<DoneResult>(aResult).m_value));
+    const std::uint64_t number = std::get<DoneResult>(aResult).m_value;
+    Carry(
+      m_rollout.OnNumber(m_now, aCommand.m_engine, aCommand.m_target, number));
+    if (m_fleet) {
+      m_fleet->OnOrderNumber(aCommand.m_engine, aCommand.m_target, number);
+    }
+  }
+}
+
+void
+ControlNode::AfterApply(const LogEntry&,
+                        const PublishRoutesCommand&,
+                        const ControlResult&)
+{
+  if (m_fleet) {
+    m_fleet->OnPublished();
+  }
+}
+
+void
+ControlNode::AfterApply(const LogEntry&,
+                        const NameWeightsCommand& aCommand,
+                        const ControlResult& aResult)
+{
+  const bool isNew = std::get<DoneResult>(aResult).m_value != 0;
+  if (m_fleet && isNew) {
+    m_fleet->OnNamed(aCommand);
   }
 }
 
@@ -255,7 +290,7 @@
   const auto place = m_proposing.find(aEffect.m_request);
   const Pending pending = place->second;
   m_proposing.erase(place);
-  Refuse(pending.m_connection, pending.m_request);
+  RefusePending(pending);
 }
 
 void
@@ -270,18 +305,33 @@
   m_engineCalls.clear();
   m_rollout.Start(m_now, m_replica->LeaseLength());
   m_losing.clear();
+  if (m_fleet) {
+    m_fleet->OnLeadership(aEffect.m_isLeader, m_replica->LeaseLength());
+  }
   if (!aEffect.m_isLeader) {
     RefuseAll();
   }
 }
 
+void
+ControlNode::Carry(const VoterLost& aEffect)
+{
+  Emit(LogLine{ LogEvent::VoterReplaced, { { "vm", aEffect.m_voter.m_vm } } });
+}
+
 void
 ControlNode::Propose(ConnectionId aFrom,
                      RequestId aRequest,
                      const ControlCommand& aCommand)
+{
+  Propose({ Term(0), aFrom, aRequest, CallerId(0) }, aCommand);
+}
+
+void
+ControlNode::Propose(const Pending& aPending, const ControlCommand& aCommand)
 {
   const RequestId proposal(m_nextProposal++);
-  m_proposing[proposal] = { Term(0), aFrom, aRequest };
+  m_proposing[proposal] = aPending;
   Carry(m_replica->Reduce(m_now,
                           ProposeCommand{ proposal, PackMessage(aCommand) }));
 }
@@ -302,7 +352,11 @@
   const Pending pending = place->second;
   m_pending.erase(place);
   if (pending.m_term != aEntry.m_term) {
-    Refuse(pending.m_connection, pending.m_request);
+    RefusePending(pending);
+    return;
+  }
+  if (pending.m_caller != CallerId(0)) {
+    m_fleet->OnCommitted(pending.m_caller);
     return;
   }
   if (pending.m_connection != ConnectionId(kNoConnection)) {
@@ -389,7 +443,7 @@
 ControlNode::RefuseAll()
 {
   for (const auto& [index, pending] : m_pending) {
-    Refuse(pending.m_connection, pending.m_request);
+    RefusePending(pending);
   }
   m_pending.clear();
   for (const auto& [key, waiters] : m_waiters) {
@@ -400,6 +454,16 @@
   m_waiters.clear();
 }
 
+void
+ControlNode::RefusePending(const Pending& aPending)
+{
+  if (aPending.m_caller != CallerId(0)) {
+    m_fleet->OnRefused(aPending.m_caller);
+    return;
+  }
+  Refuse(aPending.m_connection, aPending.m_request);
+}
+
 void
 ControlNode::Refuse(ConnectionId aTo, RequestId aRequest)
 {
--- a/src/libcontrol/ControlNodeDuties.cpp
+++ b/src/libcontrol/ControlNodeDuties.cpp
@@ -169,7 +169,7 @@
   call.m_call = CallId(m_nextCall++);
   call.m_peer = engine->second.m_address;
   call.m_request = std::move(aRequest);
-  call.m_idleTimeout = Rollout::kOrderTimeout;
+  call.m_idleTimeout = m_rollout.Options().m_orderTimeout;
   call.m_freshConnection = aIsOrder;
   m_engineCalls[call.m_call] = { aEngine, aIsOrder };
   Emit(CallEngine{ std::move(call) });
@@ -178,6 +178,9 @@
 void
 ControlNode::On(const EngineAnswered& aEvent)
 {
+  if (m_fleet && m_fleet->OnAnswered(aEvent)) {
+    return;
+  }
   const auto place = m_engineCalls.find(aEvent.m_call);
   if (place == m_engineCalls.end()) {
     return;
@@ -195,10 +198,10 @@
   }
   try {
     if (isGood) {
-      m_rollout.OnObserved(
-        m_now,
-        call.m_engine,
-        m_engineProtocol->ParseReport(aEvent.m_body).m_weights);
+      EngineObservation observation;
+      observation.m_weights =
+        m_engineProtocol->ParseReport(aEvent.m_body).m_weights;
+      m_rollout.OnObserved(m_now, call.m_engine, observation);
     }
   } catch (const Error& e) {
     Emit(LogLine{
--- a/src/libcontrol/ControlState.cpp
+++ b/src/libcontrol/ControlState.cpp
@@ -12,7 +12,8 @@
   std::vector<OnceRecord> m_once;
   ConfigTable::Content m_config;
   std::uint64_t m_lastOrder = 0;
-  MSGPACK_DEFINE(m_once, m_config, m_lastOrder)
+  PublishTable::Content m_published;
+  MSGPACK_DEFINE(m_once, m_config, m_lastOrder, m_published)
 };
 
 } // namespace
@@ -66,6 +67,18 @@
   return DoneResult{ m_config.Current().Value() };
 }
 
+ControlResult
+ControlState::On(const PublishRoutesCommand& aCommand)
+{
+  return DoneResult{ m_published.Publish(aCommand) ? 1U : 0U };
+}
+
+ControlResult
+ControlState::On(const NameWeightsCommand& aCommand)
+{
+  return DoneResult{ m_published.Name(aCommand) ? 1U : 0U };
+}
+
 std::string
 ControlState::Encode() const
 {
@@ -73,6 +86,7 @@
   saved.m_once = m_once.Records();
   saved.m_config = m_config.Save();
   saved.m_lastOrder = m_lastOrder;
+  saved.m_published = m_published.Save();
   return Pack(saved);
 }
 
@@ -83,6 +97,7 @@
   m_once.Restore(std::move(saved.m_once));
   m_config.Restore(std::move(saved.m_config));
   m_lastOrder = saved.m_lastOrder;
+  m_published.Restore(std::move(saved.m_published));
 }
 
 } // namespace fulmarquay
--- a/src/libcontrol/EntryRegistry.cpp
+++ b/src/libcontrol/EntryRegistry.cpp
@@ -25,6 +25,11 @@
     m_listed += session.m_isListed ? 0 : 1;
     session.m_isListed = true;
   }
+  if (session.m_connection != aFrom) {
+    // What was pushed over another connection may be lost.
+    session.m_routesPushed = Revision(0);
+    session.m_workersPushed = 0;
+  }
   session.m_last = aHeartbeat;
   session.m_connection = aFrom;
   session.m_heard = aNow;
--- /dev/null
+++ b/src/libcontrol/FleetDesk.cpp
@@ -0,0 +1,527 @@
+#include "fulmarquay/control/FleetDesk.h"
+
+#include "fulmarquay/control/ControlNode.h"
+#include "fulmarquay/control/EntryRegistry.h"
+#include "fulmarquay/core/Error.h"
+
+namespace fulmarquay {
+
+namespace {
+
+/// The VM list and workers answer within a few ms; a lost answer must not
+/// cost more than the next reading.
+constexpr Duration kListTimeout(800'000);
+constexpr Duration kObserveTimeout(500'000);
+/// An entry that did not confirm a push within this gets it again.
+constexpr Duration kPushRepeat(1'000'000);
+constexpr Duration kRolloutInterval(50'000);
+/// Documents that an entry may be behind and still get deltas.
+constexpr std::size_t kKeptDeltas = 32;
+/// Room for the changes of the worker list in one term.
+constexpr unsigned kTermShift = 24;
+constexpr int kStatusOk = 200;
+
+std::string
+Join(const std::vector<std::string>& aLines)
+{
+  std::string text;
+  for (const std::string& line : aLines) {
+    text += (text.empty() ? "" : "; ") + line;
+  }
+  return text;
+}
+
+} // namespace
+
+FleetDesk::FleetDesk(FleetDeskOwner& aOwner,
+                     FleetOptions aOptions,
+                     std::unique_ptr<FleetProtocol> aProtocol)
+  : m_owner(aOwner)
+  , m_options(std::move(aOptions))
+  , m_protocol(std::move(aProtocol))
+  , m_rollout(m_options.m_rollout)
+{
+}
+
+void
+FleetDesk::OnOperator(CallerId aCaller, const OperatorRequest& aRequest)
+{
+  std::visit([&](const auto& aBody) { On(aCaller, aBody); }, aRequest);
+}
+
+void
+FleetDesk::On(CallerId aCaller, const PublishRoutes& aRequest)
+{
+  const std::vector<std::string> problems = FindProblems(aRequest.m_document);
+  if (!problems.empty()) {
+    On(aCaller, WrongRequest{ problems });
+    return;
+  }
+  if (!m_owner.MayLead()) {
+    OnRefused(aCaller);
+    return;
+  }
+  const Revision revision = aRequest.m_document.m_revision;
+  if (revision <= m_owner.Published().Current()) {
+    OnCommitted(aCaller);
+    return;
+  }
+  m_owner.ProposeFor(aCaller,
+                     PublishRoutesCommand{ revision, aRequest.m_source });
+}
+
+void
+FleetDesk::On(CallerId aCaller, const ReadRoutes&)
+{
+  if (!m_owner.MayLead()) {
+    OnRefused(aCaller);
+    return;
+  }
+  const PublishTable& published = m_owner.Published();
+  if (published.Current() == Revision(0)) {
+    m_owner.Answer(aCaller, { OperatorAnswer::Kind::Unavailable, "" });
+    return;
+  }
+  m_owner.Answer(aCaller,
+                 { OperatorAnswer::Kind::Document, published.Source() });
+}
+
+void
+FleetDesk::On(CallerId aCaller, const NameWeights& aRequest)
+{
+  if (!m_owner.MayLead()) {
+    OnRefused(aCaller);
+    return;
+  }
+  const auto& weights = m_owner.Published().Weights();
+  const auto known = weights.find(aRequest.m_model);
+  if (known != weights.end() && aRequest.m_version <= known->second) {
+    OnCommitted(aCaller);
+    return;
+  }
+  m_owner.ProposeFor(
+    aCaller, NameWeightsCommand{ aRequest.m_model, aRequest.m_version });
+}
+
+void
+FleetDesk::On(CallerId aCaller, const WrongRequest& aRequest)
+{
+  const std::string problems = Join(aRequest.m_problems);
+  m_owner.Log(LogEvent::RoutesRefused, { { "problems", problems } });
+  m_owner.Answer(aCaller, { OperatorAnswer::Kind::Wrong, problems });
+}
+
+void
+FleetDesk::On(CallerId aCaller, const NoSuchCall&)
+{
+  m_owner.Answer(aCaller, { OperatorAnswer::Kind::NoSuchCall, "" });
+}
+
+void
+FleetDesk::OnCommitted(CallerId aCaller)
+{
+  m_owner.Answer(aCaller, { OperatorAnswer::Kind::Done, "" });
+}
+
+void
+FleetDesk::OnRefused(CallerId aCaller)
+{
+  const std::string leader = m_owner.IsLeading() ? "" : m_owner.LeaderAddress();
+  const auto kind = leader.empty() ? OperatorAnswer::Kind::Unavailable
+                                   : OperatorAnswer::Kind::Elsewhere;
+  m_owner.Answer(aCaller, { kind, leader });
+}
+
+void
+FleetDesk::OnPublished()
+{
+  const PublishTable& published = m_owner.Published();
+  if (!m_owner.MayLead() || published.Current() == m_document.m_revision) {
+    return;
+  }
+  m_owner.Log(LogEvent::RoutesPublished,
+              { { "revision", std::to_string(published.Current().Value()) },
+                { "bytes", std::to_string(published.Source().size()) } });
+  RefreshDocument();
+  PushAll();
+}
+
+void
+FleetDesk::RefreshDocument()
+{
+  const PublishTable& published = m_owner.Published();
+  if (published.Current() == m_document.m_revision) {
+    return;
+  }
+  RouteDocument document = m_protocol->ParseRoutes(published.Source());
+  document.m_revision = published.Current();
+  if (m_document.m_revision != Revision(0)) {
+    m_deltas.push_back(MakeDelta(m_document, document));
+  }
+  if (m_deltas.size() > kKeptDeltas) {
+    m_deltas.pop_front();
+  }
+  m_document = std::move(document);
+}
+
+void
+FleetDesk::OnNamed(const NameWeightsCommand& aCommand)
+{
+  m_namedAt[aCommand.m_model] = m_owner.Now();
+  if (!m_owner.MayLead()) {
+    return;
+  }
+  m_owner.Log(LogEvent::WeightsNamed,
+              { { "model", aCommand.m_model },
+                { "version", std::to_string(aCommand.m_version) } });
+  m_nextRollout = m_owner.Now();
+  ChangeWorkers();
+  StepRollout();
+}
+
+void
+FleetDesk::OnLeadership(bool aIsLeader, Duration aOldLease)
+{
+  m_calls.clear();
+  m_deltas.clear();
+  m_isReading = false;
+  m_hasList = false;
+  m_nextReading = m_owner.Now();
+  m_workersNumber = m_owner.CurrentTerm() << kTermShift;
+  if (aIsLeader) {
+    m_rollout.Start(m_owner.Now(), aOldLease);
+  }
+}
+
+void
+FleetDesk::OnTick()
+{
+  if (!m_owner.MayLead()) {
+    return;
+  }
+  RefreshDocument();
+  const TimePoint now = m_owner.Now();
+  if (!m_isReading && now >= m_nextReading) {
+    m_nextReading = now + m_options.m_listInterval;
+    m_workers.BeginReading();
+    ReadList("");
+  }
+  if (now >= m_nextRollout) {
+    m_nextRollout = now + kRolloutInterval;
+    StepRollout();
+  }
+}
+
+void
+FleetDesk::ReadList(const std::string& aToken)
+{
+  m_isReading = true;
+  EngineConfig list;
+  list.m_address = m_options.m_vmList;
+  Start(CallKind::List, list, m_protocol->ListPage(aToken), kListTimeout);
+}
+
+void
+FleetDesk::Start(CallKind aKind,
+                 const EngineConfig& aEngine,
+                 HttpRequest aRequest,
+                 Duration aTimeout)
+{
+  HttpCall call;
+  call.m_peer = aEngine.m_address;
+  call.m_request = std::move(aRequest);
+  call.m_idleTimeout = aTimeout;
+  call.m_connectTimeout = aTimeout;
+  call.m_freshConnection = aKind == CallKind::Order;
+  const CallId id = m_owner.CallUpstream(std::move(call));
+  m_calls[id] = { aKind, aEngine.m_id, aEngine.m_model };
+}
+
+bool
+FleetDesk::OnAnswered(const EngineAnswered& aAnswer)
+{
+  const auto place = m_calls.find(aAnswer.m_call);
+  if (place == m_calls.end()) {
+    return false;
+  }
+  const Call call = place->second;
+  m_calls.erase(place);
+  switch (call.m_kind) {
+    case CallKind::List:
+      OnListPage(aAnswer);
+      break;
+    case CallKind::Observation:
+      OnObservation(call, aAnswer);
+      break;
+    case CallKind::Order:
+      OnOrderAnswer(call, aAnswer);
+      break;
+  }
+  return true;
+}
+
+void
+FleetDesk::OnListPage(const EngineAnswered& aAnswer)
+{
+  m_isReading = false;
+  const bool isGood =
+    aAnswer.m_end == CallEnd::Whole && aAnswer.m_status == kStatusOk;
+  try {
+    if (!isGood) {
+      throw Error("read VM list",
+                  m_options.m_vmList.ToString(),
+                  "status " + std::to_string(aAnswer.m_status));
+    }
+    WorkerPage page = m_protocol->ParsePage(aAnswer.m_body);
+    const std::string next = page.m_next;
+    const bool isNew = m_workers.AddPage(std::move(page));
+    if (!next.empty()) {
+      ReadList(next);
+      return;
+    }
+    if (isNew || !m_hasList) {
+      m_owner.Log(LogEvent::VmListChanged,
+                  { { "workers", std::to_string(m_workers.Workers().size()) },
+                    { "skipped", std::to_string(m_workers.Skipped()) } });
+      m_hasList = true;
+      ChangeWorkers();
+    }
+  } catch (const Error& e) {
+    m_owner.Log(LogEvent::VmListFailed,
+                { { "peer", e.Peer() }, { "reason", e.Reason() } });
+  }
+}
+
+Configuration
+FleetDesk::RolloutGoal() const
+{
+  Configuration goal;
+  for (const auto& [name, version] : m_owner.Published().Weights()) {
+    ModelConfig model;
+    model.m_name = name;
+    model.m_target = std::to_string(version);
+    model.m_weights = model.m_target;
+    goal.m_models[name] = model;
+  }
+  for (const WorkerInfo& worker : m_workers.Workers()) {
+    for (const auto& [model, version] : worker.m_weights) {
+      if (goal.m_models.count(model) == 0 || worker.m_isLeaving) {
+        continue;
+      }
+      EngineConfig engine;
+      engine.m_id = EngineId(worker.m_id.Value());
+      engine.m_address = Endpoint::Parse(worker.m_address);
+      engine.m_dataCentre = worker.m_dataCentre;
+      engine.m_model = model;
+      engine.m_checksFencing = m_options.m_checksFencing;
+      engine.m_listedWeights = std::to_string(version);
+      goal.m_engines[engine.m_id] = engine;
+    }
+  }
+  return goal;
+}
+
+void
+FleetDesk::StepRollout()
+{
+  if (m_owner.Published().Weights().empty() || !m_hasList) {
+    return;
+  }
+  const Configuration goal = RolloutGoal();
+  for (const RolloutAction& action : m_rollout.Step(m_owner.Now(), goal)) {
+    Carry(goal, action);
+  }
+}
+
+void
+FleetDesk::Carry(const Configuration& aGoal, const RolloutAction& aAction)
+{
+  if (const auto* observe = std::get_if<ObserveEngine>(&aAction)) {
+    Start(CallKind::Observation,
+          aGoal.m_engines.at(observe->m_engine),
+          m_protocol->Observe(),
+          kObserveTimeout);
+  } else if (const auto* request = std::get_if<RequestOrder>(&aAction)) {
+    IssueOrderCommand command;
+    command.m_engine = request->m_engine;
+    command.m_kind = "load";
+    command.m_target = request->m_target;
+    m_owner.ProposeFor(CallerId(0), command);
+  }
+}
+
+void
+FleetDesk::OnOrderNumber(const EngineId& aEngine,
+                         const std::string& aTarget,
+                         std::uint64_t aNumber)
+{
+  const Configuration goal = RolloutGoal();
+  const auto engine = goal.m_engines.find(aEngine);
+  const std::vector<RolloutAction> actions =
+    m_rollout.OnNumber(m_owner.Now(), aEngine, aTarget, aNumber);
+  if (actions.empty()) {
+    return;
+  }
+  // A new version may have been named while the number was committed.
+  const bool isWanted =
+    engine != goal.m_engines.end() &&
+    goal.m_models.at(engine->second.m_model).m_target == aTarget;
+  if (!isWanted || !m_owner.MayLead()) {
+    m_rollout.OnOrderEnded(m_owner.Now(), aEngine, OrderEnd::Failed);
+    return;
+  }
+  const SendOrder& send = std::get<SendOrder>(actions.front());
+  LoadOrder order;
+  order.m_worker = WorkerId(aEngine.Value());
+  order.m_model = engine->second.m_model;
+  order.m_version = std::stoll(aTarget);
+  order.m_number = aNumber;
+  order.m_holder = m_options.m_holder;
+  order.m_sequence = send.m_sequence;
+  m_owner.Log(LogEvent::OrderIssued,
+              { { "engine", aEngine.Value() },
+                { "number", std::to_string(aNumber) },
+                { "target", aTarget },
+                { "sequence", std::to_string(send.m_sequence) } });
+  Start(
+    CallKind::Order, engine->second, m_protocol->Load(order), kObserveTimeout);
+}
+
+void
+FleetDesk::OnObservation(const Call& aCall, const EngineAnswered& aAnswer)
+{
+  if (aAnswer.m_end != CallEnd::Whole || aAnswer.m_status != kStatusOk) {
+    m_owner.Log(LogEvent::UpstreamFailed,
+                { { "engine", aCall.m_engine.Value() },
+                  { "step", "observe" },
+                  { "status", std::to_string(aAnswer.m_status) } });
+    return;
+  }
+  try {
+    const EngineObservation seen =
+      m_protocol->ParseObservation(aAnswer.m_body, aCall.m_model);
+    m_rollout.OnObserved(m_owner.Now(), aCall.m_engine, seen);
+    const bool isNews = !seen.m_isBusy && !seen.m_weights.empty() &&
+                        m_workers.OnObserved(WorkerId(aCall.m_engine.Value()),
+                                             aCall.m_model,
+                                             std::stoll(seen.m_weights));
+    if (isNews) {
+      ChangeWorkers();
+    }
+    StepRollout();
+  } catch (const Error& e) {
+    m_owner.Log(LogEvent::UpstreamFailed,
+                { { "engine", aCall.m_engine.Value() },
+                  { "step", e.Step() },
+                  { "reason", e.Reason() } });
+  }
+}
+
+void
+FleetDesk::OnOrderAnswer(const Call& aCall, const EngineAnswered& aAnswer)
+{
+  const bool isWhole = aAnswer.m_end == CallEnd::Whole;
+  const OrderEnd end =
+    isWhole ? m_protocol->ReadOrderStatus(aAnswer.m_status) : OrderEnd::Failed;
+  m_owner.Log(
+    LogEvent::OrderEnded,
+    { { "engine", aCall.m_engine.Value() },
+      { "status", isWhole ? std::to_string(aAnswer.m_status) : "none" } });
+  m_rollout.OnOrderEnded(m_owner.Now(), aCall.m_engine, end);
+}
+
+void
+FleetDesk::ChangeWorkers()
+{
+  ++m_workersNumber;
+  for (auto& [vm, session] : m_owner.Entries().All()) {
+    PushWorkers(session);
+  }
+}
+
+void
+FleetDesk::PushAll()
+{
+  for (auto& [vm, session] : m_owner.Entries().All()) {
+    PushTo(session);
+  }
+}
+
+void
+FleetDesk::FillReply(HeartbeatReply& aReply) const
+{
+  aReply.m_routes = m_owner.Published().Current();
+}
+
+void
+FleetDesk::PushTo(EntrySession& aSession)
+{
+  RefreshDocument();
+  PushRoutes(aSession);
+  PushWorkers(aSession);
+}
+
+void
+FleetDesk::PushRoutes(EntrySession& aSession)
+{
+  const Revision held = aSession.m_last.m_routes;
+  const Revision current = m_document.m_revision;
+  const TimePoint now = m_owner.Now();
+  if (held >= current || aSession.m_connection == ConnectionId()) {
+    return;
+  }
+  const bool isOnItsWay = aSession.m_routesPushed > held &&
+                          now < aSession.m_routesPushedAt + kPushRepeat;
+  const Revision base = isOnItsWay ? aSession.m_routesPushed : held;
+  if (base >= current) {
+    return;
+  }
+  aSession.m_routesPushed = current;
+  aSession.m_routesPushedAt = now;
+  bool isFound = false;
+  for (const RouteDelta& delta : m_deltas) {
+    isFound = isFound || delta.m_from == base;
+    if (isFound) {
+      m_owner.Push(aSession.m_connection, RoutePush{ delta });
+    }
+  }
+  if (!isFound) {
+    m_owner.Push(aSession.m_connection,
+                 RoutePush{ MakeDelta(RouteDocument(), m_document) });
+  }
+}
+
+void
+FleetDesk::PushWorkers(EntrySession& aSession)
+{
+  const TimePoint now = m_owner.Now();
+  const bool isOnItsWay = aSession.m_workersPushed == m_workersNumber &&
+                          now < aSession.m_workersPushedAt + kPushRepeat;
+  if (!m_hasList || isOnItsWay ||
+      aSession.m_last.m_workers == m_workersNumber ||
+      aSession.m_connection == ConnectionId()) {
+    return;
+  }
+  aSession.m_workersPushed = m_workersNumber;
+  aSession.m_workersPushedAt = now;
+  m_owner.Push(aSession.m_connection, WorkerPush{ MakeList() });
+}
+
+WorkerList
+FleetDesk::MakeList() const
+{
+  WorkerList list;
+  list.m_number = m_workersNumber;
+  list.m_workers = m_workers.Workers();
+  for (const auto& [model, version] : m_owner.Published().Weights()) {
+    NamedWeights named{ model, version, 0 };
+    const auto since = m_namedAt.find(model);
+    if (since != m_namedAt.end()) {
+      named.m_agoUs = (m_owner.Now() - since->second).count();
+    }
+    list.m_weights.push_back(named);
+  }
+  return list;
+}
+
+} // namespace fulmarquay
--- a/src/libcontrol/ProgramSettings.cpp
+++ b/src/libcontrol/ProgramSettings.cpp
@@ -50,6 +50,57 @@
               "20000",
               "log entries between two snapshots")
     .Between(10, 10'000'000);
+  builder
+    .Optional(
+      "bootstrap",
+      Kind::Flag,
+      "no",
+      "form a new group of the seeds when the data folder is empty; yes "
+      "only at the first start of the whole deployment")
+    .Optional("seeds",
+              Kind::Addresses,
+              "",
+              "listeners of some replicas; their VMs are named by their IP "
+              "addresses, and their framed listeners use the port of `listen`")
+    .Optional("operator_http",
+              Kind::Addresses,
+              "",
+              "HTTP listener for operators' calls, where the program has an "
+              "interface for them")
+    .Optional("metrics_http", Kind::Addresses, "", "HTTP listener for metrics");
+  builder.Section("fleet")
+    .Optional("vm_list",
+              Kind::Addresses,
+              "",
+              "the platform's VM list, where workers come from one")
+    .Optional(
+      "list_interval",
+      Kind::Duration,
+      "1s",
+      "between two readings of the VM list; with its lag well below the "
+      "notice that leaving workers give")
+    .Between(100 * kMillisecond, 60 * kSecond)
+    .Optional("checks_fencing",
+              Kind::Flag,
+              "no",
+              "whether workers refuse orders with an old fencing number")
+    .Optional(
+      "order_takeover_wait",
+      Kind::Duration,
+      "3s",
+      "a new leader gives workers that check no fencing number no order "
+      "for this long beyond the old leader's lease")
+    .Between(0, 60 * kSecond)
+    .Optional("load_share",
+              Kind::Fraction,
+              "0.17",
+              "share of a model's engines that load weights at once, two at "
+              "least; more at once load more slowly")
+    .Optional("order_timeout",
+              Kind::Duration,
+              "3s",
+              "an accepted order that is not seen to end within this failed")
+    .Between(500 * kMillisecond, 600 * kSecond);
   builder.Section("replica.*")
     .Required("address",
               Kind::Address,
@@ -65,8 +116,13 @@
   builder.Section("entry");
   AddCommon(builder);
   builder.Required("http", Kind::Address, "HTTP listener for callers")
-    .Required(
-      "control", Kind::Addresses, "framed listeners of all control replicas")
+    .Optional(
+      "control", Kind::Addresses, "", "framed listeners of control replicas")
+    .Optional("control_seeds",
+              Kind::Addresses,
+              "",
+              "any listeners of VMs with control replicas, whose framed "
+              "listeners use the port of `listen`; the leader tells of others")
     .Optional("peers",
               Kind::Addresses,
               "",
@@ -83,6 +139,47 @@
     .Between(kSecond, 3600 * kSecond)
     .Optional("body_limit", Kind::Size, "4MiB", "largest request body")
     .Between(1024, 64LL << 20U)
+    .Optional("ready_http",
+              Kind::Addresses,
+              "",
+              "HTTP listener for the balancer's question whether this entry is "
+              "ready; any path")
+    .Optional("metrics_http", Kind::Addresses, "", "HTTP listener for metrics")
+    .Optional("configuration",
+              Kind::Choice,
+              "questionnaire",
+              "what says which requests are served: accepted answers, or route "
+              "documents with requests in the program's own format")
+    .OneOf({ "questionnaire", "routes" })
+    .Optional("key_revocation",
+              Kind::Duration,
+              "5s",
+              "routes: a key that was taken away must be refused everywhere "
+              "within this; an entry that does not reach the leader refuses "
+              "all keys well before")
+    .Between(500 * kMillisecond, 600 * kSecond)
+    .Optional("heartbeat",
+              Kind::Duration,
+              "2s",
+              "between two heartbeats to the leader on a steady link")
+    .Between(100 * kMillisecond, 10 * kSecond)
+    .Optional("weights_bound",
+              Kind::Duration,
+              "6s",
+              "routes: requests must not begin on older weights from this long "
+              "after newer ones were named")
+    .Between(100 * kMillisecond, 3600 * kSecond)
+    .Optional("retry_ratio",
+              Kind::Fraction,
+              "0.2",
+              "routes: repeats to second workers that all entries together may "
+              "send, as a share of the requests")
+    .Optional("retry_slack",
+              Kind::Integer,
+              "20",
+              "routes: repeats beyond retry_ratio in some ten seconds, of all "
+              "entries together")
+    .Between(0, 1'000'000)
     .Optional("restore_policy",
               Kind::Choice,
               "cost",
--- /dev/null
+++ b/src/libcontrol/PublishTable.cpp
@@ -0,0 +1,35 @@
+#include "fulmarquay/control/PublishTable.h"
+
+#include <utility>
+
+namespace fulmarquay {
+
+bool
+PublishTable::Publish(const PublishRoutesCommand& aCommand)
+{
+  if (aCommand.m_revision <= m_content.m_revision) {
+    return false;
+  }
+  m_content.m_revision = aCommand.m_revision;
+  m_content.m_source = aCommand.m_source;
+  return true;
+}
+
+bool
+PublishTable::Name(const NameWeightsCommand& aCommand)
+{
+  std::int64_t& version = m_content.m_weights[aCommand.m_model];
+  if (aCommand.m_version <= version) {
+    return false;
+  }
+  version = aCommand.m_version;
+  return true;
+}
+
+void
+PublishTable::Restore(Content aContent)
+{
+  m_content = std::move(aContent);
+}
+
+} // namespace fulmarquay
--- a/src/libcontrol/Rollout.cpp
+++ b/src/libcontrol/Rollout.cpp
@@ -6,7 +6,15 @@
 
 namespace {
 
-constexpr Duration kObserveInterval(1'000'000);
+/// An order that was accepted is looked after this often, and is given up
+/// when the engine is idle without the weights after the second one, which
+/// covers the lag of what engines report.
+constexpr Duration kLoadingInterval(150'000);
+constexpr Duration kLoadingPatience(1'500'000);
+/// The VM list may be older than a load by this much.
+constexpr Duration kListPatience(3'000'000);
+/// Before another order to an engine that counts orders.
+constexpr Duration kCountedPause(400'000);
 /// For engines that have their target: nothing is to be done for them.
 constexpr Duration kSettledInterval(30'000'000);
 /// An observation older than this says nothing.
@@ -15,11 +23,18 @@
 
 } // namespace
 
+Rollout::Rollout(RolloutOptions aOptions)
+  : m_options(aOptions)
+{
+}
+
 void
 Rollout::Start(TimePoint aNow, Duration aOldLease)
 {
   m_engines.clear();
-  m_firstOrder = aNow + aOldLease + kOrderTimeout;
+  const bool isOwn = m_options.m_takeoverWait > Duration(0);
+  m_firstOrder = aNow + aOldLease +
+                 (isOwn ? m_options.m_takeoverWait : m_options.m_orderTimeout);
 }
 
 void
@@ -29,28 +44,63 @@
     return aConfiguration.m_engines.count(aEach.first) == 0;
   });
   for (const auto& [id, config] : aConfiguration.m_engines) {
-    const auto [place, isNew] = m_engines.try_emplace(id);
-    Engine& engine = place->second;
-    engine.m_checksFencing = config.m_checksFencing;
-    const auto model = aConfiguration.m_models.find(config.m_model);
-    const bool isSettled = model != aConfiguration.m_models.end() &&
-                           engine.m_weights == model->second.m_target;
-    if (isNew || (engine.m_isSettled && !isSettled)) {
-      engine.m_nextObserve = aNow;
-    }
-    engine.m_isSettled = isSettled;
+    SyncEngine(aNow, config, aConfiguration);
   }
 }
 
+void
+Rollout::SyncEngine(TimePoint aNow,
+                    const EngineConfig& aConfig,
+                    const Configuration& aConfiguration)
+{
+  const auto [place, isNew] = m_engines.try_emplace(aConfig.m_id);
+  Engine& engine = place->second;
+  engine.m_checksFencing = aConfig.m_checksFencing;
+  const std::string& listed = aConfig.m_listedWeights;
+  if (isNew) {
+    engine.m_weights = listed;
+  }
+  const auto model = aConfiguration.m_models.find(aConfig.m_model);
+  bool isSettled = model != aConfiguration.m_models.end() &&
+                   engine.m_weights == model->second.m_target;
+  if (isSettled && !engine.m_isSettled) {
+    engine.m_settledAt = aNow;
+  }
+  // A list that contradicts what was observed long ago: the engine restarted.
+  const bool isDoubted = isSettled && !listed.empty() &&
+                         listed != engine.m_weights &&
+                         aNow >= engine.m_settledAt + kListPatience;
+  if (isDoubted) {
+    engine.m_weights.clear();
+    engine.m_mustObserve = true;
+    isSettled = false;
+  }
+  if (isNew) {
+    engine.m_nextObserve =
+      isSettled && !listed.empty() ? aNow + kSettledInterval : aNow;
+  } else if (engine.m_isSettled && !isSettled) {
+    engine.m_nextObserve = aNow;
+  }
+  engine.m_isSettled = isSettled;
+}
+
 std::vector<RolloutAction>
 Rollout::Step(TimePoint aNow, const Configuration& aConfiguration)
 {
   SyncEngines(aNow, aConfiguration);
   std::vector<RolloutAction> actions;
   for (auto& [id, engine] : m_engines) {
-    if (engine.m_order == OrderState::None && aNow >= engine.m_nextObserve) {
-      engine.m_nextObserve =
-        aNow + (engine.m_isSettled ? kSettledInterval : kObserveInterval);
+    if (engine.m_order == OrderState::Loading &&
+        aNow >= engine.m_orderSince + m_options.m_orderTimeout) {
+      OnOrderEnded(aNow, id, OrderEnd::Failed);
+    }
+    const bool isLoading = engine.m_order == OrderState::Loading;
+    const bool isIdle = engine.m_order == OrderState::None;
+    if ((isIdle || isLoading) && aNow >= engine.m_nextObserve) {
+      Duration pause =
+        engine.m_isSettled ? kSettledInterval : m_options.m_observeInterval;
+      pause = isLoading ? kLoadingInterval : pause;
+      engine.m_nextObserve = aNow + pause;
       actions.emplace_back(ObserveEngine{ id });
     }
   }
@@ -87,7 +137,7 @@
     !aEngine.m_mustObserve && aNow < aEngine.m_observed + kObservationLife;
   const bool isDue = aNow >= aEngine.m_notBefore &&
                      (aEngine.m_checksFencing || aNow >= m_firstOrder);
-  const bool isGivenUp = aEngine.m_failures >= kMostFailures &&
+  const bool isGivenUp = aEngine.m_failures >= m_options.m_mostFailures &&
                          aEngine.m_failedTarget == aModel.m_target;
   return isKnown && isDue && !isGivenUp &&
          aEngine.m_order == OrderState::None &&
@@ -110,7 +160,7 @@
     Engine& engine = m_engines.at(id);
     const bool isWanted =
       config.m_model == aModel.m_name && MayOrder(aNow, engine, aModel);
-    if (!isWanted || Loading() >= kLoadsAtOnce) {
+    if (!isWanted || Loading() >= MostLoading(group)) {
       continue;
     }
     // An engine that serves now is taken only while half of them (rounded
@@ -129,6 +179,13 @@
   }
 }
 
+int
+Rollout::MostLoading(const Group& aGroup) const
+{
+  const int share = static_cast<int>(m_options.m_loadShare * aGroup.m_size);
+  return std::max(m_options.m_loadsAtOnce, share);
+}
+
 int
 Rollout::Loading() const
 {
@@ -141,18 +198,28 @@
 void
 Rollout::OnObserved(TimePoint aNow,
                     const EngineId& aEngine,
-                    const std::string& aWeights)
+                    const EngineObservation& aObservation)
 {
   const auto place = m_engines.find(aEngine);
   if (place == m_engines.end()) {
     return;
   }
   Engine& engine = place->second;
-  engine.m_weights = aWeights;
+  if (engine.m_order == OrderState::Loading) {
+    const bool hasTarget = aObservation.m_weights == engine.m_failedTarget;
+    const bool isOver = aNow >= engine.m_orderSince + kLoadingPatience;
+    if (aObservation.m_isBusy || (!hasTarget && !isOver)) {
+      return;
+    }
+    engine.m_order = OrderState::None;
+    engine.m_failures = hasTarget ? 0 : engine.m_failures + 1;
+  }
+  engine.m_weights = aObservation.m_weights;
+  engine.m_sequence = aObservation.m_sequence;
   engine.m_observed = aNow;
   // What was observed while an order may be under way is no ground for
   // another one.
-  if (aNow >= engine.m_notBefore) {
+  if (aNow >= engine.m_notBefore && !aObservation.m_isBusy) {
     engine.m_mustObserve = false;
   }
 }
@@ -171,7 +238,7 @@
   }
   place->second.m_order = OrderState::Sent;
   place->second.m_orderSince = aNow;
-  return { SendOrder{ aEngine, aNumber, aTarget } };
+  return { SendOrder{ aEngine, aNumber, aTarget, place->second.m_sequence } };
 }
 
 void
@@ -182,6 +249,11 @@
     return;
   }
   Engine& engine = place->second;
+  if (aEnd == OrderEnd::Accepted) {
+    engine.m_order = OrderState::Loading;
+    engine.m_nextObserve = aNow + kLoadingInterval;
+    return;
+  }
   engine.m_order = OrderState::None;
   engine.m_nextObserve = aNow;
   engine.m_mustObserve = true;
@@ -193,7 +265,10 @@
     engine.m_notBefore = aNow + kFencedPause;
   } else {
     ++engine.m_failures;
-    engine.m_notBefore = aNow + kOrderTimeout;
+    // An engine that counts orders takes no late one after a newer one.
+    const bool isCounted = engine.m_sequence >= 0;
+    engine.m_notBefore =
+      aNow + (isCounted ? kCountedPause : m_options.m_orderTimeout);
     engine.m_nextObserve = engine.m_notBefore;
   }
 }
@@ -203,7 +278,7 @@
 {
   std::vector<EngineId> engines;
   for (const auto& [id, engine] : m_engines) {
-    if (engine.m_failures >= kMostFailures) {
+    if (engine.m_failures >= m_options.m_mostFailures) {
       engines.push_back(id);
     }
   }
--- a/src/libcontrol/rollout_test.cpp
+++ b/src/libcontrol/rollout_test.cpp
@@ -47,7 +47,7 @@
     for (m_now = 0; m_now < aMillis && !IsFinished(); m_now += 100) {
       EndLoads();
       Carry(m_rollout.Step(At(m_now), m_configuration), aLostAnswers, aFails);
-      if (static_cast<int>(m_loading.size()) > Rollout::kLoadsAtOnce) {
+      if (static_cast<int>(m_loading.size()) > RolloutOptions().m_loadsAtOnce) {
         return "too many loads at once";
       }
       const auto serving = std::count_if(
@@ -105,7 +105,7 @@
     for (const RolloutAction& action : aActions) {
       if (const auto* observe = std::get_if<ObserveEngine>(&action)) {
         m_rollout.OnObserved(
-          At(m_now), observe->m_engine, m_weights[observe->m_engine]);
+          At(m_now), observe->m_engine, { m_weights[observe->m_engine] });
       } else if (const auto* request = std::get_if<RequestOrder>(&action)) {
         const std::uint64_t number = m_numbers.size() + 1;
         m_numbers.insert(number);
@@ -181,5 +181,6 @@
   cr_assert_eq(fleet.Run(200'000, 0, true), "");
   cr_assert_not(fleet.IsFinished());
   cr_assert_eq(fleet.Plan().GivenUp().size(), 6U);
-  cr_assert_eq(fleet.Orders(), std::size_t{ 6 } * Rollout::kMostFailures);
+  cr_assert_eq(fleet.Orders(),
+               std::size_t{ 6 } * RolloutOptions().m_mostFailures);
 }
--- a/src/libcore/Clock.cpp
+++ b/src/libcore/Clock.cpp
@@ -1,5 +1,6 @@
 #include "fulmarquay/core/Clock.h"
 
+#include <ctime>
 #include <random>
 
 namespace fulmarquay {
@@ -7,8 +8,13 @@
 TimePoint
 MonotonicNow()
 {
-  return std::chrono::time_point_cast<Duration>(
-    std::chrono::steady_clock::now());
+  // The steady clock stands still while a VM is suspended; a lease must not.
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  constexpr std::int64_t kMicrosPerSecond = 1'000'000;
+  constexpr std::int64_t kNanosPerMicro = 1'000;
+  return TimePoint(
+    Duration(now.tv_sec * kMicrosPerSecond + now.tv_nsec / kNanosPerMicro));
 }
 
 WallTime
--- a/src/libcore/CommandLine.cpp
+++ b/src/libcore/CommandLine.cpp
@@ -1,5 +1,6 @@
 #include "fulmarquay/core/CommandLine.h"
 
+#include <cstdlib>
 #include <boost/program_options.hpp>
 #include <iostream>
 
@@ -119,4 +120,12 @@
   return m_impl->m_positionals;
 }
 
+std::string
+CommandLine::SettingsFile() const
+{
+  const std::string named = Value("settings");
+  const char* boot = std::getenv("FULMARQUAY_BOOT");
+  return named.empty() && boot != nullptr ? boot : named;
+}
+
 } // namespace fulmarquay
--- a/src/libcore/LogEvent.cpp
+++ b/src/libcore/LogEvent.cpp
@@ -1,14 +1,19 @@
 #include "fulmarquay/core/LogEvent.h"
 
+#include "fulmarquay/core/LogBuffer.h"
+
 #include <algorithm>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions/message.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <chrono>
-#include <iostream>
+#include <mutex>
+#include <boost/make_shared.hpp>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace fulmarquay {
 
@@ -18,6 +23,9 @@
 {
   std::string m_program = "fulmarquay";
   bool m_isJson = false;
+  bool m_isBuffered = false;
+  bool m_isImportant = false; ///< level of the line that is being written
+  LogBuffer m_buffer;
 };
 
 LogState&
@@ -27,6 +35,14 @@
   return state;
 }
 
+/// Lines come from the disk thread too.
+std::mutex&
+LogMutex()
+{
+  static std::mutex mutex;
+  return mutex;
+}
+
 const LogEventInfo&
 InfoOf(LogEvent aEvent)
 {
@@ -79,6 +95,17 @@
   return line;
 }
 
+/// Hands formatted lines to the process's LogBuffer.
+class BufferBackend
+  : public boost::log::sinks::basic_formatted_sink_backend<char>
+{
+public:
+  void consume(const boost::log::record_view&, const std::string& aLine)
+  {
+    State().m_buffer.Add(aLine + "\n", State().m_isImportant);
+  }
+};
+
 } // namespace
 
 const std::vector<LogEventInfo>&
@@ -216,6 +243,102 @@
       "info",
       "The last running request has ended.",
       "None." },
+    { LogEvent::SettingsReloaded,
+      "SettingsReloaded",
+      "info",
+      "SIGHUP arrived and the settings file was read again.",
+      "None." },
+    { LogEvent::LogLinesLeftOut,
+      "LogLinesLeftOut",
+      "warning",
+      "Lines were left out to keep the log's volume bounded.",
+      "Read the metrics for the counts by reason." },
+    { LogEvent::VoterReplaced,
+      "VoterReplaced",
+      "warning",
+      "A voter that was silent for too long left the control group.",
+      "Look at its VM; it joins again by itself." },
+    { LogEvent::RoutesPublished,
+      "RoutesPublished",
+      "info",
+      "The control group committed a route document.",
+      "None." },
+    { LogEvent::RoutesInForce,
+      "RoutesInForce",
+      "info",
+      "This entry uses a new route document.",
+      "None." },
+    { LogEvent::RoutesRefused,
+      "RoutesRefused",
+      "warning",
+      "A route document was refused; nothing changed.",
+      "Mend the problem named in the line and publish again." },
+    { LogEvent::WeightsNamed,
+      "WeightsNamed",
+      "info",
+      "A new weight version of a model was committed.",
+      "None." },
+    { LogEvent::OrderEnded,
+      "OrderEnded",
+      "info",
+      "A worker answered an order, or the answer is missing.",
+      "None; an order without an answer is observed and repeated." },
+    { LogEvent::VmListChanged,
+      "VmListChanged",
+      "info",
+      "Workers came, went or are leaving by the VM list.",
+      "None." },
+    { LogEvent::VmListFailed,
+      "VmListFailed",
+      "warning",
+      "The VM list could not be read; the last one stays in use.",
+      "Look at the platform's VM list when it repeats." },
+    { LogEvent::KeyLeaseLost,
+      "KeyLeaseLost",
+      "warning",
+      "The control group was not reached for too long: requests with a key "
+      "are refused.",
+      "Look at the links to the control replicas." },
+    { LogEvent::KeyLeaseRegained,
+      "KeyLeaseRegained",
+      "info",
+      "Requests with a key are served.",
+      "None." },
+    { LogEvent::RequestSent,
+      "RequestSent",
+      "info",
+      "A request was placed on a worker.",
+      "None." },
+    { LogEvent::RequestAnswered,
+      "RequestAnswered",
+      "info",
+      "A worker's whole answer was passed on.",
+      "None." },
+    { LogEvent::RequestRefused,
+      "RequestRefused",
+      "warning",
+      "A request was refused and has not run.",
+      "See OPERATIONS.md, refused requests." },
+    { LogEvent::RequestFailed,
+      "RequestFailed",
+      "warning",
+      "A request was sent and its answer is missing or incomplete.",
+      "See OPERATIONS.md, broken answers." },
+    { LogEvent::RequestAbandoned,
+      "RequestAbandoned",
+      "info",
+      "The caller left; the work at its worker was cancelled.",
+      "None." },
+    { LogEvent::RequestRepeated,
+      "RequestRepeated",
+      "info",
+      "A request is sent to another worker.",
+      "Look at the first worker when it repeats." },
+    { LogEvent::WorkerSuspected,
+      "WorkerSuspected",
+      "warning",
+      "A worker failed and gets no new requests for a while.",
+      "Look at the worker when it repeats." },
   };
   return catalogue;
 }
@@ -242,22 +365,53 @@
 {
   State().m_program = aProgram;
   State().m_isJson = aFormat == "json";
-  const auto sink = boost::log::add_console_log(
-    std::cerr, boost::log::keywords::auto_flush = true);
+  using Sink = boost::log::sinks::synchronous_sink<BufferBackend>;
+  const auto sink = boost::make_shared<Sink>();
+  boost::log::core::get()->add_sink(sink);
   sink->set_formatter([](const boost::log::record_view& aRecord,
                          boost::log::formatting_ostream& aOut) {
     aOut << aRecord[boost::log::expressions::smessage];
   });
 }
 
+void
+BufferLog()
+{
+  State().m_isBuffered = true;
+}
+
+void
+FlushLog()
+{
+  const std::lock_guard lock(LogMutex());
+  const std::uint64_t leftOut = State().m_buffer.TakeLeftOut();
+  if (leftOut > 0) {
+    const LogEventInfo& info = InfoOf(LogEvent::LogLinesLeftOut);
+    const std::vector<LogField> fields = { { "lines",
+                                             std::to_string(leftOut) } };
+    State().m_buffer.Add(
+      (State().m_isJson ? JsonLine(info, fields) : TextLine(info, fields)) +
+        "\n",
+      true);
+  }
+  State().m_buffer.Flush(STDOUT_FILENO);
+}
+
 void
 WriteLog(LogEvent aEvent, const std::vector<LogField>& aFields)
 {
   static boost::log::sources::logger_mt logger;
   const LogEventInfo& info = InfoOf(aEvent);
   const bool isJson = State().m_isJson;
-  BOOST_LOG(logger) << (isJson ? JsonLine(info, aFields)
-                               : TextLine(info, aFields));
+  {
+    const std::lock_guard lock(LogMutex());
+    State().m_isImportant = info.m_level != "info";
+    BOOST_LOG(logger) << (isJson ? JsonLine(info, aFields)
+                                 : TextLine(info, aFields));
+  }
+  if (!State().m_isBuffered) {
+    FlushLog();
+  }
 }
 
 } // namespace fulmarquay
--- a/src/fulmarquay-control/ControlServer.cpp
+++ b/src/libdaemon/ControlServer.cpp
@@ -1,13 +1,15 @@
 #include <utility>
 
-#include "ControlServer.h"
+#include "fulmarquay/daemon/ControlServer.h"
 
 #include "fulmarquay/core/Clock.h"
 #include "fulmarquay/core/Digest.h"
+#include "fulmarquay/control/ProgramSettings.h"
 #include "fulmarquay/core/Settings.h"
 
 #include <boost/asio/post.hpp>
 #include <csignal>
+#include <limits>
 
 namespace fulmarquay {
 
@@ -17,6 +19,8 @@
 constexpr int kTicksPerReconnect = 10;
 /// Time for the leadership transfer before the process ends.
 constexpr std::chrono::milliseconds kStopDelay(600);
+/// A route document with thousands of routes.
+constexpr std::size_t kOperatorBodyBytes = 16U << 20U;
 
 std::map<std::string, Endpoint>
 ReplicaAddresses(const Settings& aSettings)
@@ -25,6 +29,10 @@
   for (const std::string& vm : aSettings.Names("replica")) {
     addresses[vm] = aSettings.Address("replica." + vm, "address");
   }
+  const std::uint16_t port = aSettings.Address("control", "listen").Port();
+  for (const Endpoint& seed : aSettings.Addresses("control", "seeds")) {
+    addresses[seed.Ip()] = Endpoint(seed.Ip(), port);
+  }
   return addresses;
 }
 
@@ -62,25 +70,130 @@
            { { "replica", HexOf(identity.m_replica.Value()) } });
 }
 
-ControlServer::ControlServer(const Settings& aSettings)
+ControlServer::Builder::Builder(Settings aSettings, std::string aSettingsFile)
+  : m_settings(std::move(aSettings))
+  , m_settingsFile(std::move(aSettingsFile))
+{
+}
+
+ControlServer::Builder&
+ControlServer::Builder::Operators(std::unique_ptr<OperatorProtocol> aProtocol)
+{
+  m_operators = std::move(aProtocol);
+  return *this;
+}
+
+ControlServer::Builder&
+ControlServer::Builder::Fleet(std::unique_ptr<FleetProtocol> aProtocol)
+{
+  m_fleet = std::move(aProtocol);
+  return *this;
+}
+
+std::unique_ptr<ControlServer>
+ControlServer::Builder::Build()
+{
+  return std::unique_ptr<ControlServer>(new ControlServer(*this));
+}
+
+ControlServer::ControlServer(const Builder& aBuilder)
   : m_ticker(m_context)
   , m_stopper(m_context)
   , m_signals(m_context, SIGTERM, SIGINT)
+  , m_reload(m_context, SIGHUP)
   , m_hub(m_context, *this)
   , m_client(m_context, *this)
-  , m_peers(m_hub, aSettings.Text("control", "vm"), ReplicaAddresses(aSettings))
+  , m_peers(m_hub,
+            aBuilder.m_settings.Text("control", "vm"),
+            ReplicaAddresses(aBuilder.m_settings))
+  , m_settingsFile(aBuilder.m_settingsFile)
+  , m_operators(std::move(aBuilder.m_operators))
 {
-  OpenDisk(aSettings);
-  StartNode(aSettings);
-  m_hub.Listen(aSettings.Address("control", "listen"));
+  const Settings& settings = aBuilder.m_settings;
+  OpenDisk(settings);
+  StartNode(settings);
+  if (aBuilder.m_fleet) {
+    AddFleet(settings, std::move(aBuilder.m_fleet));
+  }
+  m_hub.Listen(settings.Address("control", "listen"));
+  ListenForOperators(settings);
   m_disk = std::make_unique<DiskWriter>(
     *m_store, [this](const DiskWriter::Job& aJob) { OnDiskDone(aJob); });
 }
 
+void
+ControlServer::AddFleet(const Settings& aSettings,
+                        std::unique_ptr<FleetProtocol> aProtocol)
+{
+  const std::vector<Endpoint> lists = aSettings.Addresses("fleet", "vm_list");
+  if (lists.empty()) {
+    throw Error("read settings", "[fleet] vm_list", "an address is needed");
+  }
+  FleetOptions options;
+  options.m_vmList = lists.front();
+  options.m_listInterval = aSettings.Time("fleet", "list_interval");
+  options.m_checksFencing = aSettings.Flag("fleet", "checks_fencing");
+  options.m_holder = aSettings.Text("control", "vm");
+  options.m_rollout.m_loadShare = aSettings.Fraction("fleet", "load_share");
+  options.m_rollout.m_takeoverWait =
+    aSettings.Time("fleet", "order_takeover_wait");
+  options.m_rollout.m_orderTimeout = aSettings.Time("fleet", "order_timeout");
+  // Orders that get no answer are the platform's, not the engine's fault.
+  options.m_rollout.m_mostFailures = std::numeric_limits<int>::max();
+  m_node->AddFleet(std::move(options), std::move(aProtocol));
+}
+
+void
+ControlServer::ListenForOperators(const Settings& aSettings)
+{
+  const auto operators = aSettings.Addresses("control", "operator_http");
+  if (m_operators && !operators.empty()) {
+    HttpServerLimits limits;
+    limits.m_bodyBytes = kOperatorBodyBytes;
+    m_operatorHttp = std::make_unique<HttpServer>(m_context, *this, limits);
+    m_operatorHttp->Listen(operators.front());
+  }
+  const auto metrics = aSettings.Addresses("control", "metrics_http");
+  if (!metrics.empty()) {
+    m_metricsHttp = std::make_unique<AnswerServer>(
+      m_context, metrics.front(), [this](const HttpRequest&) {
+        HttpResponse response;
+        response.m_headers = { { "Content-Type", "text/plain" } };
+        response.m_body = RenderMetrics();
+        return response;
+      });
+  }
+}
+
+std::string
+ControlServer::RenderMetrics()
+{
+  const Replica& replica = m_node->Consensus();
+  const bool isLeading = replica.HoldsLease(MonotonicNow());
+  m_metrics.Gauge("leads", isLeading ? 1 : 0);
+  m_metrics.Gauge("term", static_cast<double>(replica.CurrentTerm().Value()));
+  m_metrics.Gauge("commit", static_cast<double>(replica.Commit().Value()));
+  m_metrics.Gauge("voters",
+                  static_cast<double>(replica.Members().m_voters.size()));
+  m_metrics.Gauge(
+    "routes_revision",
+    static_cast<double>(m_node->State().Published().Current().Value()));
+  return m_metrics.Render();
+}
+
 void
 ControlServer::OpenDisk(const Settings& aSettings)
 {
-  m_folder = OpenDiskFolder(aSettings.Text("control", "data_folder"));
+  const std::string path = aSettings.Text("control", "data_folder");
+  m_folder = OpenDiskFolder(path);
+  const bool isSeed =
+    ReplicaAddresses(aSettings).count(aSettings.Text("control", "vm")) != 0;
+  if (aSettings.Flag("control", "bootstrap") && isSeed &&
+      !LogStore::IsFormatted(*m_folder)) {
+    m_folder.reset();
+    Bootstrap(aSettings);
+    m_folder = OpenDiskFolder(path);
+  }
   if (!LogStore::IsFormatted(*m_folder)) {
     // Not the voter that this VM may have been: it joins under a new id.
     DiskIdentity identity;
@@ -125,11 +238,34 @@
       Stop();
     }
   });
+  AwaitReload();
   m_peers.Learn(m_node->Consensus().Members());
   m_peers.Reconnect();
+  BufferLog();
   Tick();
   m_context.run();
   m_disk.reset();
+  FlushLog();
+}
+
+void
+ControlServer::AwaitReload()
+{
+  m_reload.async_wait([this](const boost::system::error_code& aError, int) {
+    if (aError) {
+      return;
+    }
+    try {
+      const Settings settings =
+        Settings::Load(m_settingsFile, ControlSettings());
+      m_peers.Configure(ReplicaAddresses(settings));
+      WriteLog(LogEvent::SettingsReloaded);
+    } catch (const Error& e) {
+      WriteLog(LogEvent::ProcessFailed,
+               { { "step", e.Step() }, { "reason", e.Reason() } });
+    }
+    AwaitReload();
+  });
 }
 
 void
@@ -144,6 +280,7 @@
       m_peers.Reconnect();
     }
     Feed(ReplicaEvent(ReplicaTick{}));
+    FlushLog();
     Tick();
   });
 }
@@ -237,6 +374,34 @@
   Feed(answer);
 }
 
+void
+ControlServer::OnRequest(CallerId aCaller, HttpRequest aRequest)
+{
+  OperatorRequest request = m_operators->Decode(aRequest);
+  aRequest.m_body.clear();
+  m_operatorCalls[aCaller] = std::move(aRequest);
+  Feed(OperatorCalled{ aCaller, std::move(request) });
+}
+
+void
+ControlServer::OnGone(CallerId aCaller)
+{
+  m_operatorCalls.erase(aCaller);
+}
+
+void
+ControlServer::Carry(const AnswerOperator& aEffect)
+{
+  const auto place = m_operatorCalls.find(aEffect.m_caller);
+  if (place == m_operatorCalls.end()) {
+    return;
+  }
+  const HttpRequest request = std::move(place->second);
+  m_operatorCalls.erase(place);
+  m_operatorHttp->Respond(aEffect.m_caller,
+                          m_operators->Encode(request, aEffect.m_answer));
+}
+
 void
 ControlServer::Carry(const LogLine& aEffect)
 {
--- a/src/fulmarquay-control/DiskWriter.cpp
+++ b/src/libdaemon/DiskWriter.cpp
@@ -1,4 +1,4 @@
-#include "DiskWriter.h"
+#include "fulmarquay/daemon/DiskWriter.h"
 
 #include "fulmarquay/core/CommandLine.h"
 #include "fulmarquay/core/LogEvent.h"
--- a/src/fulmarquay-entry/EntryServer.cpp
+++ b/src/libdaemon/EntryServer.cpp
@@ -1,6 +1,6 @@
 #include <utility>
 
-#include "EntryServer.h"
+#include "fulmarquay/daemon/EntryServer.h"
 
 #include "fulmarquay/core/Clock.h"
 #include "fulmarquay/core/Settings.h"
@@ -13,17 +13,50 @@
 
 constexpr std::chrono::milliseconds kTick(10);
 constexpr int kTicksPerReconnect = 20;
+// Parts of the platform's bounds that this entry uses, in percent: the rest
+// covers the way of a request to it and clocks that run unevenly.
+constexpr int kKeyLeasePercent = 80;
+constexpr int kWeightsPercent = 80;
+constexpr double kRetryPart = 0.8;
+
+/// Framed listeners of the control replicas: `control`, and the VMs of
+/// `control_seeds` at the port that all replicas use.
+std::vector<Endpoint>
+ControlReplicas(const Settings& aSettings)
+{
+  std::vector<Endpoint> replicas = aSettings.Addresses("entry", "control");
+  const std::uint16_t port = aSettings.Address("entry", "listen").Port();
+  for (const Endpoint& seed : aSettings.Addresses("entry", "control_seeds")) {
+    replicas.emplace_back(seed.Ip(), port);
+  }
+  return replicas;
+}
 
 EntryOptions
-MakeOptions(const Settings& aSettings)
+MakeOptions(const Settings& aSettings,
+            std::shared_ptr<const RelayProtocol> aRelay)
 {
   EntryOptions options;
+  if (aSettings.Text("entry", "configuration") == "routes") {
+    options.m_relayProtocol = std::move(aRelay);
+  }
   options.m_identity.m_vm = VmId(aSettings.Text("entry", "vm"));
   options.m_identity.m_dataCentre =
     DataCentreId(aSettings.Text("entry", "data_centre"));
   options.m_identity.m_boot = BootId(RandomNumber());
   options.m_identity.m_address = aSettings.Text("entry", "listen");
-  options.m_control = aSettings.Addresses("entry", "control");
+  options.m_control = ControlReplicas(aSettings);
+  options.m_learnsReplicas =
+    !aSettings.Addresses("entry", "control_seeds").empty();
+  options.m_heartbeat = aSettings.Time("entry", "heartbeat");
+  options.m_keyLease =
+    aSettings.Time("entry", "key_revocation") * kKeyLeasePercent / 100;
+  options.m_relay.m_oldWeightsLimit =
+    aSettings.Time("entry", "weights_bound") * kWeightsPercent / 100;
+  options.m_relay.m_retryShare =
+    aSettings.Fraction("entry", "retry_ratio") * kRetryPart;
+  options.m_relay.m_retrySlack =
+    static_cast<double>(aSettings.Integer("entry", "retry_slack")) * kRetryPart;
   options.m_peers = aSettings.Addresses("entry", "peers");
   options.m_drainDelay = aSettings.Time("entry", "drain_delay");
   options.m_drainLimit = aSettings.Time("entry", "drain_limit");
@@ -45,19 +78,95 @@
 
 } // namespace
 
-EntryServer::EntryServer(const Settings& aSettings)
+EntryServer::Builder::Builder(Settings aSettings, std::string aSettingsFile)
+  : m_settings(std::move(aSettings))
+  , m_settingsFile(std::move(aSettingsFile))
+{
+}
+
+EntryServer::Builder&
+EntryServer::Builder::Relay(std::shared_ptr<const RelayProtocol> aProtocol)
+{
+  m_relay = std::move(aProtocol);
+  return *this;
+}
+
+std::unique_ptr<EntryServer>
+EntryServer::Builder::Build()
+{
+  return std::unique_ptr<EntryServer>(new EntryServer(*this));
+}
+
+EntryServer::EntryServer(const Builder& aBuilder)
   : m_ticker(m_context)
   , m_signals(m_context, SIGTERM, SIGINT)
-  , m_node(MakeOptions(aSettings))
+  , m_reload(m_context, SIGHUP)
+  , m_node(MakeOptions(aBuilder.m_settings, aBuilder.m_relay))
   , m_hub(m_context, *this)
-  , m_server(m_context, *this, MakeLimits(aSettings))
+  , m_server(m_context, *this, MakeLimits(aBuilder.m_settings))
   , m_client(m_context, *this)
+  , m_settingsFile(aBuilder.m_settingsFile)
 {
-  for (const Endpoint& address : aSettings.Addresses("entry", "control")) {
+  const Settings& settings = aBuilder.m_settings;
+  for (const Endpoint& address : ControlReplicas(settings)) {
     m_control.push_back({ address, ConnectionId(), false });
   }
-  m_hub.Listen(aSettings.Address("entry", "listen"));
-  m_server.Listen(aSettings.Address("entry", "http"));
+  m_hub.Listen(settings.Address("entry", "listen"));
+  ListenForPlatform(settings);
+  m_server.Listen(settings.Address("entry", "http"));
+}
+
+void
+EntryServer::ListenForPlatform(const Settings& aSettings)
+{
+  const auto ready = aSettings.Addresses("entry", "ready_http");
+  if (!ready.empty()) {
+    m_readyHttp = std::make_unique<AnswerServer>(
+      m_context, ready.front(), [this](const HttpRequest&) {
+        HttpResponse response;
+        response.m_status = m_node.IsReady() ? 200 : 503;
+        return response;
+      });
+  }
+  const auto metrics = aSettings.Addresses("entry", "metrics_http");
+  if (!metrics.empty()) {
+    m_metricsHttp = std::make_unique<AnswerServer>(
+      m_context, metrics.front(), [this](const HttpRequest&) {
+        HttpResponse response;
+        response.m_headers = { { "Content-Type", "text/plain" } };
+        response.m_body = m_node.RenderMetrics();
+        return response;
+      });
+  }
+}
+
+void
+EntryServer::AwaitReload()
+{
+  m_reload.async_wait([this](const boost::system::error_code& aError, int) {
+    if (aError) {
+      return;
+    }
+    // Addresses of this VM stay as they are; the leader tells of replicas.
+    WriteLog(LogEvent::SettingsReloaded);
+    AwaitReload();
+  });
+}
+
+void
+EntryServer::FollowLimits()
+{
+  const Revision revision = m_node.RoutesRevision();
+  if (revision == m_limitsRevision) {
+    return;
+  }
+  m_limitsRevision = revision;
+  const CallerLimits allowed = m_node.Limits();
+  HttpServerLimits limits;
+  limits.m_headerBytes = static_cast<std::size_t>(allowed.m_headerBytes);
+  limits.m_bodyBytes = static_cast<std::size_t>(allowed.m_bodyBytes);
+  limits.m_readTimeout = Duration(allowed.m_idleTimeoutUs);
+  m_server.SetLimits(limits);
 }
 
 void
@@ -65,9 +174,12 @@
 {
   WriteLog(LogEvent::ProcessStarted);
   AwaitSignal();
+  AwaitReload();
   ConnectControl();
+  BufferLog();
   Tick();
   m_context.run();
+  FlushLog();
 }
 
 void
@@ -76,6 +188,7 @@
   m_signals.async_wait([this](const boost::system::error_code& aError, int) {
     if (!aError) {
       WriteLog(LogEvent::ProcessStopping);
+      m_server.CloseAfterAnswers();
       Feed(DrainOrder{});
       AwaitSignal();
     }
@@ -94,6 +207,8 @@
       ConnectControl();
     }
     Feed(EntryTick{});
+    FollowLimits();
+    FlushLog();
     Tick();
   });
 }
@@ -161,6 +276,13 @@
              { Channel::Control, PackMessage(aEffect.m_message) });
 }
 
+void
+EntryServer::Carry(const AddControlLink& aEffect)
+{
+  m_control.push_back({ aEffect.m_address, ConnectionId(), false });
+  ConnectControl();
+}
+
 void
 EntryServer::Carry(const SendToPeer& aEffect)
 {
--- a/src/fulmarquay-control/PeerLinks.cpp
+++ b/src/libdaemon/PeerLinks.cpp
@@ -1,4 +1,4 @@
-#include "PeerLinks.h"
+#include "fulmarquay/daemon/PeerLinks.h"
 
 #include <utility>
 
@@ -9,6 +9,12 @@
                      const std::map<std::string, Endpoint>& aConfigured)
   : m_hub(aHub)
   , m_ownVm(std::move(aOwnVm))
+{
+  Configure(aConfigured);
+}
+
+void
+PeerLinks::Configure(const std::map<std::string, Endpoint>& aConfigured)
 {
   for (const auto& [vm, address] : aConfigured) {
     if (vm != m_ownVm) {
--- a/src/libserve/ControlSession.cpp
+++ b/src/libserve/ControlSession.cpp
@@ -8,8 +8,7 @@
 namespace {
 
 constexpr Duration kHeartbeatInterval(1'000'000);
-/// Between heartbeats once the leader has answered some in a row.
-constexpr Duration kSteadyInterval(2'000'000);
+/// Heartbeats in a row after which a link counts as steady.
 constexpr int kSteadyReplies = 3;
 constexpr Duration kSearchInterval(100'000);
 /// A replica that does not answer a heartbeat within this is not the leader.
@@ -21,9 +20,13 @@
 
 ControlSession::ControlSession(EntryContext& aContext,
                                ControlSessionOwner& aOwner,
-                               std::vector<Endpoint> aReplicas)
+                               std::vector<Endpoint> aReplicas,
+                               Duration aSteadyInterval,
+                               bool aLearnsReplicas)
   : m_context(aContext)
   , m_owner(aOwner)
+  , m_steadyInterval(aSteadyInterval)
+  , m_learnsReplicas(aLearnsReplicas)
   , m_replicas(std::move(aReplicas))
   , m_isOpen(m_replicas.size(), false)
 {
@@ -76,7 +79,40 @@
   m_isAwaitingReply = false;
   m_repliesInRow = 0;
   m_nextHeartbeat = m_context.Now() + kSearchInterval;
-  SetLeader((m_leader + 1) % m_replicas.size());
+  std::size_t next = (m_leader + 1) % m_replicas.size();
+  for (std::size_t i = 1; i < m_replicas.size() && !m_isOpen[next]; ++i) {
+    next = (next + 1) % m_replicas.size();
+  }
+  SetLeader(next);
+}
+
+std::size_t
+ControlSession::LinkOf(const std::string& aReplica)
+{
+  const Endpoint address = Endpoint::Parse(aReplica);
+  const auto place = std::find(m_replicas.begin(), m_replicas.end(), address);
+  if (place != m_replicas.end()) {
+    return static_cast<std::size_t>(place - m_replicas.begin());
+  }
+  if (!m_learnsReplicas) {
+    return m_replicas.size();
+  }
+  m_replicas.push_back(address);
+  m_isOpen.push_back(false);
+  m_context.Emit(AddControlLink{ address });
+  return m_replicas.size() - 1;
+}
+
+void
+ControlSession::OnReply(const RoutePush& aPush)
+{
+  m_owner.OnRoutePush(aPush);
+}
+
+void
+ControlSession::OnReply(const WorkerPush& aPush)
+{
+  m_owner.OnWorkerPush(aPush);
 }
 
 void
@@ -122,10 +158,13 @@
   m_isAwaitingReply = false;
   m_nextHeartbeat =
     m_heartbeatSent +
-    (++m_repliesInRow > kSteadyReplies ? kSteadyInterval : kHeartbeatInterval);
+    (++m_repliesInRow > kSteadyReplies ? m_steadyInterval : kHeartbeatInterval);
   // From the time of sending: the leader counts from a later moment.
   m_leaseUntil = m_heartbeatSent + Duration(aReply.m_leaseUs);
   m_lastConfirmed = m_heartbeatSent;
+  for (const std::string& replica : aReply.m_replicas) {
+    LinkOf(replica);
+  }
   m_owner.OnHeartbeatReply(aReply);
 }
 
@@ -176,10 +215,11 @@
     return;
   }
   m_isAwaitingReply = false;
-  for (std::size_t i = 0; i < m_replicas.size(); ++i) {
-    const bool isNamed = m_replicas[i].ToString() == aReply.m_leader;
-    if (isNamed && i != m_leader && m_isOpen[i]) {
-      SetLeader(i);
+  if (!aReply.m_leader.empty()) {
+    const std::size_t leader = LinkOf(aReply.m_leader);
+    const bool isLinked = leader < m_replicas.size() && m_isOpen[leader];
+    if (leader != m_leader && isLinked) {
+      SetLeader(leader);
       HeartbeatNow();
       return;
     }
--- a/src/libserve/EntryNode.cpp
+++ b/src/libserve/EntryNode.cpp
@@ -29,7 +29,11 @@
   , m_context(m_options.m_identity, m_options.m_seed)
   , m_protocol(MakeJsonEngineProtocol())
   , m_config(m_context, m_options.m_peers)
-  , m_control(m_context, *this, m_options.m_control)
+  , m_control(m_context,
+              *this,
+              m_options.m_control,
+              m_options.m_heartbeat,
+              m_options.m_learnsReplicas)
   , m_cache(m_context, m_config)
   , m_engines(m_context, m_config, m_cache, *m_protocol)
   , m_writeBack(m_context, m_config, m_cache, *m_protocol)
@@ -42,6 +46,10 @@
            m_options.m_chat)
   , m_services(m_context, m_control)
 {
+  if (m_options.m_relayProtocol) {
+    m_relay = std::make_unique<RelayFlow>(
+      m_context, *m_options.m_relayProtocol, m_options.m_relay);
+  }
 }
 
 EntryEffects
@@ -77,6 +85,10 @@
   heartbeat.m_held = m_config.Held();
   heartbeat.m_inForce = m_config.InForce();
   heartbeat.m_peersSeen = m_peersSeen;
+  if (m_relay) {
+    heartbeat.m_routes = m_relay->Routes().Document().m_revision;
+    heartbeat.m_workers = m_relay->Workers().Number();
+  }
   return heartbeat;
 }
 
@@ -86,6 +98,38 @@
   m_peersSeen = aReply.m_peersVersion;
   m_limits.SetLiveEntries(aReply.m_liveEntries);
   m_config.OnConfirmed(aReply.m_revision, aReply.m_peers);
+  // A key that was taken away before this heartbeat was sent is unknown here
+  // already; one taken away later works no longer than the lease.
+  const bool isCurrent =
+    m_relay && m_relay->Routes().Document().m_revision >= aReply.m_routes;
+  if (isCurrent) {
+    m_relay->OnConfirmed(m_control.LastConfirmed() + m_options.m_keyLease,
+                         aReply.m_liveEntries);
+  }
+}
+
+void
+EntryNode::OnRoutePush(const RoutePush& aPush)
+{
+  if (!m_relay) {
+    return;
+  }
+  try {
+    m_relay->OnRoutes(aPush.m_delta);
+  } catch (const Error& e) {
+    // The next heartbeat tells the leader what is held here.
+    m_context.Log(LogEvent::RoutesRefused,
+                  { { "step", e.Step() }, { "problems", e.Reason() } });
+  }
+  m_control.HeartbeatNow();
+}
+
+void
+EntryNode::OnWorkerPush(const WorkerPush& aPush)
+{
+  if (m_relay) {
+    m_relay->OnWorkers(aPush.m_list);
+  }
 }
 
 void
@@ -110,6 +154,9 @@
   m_cache.OnTick();
   m_engines.OnTick();
   m_writeBack.OnTick();
+  if (m_relay) {
+    m_relay->OnTick();
+  }
   if (!m_isDraining || m_isStopped) {
     return;
   }
@@ -138,13 +185,35 @@
 std::size_t
 EntryNode::Running() const
 {
-  return m_chat.Running() + m_services.Running();
+  return m_chat.Running() + m_services.Running() +
+         (m_relay ? m_relay->Running() : 0);
 }
 
 bool
 EntryNode::IsReady() const
 {
-  return m_config.Current() != nullptr && !m_isDraining;
+  const bool isServing =
+    m_relay ? m_relay->IsReady() : m_config.Current() != nullptr;
+  return isServing && !m_isDraining;
+}
+
+std::string
+EntryNode::RenderMetrics()
+{
+  m_context.Counters().Gauge("running", static_cast<double>(Running()));
+  return m_context.Counters().Render();
+}
+
+Revision
+EntryNode::RoutesRevision() const
+{
+  return m_relay ? m_relay->Routes().Document().m_revision : Revision(0);
+}
+
+CallerLimits
+EntryNode::Limits() const
+{
+  return m_relay ? m_relay->Routes().Document().m_limits : CallerLimits();
 }
 
 void
@@ -161,6 +230,10 @@
 EntryNode::On(const CallerRequest& aEvent)
 {
   const CallerId caller = aEvent.m_caller;
+  if (m_relay) {
+    m_relay->Start(caller, aEvent.m_request);
+    return;
+  }
   const std::string path = PathOf(aEvent.m_request.m_target);
   if (path == "/healthz") {
     Respond(caller, 200, "ok\n");
@@ -168,8 +241,7 @@
     Respond(
       caller, IsReady() ? 200 : 503, IsReady() ? "ready\n" : "not ready\n");
   } else if (path == "/metrics") {
-    m_context.Counters().Gauge("running", static_cast<double>(Running()));
-    Respond(caller, 200, m_context.Counters().Render());
+    Respond(caller, 200, RenderMetrics());
   } else {
     ServeCaller(caller, aEvent.m_request);
   }
@@ -276,6 +348,9 @@
 void
 EntryNode::On(const CallerGone& aEvent)
 {
+  if (m_relay) {
+    m_relay->OnGone(aEvent.m_caller);
+  }
   m_chat.OnGone(aEvent.m_caller);
   m_services.OnGone(aEvent.m_caller);
 }
@@ -356,6 +431,12 @@
   dump["directory_pins"] = m_cache.Directory().Pins();
   dump["frame_bytes_in"] = aTraffic.m_bytesIn;
   dump["frame_bytes_out"] = aTraffic.m_bytesOut;
+  if (m_relay) {
+    dump["routes_revision"] = m_relay->Routes().Document().m_revision.Value();
+    dump["workers"] = m_relay->Workers().All().size();
+    dump["keys_confirmed"] = m_relay->HasKeys();
+    dump["requests_running"] = m_relay->Running();
+  }
   dump["peers"] = nlohmann::ordered_json::array();
   for (const auto& [vm, address] : m_config.Peers()) {
     dump["peers"].push_back({ { "vm", vm.Value() },
--- /dev/null
+++ b/src/libserve/Placement.cpp
@@ -0,0 +1,176 @@
+#include "fulmarquay/serve/Placement.h"
+
+#include "fulmarquay/core/Digest.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace fulmarquay {
+
+namespace {
+
+/// What a running request delays another one, in prompt tokens: it takes part
+/// in every step of the batch.
+constexpr std::int64_t kRunningTokens = 150;
+/// A home worker holds a returning conversation in about every second case:
+/// engines' caches are smaller than all conversations.
+constexpr std::int64_t kHomeDivisor = 2;
+/// A read part is trusted to be cached for this long.
+constexpr Duration kPartLife(6'000'000);
+constexpr Duration kSweepInterval(2'000'000);
+/// From this long after newer weights were named, a request on older ones is
+/// worth less to its caller.
+constexpr Duration kOldWeightsFree(1'000'000);
+/// Prompt tokens that a caller would rather wait for than get old weights.
+constexpr std::int64_t kOldWeightsTokens = 1'000;
+constexpr std::int64_t kLateWeightsTokens = 30'000;
+/// One more running request at a plain service.
+constexpr std::int64_t kServiceCost = 1'000;
+constexpr std::int64_t kExcluded = std::numeric_limits<std::int64_t>::max();
+
+std::int64_t
+VersionOf(const WorkerState& aWorker, const std::string& aModel)
+{
+  const auto place = aWorker.m_info.m_weights.find(aModel);
+  return place == aWorker.m_info.m_weights.end() ? -1 : place->second;
+}
+
+/// What entries agree on: the last part that a prompt shares with others.
+std::uint64_t
+AffinityItem(const Placement::Question& aQuestion)
+{
+  const std::vector<PromptPart>& parts = aQuestion.m_request->m_parts;
+  if (parts.empty()) {
+    return Checksum64(aQuestion.m_request->m_id);
+  }
+  const std::size_t last = parts.size() < 2 ? 0 : parts.size() - 2;
+  return Checksum64(parts[last].m_id, Checksum64(aQuestion.m_cacheScope));
+}
+
+} // namespace
+
+std::string
+Placement::PartKey(const std::string& aPart,
+                   const std::string& aCacheScope,
+                   std::int64_t aVersion)
+{
+  return aPart + "/" + std::to_string(aVersion) + "/" + aCacheScope;
+}
+
+std::int64_t
+Placement::UncachedTokens(const WorkerState& aWorker,
+                          const Question& aQuestion) const
+{
+  const RelayRequest& request = *aQuestion.m_request;
+  std::int64_t cached = 0;
+  const auto known = m_known.find(aWorker.m_info.m_id.Value());
+  const std::int64_t version = VersionOf(aWorker, request.m_model);
+  for (const PromptPart& part : request.m_parts) {
+    if (known == m_known.end()) {
+      break;
+    }
+    const auto read = known->second.m_parts.find(
+      PartKey(part.m_id, aQuestion.m_cacheScope, version));
+    const bool isKept = read != known->second.m_parts.end() &&
+                        aQuestion.m_now < read->second + kPartLife;
+    if (!isKept) {
+      break;
+    }
+    cached += part.m_tokens;
+  }
+  return std::max<std::int64_t>(0, request.m_promptTokens - cached);
+}
+
+std::int64_t
+Placement::Cost(const WorkerState& aWorker,
+                const Question& aQuestion,
+                std::uint64_t aItem,
+                const WorkerState* aHome) const
+{
+  // The others' load is like the own one: callers are spread by a hash.
+  const std::int64_t entries = aQuestion.m_entries;
+  if (!aQuestion.m_hasPrompt) {
+    const auto spread = static_cast<std::int64_t>(
+      Checksum64(aWorker.m_info.m_id.Value(), aItem) % kServiceCost);
+    return aWorker.m_running * kServiceCost + spread;
+  }
+  std::int64_t own = UncachedTokens(aWorker, aQuestion);
+  if (&aWorker == aHome) {
+    own = std::min(own, aQuestion.m_request->m_promptTokens / kHomeDivisor);
+  }
+  return own + (aWorker.m_waitingTokens + aWorker.m_running * kRunningTokens) *
+                 entries;
+}
+
+std::int64_t
+Placement::AgeCost(const WorkerTable& aWorkers,
+                   const WorkerState& aWorker,
+                   const Question& aQuestion) const
+{
+  const std::string& model = aQuestion.m_request->m_model;
+  const std::int64_t named = aWorkers.NamedVersion(model);
+  const std::int64_t version = VersionOf(aWorker, model);
+  if (version < 0 || version >= named) {
+    return 0;
+  }
+  const Duration age = aQuestion.m_now - aWorkers.NamedSince(model);
+  if (age >= aQuestion.m_oldWeightsLimit) {
+    return kExcluded;
+  }
+  return age < kOldWeightsFree ? kOldWeightsTokens : kLateWeightsTokens;
+}
+
+WorkerState*
+Placement::Choose(WorkerTable& aWorkers, const Question& aQuestion)
+{
+  std::vector<WorkerState*> usable =
+    aWorkers.Usable(aQuestion.m_now, aQuestion.m_pool);
+  std::erase_if(usable, [&](const WorkerState* aEach) {
+    return aQuestion.m_tried.count(aEach->m_info.m_id) != 0;
+  });
+  const std::uint64_t item = AffinityItem(aQuestion);
+  const WorkerState* home = nullptr;
+  std::uint64_t homeWeight = 0;
+  for (const WorkerState* worker : usable) {
+    const std::uint64_t weight = Checksum64(worker->m_info.m_id.Value(), item);
+    if (home == nullptr || weight > homeWeight) {
+      home = worker;
+      homeWeight = weight;
+    }
+  }
+  WorkerState* best = nullptr;
+  std::int64_t bestCost = kExcluded;
+  for (WorkerState* worker : usable) {
+    const std::int64_t age = AgeCost(aWorkers, *worker, aQuestion);
+    if (age == kExcluded) {
+      continue;
+    }
+    const std::int64_t cost = Cost(*worker, aQuestion, item, home) + age;
+    if (cost < bestCost) {
+      best = worker;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+void
+Placement::OnRead(TimePoint aNow,
+                  const WorkerState& aWorker,
+                  const RelayRequest& aRequest,
+                  const std::string& aCacheScope)
+{
+  Known& known = m_known[aWorker.m_info.m_id.Value()];
+  const std::int64_t version = VersionOf(aWorker, aRequest.m_model);
+  for (const PromptPart& part : aRequest.m_parts) {
+    known.m_parts[PartKey(part.m_id, aCacheScope, version)] = aNow;
+  }
+  if (aNow >= known.m_nextSweep) {
+    known.m_nextSweep = aNow + kSweepInterval;
+    std::erase_if(known.m_parts, [&](const auto& aEach) {
+      return aNow >= aEach.second + kPartLife;
+    });
+  }
+}
+
+} // namespace fulmarquay
--- /dev/null
+++ b/src/libserve/RelayFlow.cpp
@@ -0,0 +1,639 @@
+#include "fulmarquay/serve/RelayFlow.h"
+
+#include "fulmarquay/core/Digest.h"
+#include "fulmarquay/core/Error.h"
+#include "fulmarquay/route/RouteDelta.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmarquay {
+
+namespace {
+
+/// Workers are a few ms away: one that does not take a connection within
+/// this is down or cut off.
+constexpr Duration kConnectTimeout(300'000);
+/// Unreachable workers that one request tries before it is refused.
+constexpr int kMostMisses = 3;
+/// A worker can't do anything useful in less.
+constexpr Duration kLeastLeft(5'000);
+/// Callers come back this much later: an entry that starts or finds its
+/// leader again, a worker with a full queue.
+constexpr Duration kRetryStart(500'000);
+constexpr Duration kRetryBusy(150'000);
+constexpr int kStatusOk = 200;
+constexpr int kStatusRedirect = 300;
+constexpr int kStatusUnauthorized = 401;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusServerError = 500;
+constexpr int kStatusBadGateway = 502;
+constexpr int kStatusUnavailable = 503;
+constexpr int kStatusGatewayTimeout = 504;
+
+std::string
+Millis(Duration aTime)
+{
+  return std::to_string(aTime.count() / 1'000);
+}
+
+} // namespace
+
+RelayFlow::RelayFlow(EntryContext& aContext,
+                     const RelayProtocol& aProtocol,
+                     RelayOptions aOptions)
+  : m_context(aContext)
+  , m_protocol(aProtocol)
+  , m_options(aOptions)
+{
+}
+
+void
+RelayFlow::OnRoutes(const RouteDelta& aDelta)
+{
+  if (aDelta.m_to <= m_routes.Document().m_revision) {
+    return;
+  }
+  m_routes.Apply(aDelta);
+  m_context.Log(
+    LogEvent::RoutesInForce,
+    { { "revision", std::to_string(aDelta.m_to.Value()) },
+      { "from", std::to_string(aDelta.m_from.Value()) },
+      { "routes", std::to_string(m_routes.Document().m_routes.size()) } });
+}
+
+void
+RelayFlow::OnWorkers(const WorkerList& aList)
+{
+  m_workers.Apply(m_context.Now(), aList);
+}
+
+void
+RelayFlow::OnConfirmed(TimePoint aKeysUntil, std::uint32_t aEntries)
+{
+  m_keysUntil = std::max(m_keysUntil, aKeysUntil);
+  m_entries = std::max<std::uint32_t>(1, aEntries);
+  for (auto& [pool, budget] : m_budgets) {
+    budget.SetMost(m_options.m_retrySlack / m_entries);
+  }
+}
+
+bool
+RelayFlow::IsReady() const
+{
+  return m_routes.Document().m_revision > Revision(0) &&
+         m_workers.Number() != 0 && HasKeys();
+}
+
+RetryBudget&
+RelayFlow::BudgetOf(const PoolId& aPool)
+{
+  const auto place = m_budgets.find(aPool);
+  if (place != m_budgets.end()) {
+    return place->second;
+  }
+  return m_budgets
+    .emplace(
+      aPool,
+      RetryBudget(m_options.m_retryShare, m_options.m_retrySlack / m_entries))
+    .first->second;
+}
+
+Duration
+RelayFlow::Age(const Relayed& aRelayed) const
+{
+  return m_context.Now() - aRelayed.m_arrived;
+}
+
+void
+RelayFlow::Start(CallerId aCaller, HttpRequest aRequest)
+{
+  auto relayed = std::make_unique<Relayed>();
+  relayed->m_caller = aCaller;
+  relayed->m_arrived = m_context.Now();
+  Relayed& added = *relayed;
+  m_byCaller[aCaller] = std::move(relayed);
+  try {
+    added.m_request = m_protocol.Decode(std::move(aRequest));
+  } catch (const Error& e) {
+    Refuse(added, kStatusBadRequest, e.Reason(), Duration(0));
+    return;
+  }
+  Admit(added);
+}
+
+void
+RelayFlow::Admit(Relayed& aRelayed)
+{
+  const RelayRequest& request = aRelayed.m_request;
+  if (m_routes.Document().m_revision == Revision(0)) {
+    Refuse(aRelayed, kStatusUnavailable, "no routes yet", kRetryStart);
+    return;
+  }
+  const RouteTable::Route route = m_routes.Find(request.m_host, request.m_path);
+  if (route.m_rule == nullptr) {
+    // Without the leader this entry may have missed the route.
+    const bool isSure = HasKeys();
+    Refuse(aRelayed,
+           isSure ? kStatusNotFound : kStatusUnavailable,
+           "no route",
+           isSure ? Duration(0) : kRetryStart);
+    return;
+  }
+  aRelayed.m_rule = *route.m_rule;
+  aRelayed.m_route = std::string(route.m_name);
+  aRelayed.m_rank = route.m_rule->m_rank;
+  if (!Identify(aRelayed, *route.m_rule)) {
+    return;
+  }
+  Duration wait(aRelayed.m_rule.m_timeoutUs);
+  if (request.m_deadline > Duration(0)) {
+    wait = std::min(wait, request.m_deadline);
+  }
+  aRelayed.m_due = aRelayed.m_arrived + wait;
+  m_due.emplace(aRelayed.m_due, aRelayed.m_caller);
+  aRelayed.m_pool = ChoosePool(aRelayed).m_pool;
+  BudgetOf(aRelayed.m_pool).OnRequest();
+  Place(aRelayed);
+}
+
+bool
+RelayFlow::Identify(Relayed& aRelayed, const RouteRule& aRule)
+{
+  const std::string& key = aRelayed.m_request.m_key;
+  const bool needsKey = m_routes.Document().m_needsKeys && !aRule.m_isAnonymous;
+  if (needsKey && !HasKeys()) {
+    Refuse(aRelayed, kStatusUnavailable, "keys not confirmed", kRetryStart);
+    return false;
+  }
+  if (key.empty() && !needsKey) {
+    return true;
+  }
+  const RouteTable::Account account = m_routes.FindAccount(Sha256Hex(key));
+  if (account.m_rule == nullptr) {
+    if (needsKey) {
+      Refuse(aRelayed, kStatusUnauthorized, "unknown key", Duration(0));
+    }
+    return !needsKey;
+  }
+  if (!HasKeys()) {
+    // An anonymous route serves the caller without the account.
+    return true;
+  }
+  aRelayed.m_account = std::string(account.m_name);
+  aRelayed.m_cacheScope =
+    account.m_rule->m_isIsolated ? aRelayed.m_account : "";
+  if (account.m_rule->m_rank >= 0) {
+    aRelayed.m_rank = account.m_rule->m_rank;
+  }
+  return true;
+}
+
+const PoolShare&
+RelayFlow::ChoosePool(const Relayed& aRelayed) const
+{
+  const std::vector<PoolShare>& pools = aRelayed.m_rule.m_pools;
+  std::uint64_t total = 0;
+  for (const PoolShare& share : pools) {
+    total += static_cast<std::uint64_t>(share.m_weight);
+  }
+  std::uint64_t point = Checksum64(aRelayed.m_request.m_id) % total;
+  for (const PoolShare& share : pools) {
+    const auto weight = static_cast<std::uint64_t>(share.m_weight);
+    if (point < weight) {
+      return share;
+    }
+    point -= weight;
+  }
+  return pools.back();
+}
+
+void
+RelayFlow::Place(Relayed& aRelayed)
+{
+  Placement::Question question;
+  question.m_now = m_context.Now();
+  question.m_pool = aRelayed.m_pool;
+  question.m_request = &aRelayed.m_request;
+  question.m_hasPrompt = aRelayed.m_rule.m_hasPrompt;
+  question.m_cacheScope = aRelayed.m_cacheScope;
+  question.m_tried = aRelayed.m_tried;
+  question.m_entries = m_entries;
+  question.m_oldWeightsLimit = m_options.m_oldWeightsLimit;
+  const bool isLate = aRelayed.m_due - question.m_now < kLeastLeft;
+  WorkerState* worker =
+    isLate ? nullptr : m_placement.Choose(m_workers, question);
+  if (worker == nullptr) {
+    const std::string reason = isLate ? "no time left" : "no worker";
+    if (aRelayed.m_isStreaming || aRelayed.m_mayHaveRun) {
+      Fail(aRelayed, kStatusBadGateway, reason);
+    } else {
+      Refuse(aRelayed, kStatusUnavailable, reason, kRetryBusy);
+    }
+    return;
+  }
+  aRelayed.m_counted = aRelayed.m_rule.m_hasPrompt
+                         ? m_placement.UncachedTokens(*worker, question)
+                         : 0;
+  Send(aRelayed, *worker);
+}
+
+std::string
+RelayFlow::ScopeFor(const Relayed& aRelayed, const WorkerState& aWorker) const
+{
+  // KV cache of another weight version must never be found: workers and
+  // stores keep parts beyond a change of weights.
+  const auto weights =
+    aWorker.m_info.m_weights.find(aRelayed.m_request.m_model);
+  const std::int64_t version =
+    weights == aWorker.m_info.m_weights.end() ? 0 : weights->second;
+  std::string scope = "w" + std::to_string(version);
+  if (!aRelayed.m_cacheScope.empty()) {
+    scope += "." + aRelayed.m_cacheScope;
+  }
+  return scope;
+}
+
+void
+RelayFlow::Send(Relayed& aRelayed, WorkerState& aWorker)
+{
+  RelayOrder order;
+  order.m_worker = aWorker.m_info.m_id.Value();
+  order.m_account = aRelayed.m_account;
+  order.m_left = aRelayed.m_due - m_context.Now();
+  order.m_resumeAfter = aRelayed.m_isStreaming
+                          ? aRelayed.m_borders.LastId()
+                          : aRelayed.m_request.m_resumeAfter;
+  if (aRelayed.m_rule.m_hasPrompt) {
+    order.m_rank = aRelayed.m_rank;
+    order.m_cacheScope = ScopeFor(aRelayed, aWorker);
+    const auto weights =
+      aWorker.m_info.m_weights.find(aRelayed.m_request.m_model);
+    if (weights != aWorker.m_info.m_weights.end()) {
+      order.m_weights = weights->second;
+    }
+  }
+  HttpCall call;
+  call.m_peer = aWorker.m_address;
+  call.m_request = m_protocol.Encode(aRelayed.m_request, order);
+  call.m_idleTimeout = Duration(0);
+  call.m_connectTimeout = std::min(kConnectTimeout, order.m_left);
+  call.m_answerMark = m_protocol.AnswerMark(aRelayed.m_request);
+  aRelayed.m_worker = aWorker.m_info.m_id;
+  aRelayed.m_tried.insert(aRelayed.m_worker);
+  aRelayed.m_isRead = false;
+  aRelayed.m_isRunning = true;
+  ++aRelayed.m_sends;
+  ++aWorker.m_running;
+  aWorker.m_waitingTokens += aRelayed.m_counted;
+  aRelayed.m_call = m_context.Call(std::move(call), *this);
+  m_byCall[aRelayed.m_call] = &aRelayed;
+  m_context.Log(
+    LogEvent::RequestSent,
+    { { "id", aRelayed.m_request.m_id },
+      { "route", aRelayed.m_route },
+      { "revision", std::to_string(m_routes.Document().m_revision.Value()) },
+      { "worker", order.m_worker },
+      { "list", std::to_string(m_workers.Number()) },
+      { "send", std::to_string(aRelayed.m_sends) },
+      { "uncached", std::to_string(aRelayed.m_counted) },
+      { "running", std::to_string(aWorker.m_running) },
+      { "left_ms", Millis(order.m_left) } });
+}
+
+RelayFlow::Relayed*
+RelayFlow::Find(CallId aCall)
+{
+  const auto place = m_byCall.find(aCall);
+  return place == m_byCall.end() ? nullptr : place->second;
+}
+
+void
+RelayFlow::Release(Relayed& aRelayed)
+{
+  if (!aRelayed.m_isRunning) {
+    return;
+  }
+  aRelayed.m_isRunning = false;
+  m_byCall.erase(aRelayed.m_call);
+  if (WorkerState* worker = m_workers.Find(aRelayed.m_worker)) {
+    worker->m_running = std::max<std::int64_t>(0, worker->m_running - 1);
+    worker->m_waitingTokens =
+      std::max<std::int64_t>(0, worker->m_waitingTokens - aRelayed.m_counted);
+  }
+  aRelayed.m_counted = 0;
+}
+
+void
+RelayFlow::OnHead(CallId aCall, const HttpResponse& aHead)
+{
+  Relayed* relayed = Find(aCall);
+  if (relayed == nullptr) {
+    return;
+  }
+  relayed->m_facts = m_protocol.ReadHead(aHead);
+  const RelayHead& facts = relayed->m_facts;
+  const bool isGood =
+    facts.m_status >= kStatusOk && facts.m_status < kStatusRedirect;
+  if (relayed->m_isStreaming) {
+    return;
+  }
+  relayed->m_head = m_protocol.CallerHead(aHead);
+  if (isGood && facts.m_isProven && facts.m_isStream) {
+    relayed->m_isStreaming = true;
+    m_context.Emit(BeginCallerStream{ relayed->m_caller, relayed->m_head });
+  }
+}
+
+void
+RelayFlow::OnRead(Relayed& aRelayed)
+{
+  WorkerState* worker = m_workers.Find(aRelayed.m_worker);
+  if (worker == nullptr) {
+    return;
+  }
+  worker->m_waitingTokens =
+    std::max<std::int64_t>(0, worker->m_waitingTokens - aRelayed.m_counted);
+  aRelayed.m_counted = 0;
+  m_placement.OnRead(
+    m_context.Now(), *worker, aRelayed.m_request, aRelayed.m_cacheScope);
+  m_context.Counters().Observe("first_event_seconds",
+                               static_cast<double>(Age(aRelayed).count()) / 1e6,
+                               "route=\"" + aRelayed.m_route + "\"");
+}
+
+void
+RelayFlow::OnData(CallId aCall, const std::string& aData)
+{
+  Relayed* relayed = Find(aCall);
+  if (relayed == nullptr) {
+    return;
+  }
+  const bool isGood = relayed->m_facts.m_status >= kStatusOk &&
+                      relayed->m_facts.m_status < kStatusRedirect;
+  if (!relayed->m_isStreaming) {
+    relayed->m_head.m_body += aData;
+    return;
+  }
+  if (!isGood) {
+    return;
+  }
+  if (!relayed->m_isRead) {
+    relayed->m_isRead = true;
+    OnRead(*relayed);
+  }
+  std::string events = relayed->m_borders.Feed(aData);
+  if (!events.empty()) {
+    m_context.Emit(WriteCallerStream{ relayed->m_caller, std::move(events) });
+  }
+}
+
+void
+RelayFlow::OnEnd(CallId aCall, CallEnd aEnd, const std::string& aWhy)
+{
+  Relayed* relayed = Find(aCall);
+  if (relayed == nullptr) {
+    return;
+  }
+  Release(*relayed);
+  if (aEnd == CallEnd::NotSent) {
+    OnUnreached(*relayed, aWhy);
+  } else if (aEnd == CallEnd::Whole && relayed->m_facts.m_isNotRun) {
+    OnNotRun(*relayed);
+  } else if (aEnd == CallEnd::Whole) {
+    OnWhole(*relayed);
+  } else {
+    relayed->m_mayHaveRun = true;
+    OnBroken(*relayed, aWhy);
+  }
+}
+
+void
+RelayFlow::OnWhole(Relayed& aRelayed)
+{
+  const RelayHead& facts = aRelayed.m_facts;
+  const bool isGood =
+    facts.m_status >= kStatusOk && facts.m_status < kStatusRedirect;
+  aRelayed.m_mayHaveRun = true;
+  if (isGood && (!facts.m_isProven || aRelayed.m_borders.HasPartial())) {
+    OnBroken(aRelayed, "the answer is not the worker's whole one");
+    return;
+  }
+  if (isGood) {
+    m_workers.OnSuccess(aRelayed.m_worker);
+  }
+  if (aRelayed.m_isStreaming && !isGood) {
+    // A worker refused to go on with a stream that another one began.
+    OnBroken(aRelayed, "status " + std::to_string(facts.m_status));
+    return;
+  }
+  const bool isFailure = facts.m_status >= kStatusServerError;
+  if (isFailure && aRelayed.m_rule.MayRepeat() && TakeRepeat(aRelayed)) {
+    Place(aRelayed);
+    return;
+  }
+  Finish(aRelayed, facts.m_status);
+}
+
+void
+RelayFlow::OnNotRun(Relayed& aRelayed)
+{
+  if (TakeRepeat(aRelayed)) {
+    Place(aRelayed);
+    return;
+  }
+  if (aRelayed.m_isStreaming || aRelayed.m_mayHaveRun) {
+    Fail(aRelayed, kStatusBadGateway, "no worker went on");
+    return;
+  }
+  Refuse(aRelayed, kStatusUnavailable, "the worker refused", kRetryBusy);
+}
+
+void
+RelayFlow::OnUnreached(Relayed& aRelayed, const std::string& aWhy)
+{
+  m_workers.OnFailure(m_context.Now(), aRelayed.m_worker);
+  m_context.Log(LogEvent::WorkerSuspected,
+                { { "worker", aRelayed.m_worker.Value() },
+                  { "id", aRelayed.m_request.m_id },
+                  { "why", aWhy } });
+  // Nothing arrived there: it counts neither as a send nor as a repeat.
+  --aRelayed.m_sends;
+  if (++aRelayed.m_misses > kMostMisses) {
+    if (aRelayed.m_isStreaming || aRelayed.m_mayHaveRun) {
+      Fail(aRelayed, kStatusBadGateway, "no worker reached");
+    } else {
+      Refuse(aRelayed, kStatusUnavailable, "no worker reached", kRetryBusy);
+    }
+    return;
+  }
+  Place(aRelayed);
+}
+
+bool
+RelayFlow::MayResume(const Relayed& aRelayed) const
+{
+  return aRelayed.m_rule.Kind() == Repetition::Stream &&
+         aRelayed.m_rule.m_isResumable;
+}
+
+bool
+RelayFlow::TakeRepeat(Relayed& aRelayed)
+{
+  const bool isAllowed = aRelayed.m_sends < aRelayed.m_rule.m_attempts &&
+                         aRelayed.m_due - m_context.Now() > kLeastLeft;
+  if (!isAllowed || !BudgetOf(aRelayed.m_pool).Take()) {
+    return false;
+  }
+  m_context.Log(LogEvent::RequestRepeated,
+                { { "id", aRelayed.m_request.m_id },
+                  { "after", aRelayed.m_worker.Value() },
+                  { "status", std::to_string(aRelayed.m_facts.m_status) },
+                  { "sends", std::to_string(aRelayed.m_sends) } });
+  return true;
+}
+
+void
+RelayFlow::OnBroken(Relayed& aRelayed, const std::string& aWhy)
+{
+  m_workers.OnFailure(m_context.Now(), aRelayed.m_worker);
+  aRelayed.m_borders.DropPartial();
+  aRelayed.m_head.m_body.clear();
+  const bool mayGoOn = aRelayed.m_rule.MayRepeat() || MayResume(aRelayed);
+  if (mayGoOn && TakeRepeat(aRelayed)) {
+    Place(aRelayed);
+    return;
+  }
+  Fail(aRelayed, kStatusBadGateway, aWhy);
+}
+
+void
+RelayFlow::Refuse(Relayed& aRelayed,
+                  int aStatus,
+                  const std::string& aReason,
+                  Duration aRetryAfter)
+{
+  m_context.Counters().Count("relay_refused_total",
+                             "reason=\"" + aReason + "\"");
+  m_context.Log(
+    LogEvent::RequestRefused,
+    { { "id", aRelayed.m_request.m_id },
+      { "status", std::to_string(aStatus) },
+      { "reason", aReason },
+      { "route", aRelayed.m_route },
+      { "revision", std::to_string(m_routes.Document().m_revision.Value()) },
+      { "keys", HasKeys() ? "confirmed" : "unconfirmed" },
+      { "age_ms", Millis(Age(aRelayed)) } });
+  m_context.Emit(RespondCaller{
+    aRelayed.m_caller,
+    m_protocol.Refuse(aRelayed.m_request, { aStatus, aReason, aRetryAfter }) });
+  Forget(aRelayed);
+}
+
+void
+RelayFlow::Fail(Relayed& aRelayed, int aStatus, const std::string& aReason)
+{
+  m_context.Counters().Count("relay_failed_total",
+                             "status=\"" + std::to_string(aStatus) + "\"");
+  m_context.Log(LogEvent::RequestFailed,
+                { { "id", aRelayed.m_request.m_id },
+                  { "status", std::to_string(aStatus) },
+                  { "reason", aReason },
+                  { "worker", aRelayed.m_worker.Value() },
+                  { "streaming", aRelayed.m_isStreaming ? "yes" : "no" },
+                  { "event", std::to_string(aRelayed.m_borders.LastId()) },
+                  { "age_ms", Millis(Age(aRelayed)) } });
+  if (aRelayed.m_isStreaming) {
+    m_context.Emit(EndCallerStream{ aRelayed.m_caller, false });
+  } else {
+    m_context.Emit(
+      RespondCaller{ aRelayed.m_caller,
+                     m_protocol.Refuse(aRelayed.m_request,
+                                       { aStatus, aReason, Duration(0) }) });
+  }
+  Forget(aRelayed);
+}
+
+void
+RelayFlow::Finish(Relayed& aRelayed, int aStatus)
+{
+  m_context.Counters().Count("relay_answered_total",
+                             "status=\"" + std::to_string(aStatus) + "\"");
+  m_context.Log(LogEvent::RequestAnswered,
+                { { "id", aRelayed.m_request.m_id },
+                  { "status", std::to_string(aStatus) },
+                  { "worker", aRelayed.m_worker.Value() },
+                  { "age_ms", Millis(Age(aRelayed)) } });
+  if (aRelayed.m_isStreaming) {
+    m_context.Emit(EndCallerStream{ aRelayed.m_caller, true });
+  } else {
+    m_context.Emit(
+      RespondCaller{ aRelayed.m_caller, std::move(aRelayed.m_head) });
+  }
+  Forget(aRelayed);
+}
+
+void
+RelayFlow::OnGone(CallerId aCaller)
+{
+  const auto place = m_byCaller.find(aCaller);
+  if (place == m_byCaller.end()) {
+    return;
+  }
+  Relayed& relayed = *place->second;
+  m_context.Log(LogEvent::RequestAbandoned,
+                { { "id", relayed.m_request.m_id },
+                  { "worker", relayed.m_worker.Value() },
+                  { "age_ms", Millis(Age(relayed)) } });
+  Forget(relayed);
+}
+
+void
+RelayFlow::Expire(Relayed& aRelayed)
+{
+  const bool mayHaveRun = aRelayed.m_isRunning || aRelayed.m_mayHaveRun;
+  if (mayHaveRun || aRelayed.m_isStreaming) {
+    Fail(aRelayed, kStatusGatewayTimeout, "timeout");
+  } else {
+    Refuse(aRelayed, kStatusUnavailable, "timeout", Duration(0));
+  }
+}
+
+void
+RelayFlow::OnTick()
+{
+  const TimePoint now = m_context.Now();
+  while (!m_due.empty() && m_due.begin()->first <= now) {
+    const CallerId caller = m_due.begin()->second;
+    m_due.erase(m_due.begin());
+    const auto place = m_byCaller.find(caller);
+    if (place != m_byCaller.end()) {
+      Expire(*place->second);
+    }
+  }
+  if (m_hadKeys != HasKeys()) {
+    m_hadKeys = HasKeys();
+    m_context.Log(m_hadKeys ? LogEvent::KeyLeaseRegained
+                            : LogEvent::KeyLeaseLost);
+  }
+}
+
+void
+RelayFlow::Forget(Relayed& aRelayed)
+{
+  if (aRelayed.m_isRunning) {
+    m_context.Cancel(aRelayed.m_call);
+    Release(aRelayed);
+  }
+  const auto [first, last] = m_due.equal_range(aRelayed.m_due);
+  for (auto due = first; due != last; ++due) {
+    if (due->second == aRelayed.m_caller) {
+      m_due.erase(due);
+      break;
+    }
+  }
+  m_byCaller.erase(aRelayed.m_caller);
+}
+
+} // namespace fulmarquay
--- a/src/libserve/serve_test.cpp
+++ b/src/libserve/serve_test.cpp
@@ -1,7 +1,7 @@
 #include "fulmarquay/core/Digest.h"
 #include "fulmarquay/core/Error.h"
 #include "fulmarquay/core/Settings.h"
-#include "fulmarquay/platform/StandinAnswer.h"
+#include "fulmarquay/upstream/StandinAnswer.h"
 #include "fulmarquay/serve/ConfigHolder.h"
 #include "fulmarquay/serve/EntryNode.h"
 #include "fulmarquay/wire/FrameHub.h"
--- a/src/libplatform/EngineProtocol.cpp
+++ b/src/libupstream/EngineProtocol.cpp
@@ -1,4 +1,4 @@
-#include "fulmarquay/platform/EngineProtocol.h"
+#include "fulmarquay/upstream/EngineProtocol.h"
 
 #include "fulmarquay/core/Error.h"
 
--- a/src/libplatform/StandinAnswer.cpp
+++ b/src/libupstream/StandinAnswer.cpp
@@ -1,4 +1,4 @@
-#include "fulmarquay/platform/StandinAnswer.h"
+#include "fulmarquay/upstream/StandinAnswer.h"
 
 #include "fulmarquay/core/Digest.h"
 
--- a/src/libplatform/StoreProtocol.cpp
+++ b/src/libupstream/StoreProtocol.cpp
@@ -1,4 +1,4 @@
-#include "fulmarquay/platform/StoreProtocol.h"
+#include "fulmarquay/upstream/StoreProtocol.h"
 
 #include "fulmarquay/core/Error.h"
 
--- a/src/libplatform/platform_test.cpp
+++ b/src/libupstream/upstream_test.cpp
@@ -1,7 +1,7 @@
 #include "fulmarquay/core/Error.h"
-#include "fulmarquay/platform/EngineProtocol.h"
-#include "fulmarquay/platform/StandinAnswer.h"
-#include "fulmarquay/platform/StoreProtocol.h"
+#include "fulmarquay/upstream/EngineProtocol.h"
+#include "fulmarquay/upstream/StandinAnswer.h"
+#include "fulmarquay/upstream/StoreProtocol.h"
 
 #include <random>
 
--- a/src/libwire/FrameHub.cpp
+++ b/src/libwire/FrameHub.cpp
@@ -6,7 +6,10 @@
 #include "fulmarquay/core/LogEvent.h"
 
 #include <array>
+#include "fulmarquay/wire/SocketOptions.h"
+
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <deque>
@@ -23,7 +26,11 @@
 
 /// A peer that lets more than this wait unread loses its connection.
 constexpr std::size_t kMaxQueuedBytes = 64U << 20U;
-constexpr std::size_t kReadBytes = 64U << 10U;
+constexpr std::size_t kReadBytes = 16U << 10U;
+/// Every link carries heartbeats more often than this.
+constexpr Duration kPeerSilence(1'500'000);
+/// Peers are a few ms away; a lost opening packet is sent again after 1 s.
+constexpr Duration kConnectTimeout(1'200'000);
 
 tcp::endpoint
 ToAsio(const Endpoint& aEndpoint)
@@ -55,9 +62,11 @@
   {
     explicit Connection(tcp::socket aSocket)
       : m_socket(std::move(aSocket))
+      , m_opening(m_socket.get_executor())
     {
     }
     tcp::socket m_socket;
+    asio::steady_timer m_opening; ///< bounds the time to connect
     FrameDecoder m_decoder;
     std::array<char, kReadBytes> m_input{};
     std::string m_queued;
@@ -130,6 +139,12 @@
   auto connection = std::make_shared<Connection>(tcp::socket(m_context));
   const ConnectionId id = Add(connection);
   auto self = shared_from_this();
+  connection->m_opening.expires_after(kConnectTimeout);
+  connection->m_opening.async_wait([self, id](const error_code& aError) {
+    if (!aError) {
+      self->Drop(id);
+    }
+  });
   connection->m_socket.async_connect(
     ToAsio(aEndpoint), [self, id, connection](const error_code& aError) {
       if (!self->IsKnown(id)) {
@@ -148,7 +163,9 @@
 FrameHub::Impl::Opened(ConnectionId aId, const ConnectionPtr& aConnection)
 {
   error_code ignored;
+  aConnection->m_opening.cancel();
   aConnection->m_socket.set_option(tcp::no_delay(true), ignored);
+  SetPeerTimeout(aConnection->m_socket.native_handle(), kPeerSilence);
   aConnection->m_isOpen = true;
   Read(aId, aConnection);
   Write(aId, aConnection);
@@ -249,6 +266,7 @@
     return;
   }
   error_code ignored;
+  place->second->m_opening.cancel();
   place->second->m_socket.close(ignored);
   m_connections.erase(place);
 }
--- a/src/libwire/HttpClient.cpp
+++ b/src/libwire/HttpClient.cpp
@@ -2,12 +2,15 @@
 
 #include "fulmarquay/wire/HttpClient.h"
 
+#include "fulmarquay/core/Clock.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <array>
+#include <cstdlib>
 #include <list>
 #include <map>
 #include <optional>
@@ -25,6 +28,26 @@
 constexpr std::size_t kIdlePerPeer = 64;
 constexpr std::size_t kReadBytes = 16U << 10U;
 constexpr std::uint64_t kMaxAnswerBytes = 64U << 20U;
+/// A kept connection is reused within this share of the idle time that its
+/// peer has named: far from the moment at which the peer may close it.
+constexpr int kIdleDivisor = 2;
+/// Where the peer names none, its idle time may be below a second.
+constexpr Duration kUnnamedIdle(200'000);
+constexpr const char* kTimeoutWord = "timeout=";
+
+/// How long a connection may wait for its next request.
+Duration
+UsableIdle(std::string_view aKeepAlive)
+{
+  const std::size_t place = aKeepAlive.find(kTimeoutWord);
+  if (place == std::string_view::npos) {
+    return kUnnamedIdle;
+  }
+  const std::string digits(
+    aKeepAlive.substr(place + std::string_view(kTimeoutWord).size()));
+  const long seconds = std::strtol(digits.c_str(), nullptr, 10);
+  return std::chrono::seconds(seconds) / kIdleDivisor;
+}
 
 /// A connection and the bytes read beyond the last answer.
 struct Wire
@@ -35,6 +58,7 @@
   }
   beast::tcp_stream m_stream;
   beast::flat_buffer m_buffer;
+  TimePoint m_usableUntil;
 };
 using WirePtr = std::shared_ptr<Wire>;
 
@@ -75,6 +99,7 @@
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::array<char, kReadBytes> m_part{};
     bool m_isSent = false;
+    bool m_isForeign = false; ///< the answer that is being read
   };
   using RunningPtr = std::shared_ptr<Running>;
 
@@ -88,6 +113,8 @@
   void Fail(const RunningPtr& aRunning, const error_code& aError);
   void Finish(const RunningPtr& aRunning);
   void Close(Wire& aWire);
+  void BoundWait(const Running& aRunning);
+  static bool IsForeign(const Running& aRunning);
 
   HttpCallHandler& m_handler;
   std::map<CallId, RunningPtr> m_running;
@@ -115,7 +142,7 @@
   while (!idle.empty()) {
     WirePtr wire = idle.back();
     idle.pop_back();
-    if (IsStillOpen(*wire)) {
+    if (MonotonicNow() < wire->m_usableUntil && IsStillOpen(*wire)) {
       return wire;
     }
     Close(*wire);
@@ -133,7 +160,9 @@
   request.version(11);
   request.method_string(from.m_method);
   request.target(from.m_target);
-  request.set(http::field::host, running->m_call.m_peer.ToString());
+  if (FindHeader(from.m_headers, "Host").empty()) {
+    request.set(http::field::host, running->m_call.m_peer.ToString());
+  }
   for (const HttpHeader& header : from.m_headers) {
     request.insert(header.m_name, header.m_value);
   }
@@ -150,6 +179,29 @@
   }
 }
 
+void
+HttpClient::Impl::BoundWait(const Running& aRunning)
+{
+  if (aRunning.m_call.m_idleTimeout > Duration(0)) {
+    aRunning.m_wire->m_stream.expires_after(aRunning.m_call.m_idleTimeout);
+  } else {
+    aRunning.m_wire->m_stream.expires_never();
+  }
+}
+
+bool
+HttpClient::Impl::IsForeign(const Running& aRunning)
+{
+  const HttpHeader& mark = aRunning.m_call.m_answerMark;
+  if (mark.m_name.empty()) {
+    return false;
+  }
+  const auto& answer = aRunning.m_parser->get();
+  const auto found = answer.find(mark.m_name);
+  // An answer without the header may be a refusal before the head was read.
+  return found != answer.end() && found->value() != mark.m_value;
+}
+
 void
 HttpClient::Impl::Connect(const RunningPtr& aRunning)
 {
@@ -178,7 +230,7 @@
 HttpClient::Impl::WriteRequest(const RunningPtr& aRunning)
 {
   aRunning->m_isSent = true;
-  aRunning->m_wire->m_stream.expires_after(aRunning->m_call.m_idleTimeout);
+  BoundWait(*aRunning);
   auto self = shared_from_this();
   http::async_write(aRunning->m_wire->m_stream,
                     aRunning->m_request,
@@ -199,7 +251,7 @@
 {
   aRunning->m_parser.emplace();
   aRunning->m_parser->body_limit(kMaxAnswerBytes);
-  aRunning->m_wire->m_stream.expires_after(aRunning->m_call.m_idleTimeout);
+  BoundWait(*aRunning);
   auto self = shared_from_this();
   http::async_read_header(
     aRunning->m_wire->m_stream,
@@ -213,6 +265,11 @@
         self->Fail(aRunning, aError);
         return;
       }
+      aRunning->m_isForeign = IsForeign(*aRunning);
+      if (aRunning->m_isForeign) {
+        self->ReadBody(aRunning);
+        return;
+      }
       HttpResponse head;
       head.m_status = static_cast<int>(aRunning->m_parser->get().result_int());
       for (const auto& field : aRunning->m_parser->get()) {
@@ -230,13 +287,19 @@
 HttpClient::Impl::ReadBody(const RunningPtr& aRunning)
 {
   if (aRunning->m_parser->is_done()) {
-    Finish(aRunning);
+    if (aRunning->m_isForeign && aRunning->m_parser->keep_alive()) {
+      ReadHead(aRunning);
+    } else if (aRunning->m_isForeign) {
+      Fail(aRunning, http::error::partial_message);
+    } else {
+      Finish(aRunning);
+    }
     return;
   }
   auto& body = aRunning->m_parser->get().body();
   body.data = aRunning->m_part.data();
   body.size = aRunning->m_part.size();
-  aRunning->m_wire->m_stream.expires_after(aRunning->m_call.m_idleTimeout);
+  BoundWait(*aRunning);
   auto self = shared_from_this();
   http::async_read_some(
     aRunning->m_wire->m_stream,
@@ -255,7 +318,7 @@
   const bool isFull = aError == http::error::need_buffer;
   const std::size_t size =
     aRunning->m_part.size() - aRunning->m_parser->get().body().size;
-  if (size > 0) {
+  if (size > 0 && !aRunning->m_isForeign) {
     m_handler.OnData(aRunning->m_call.m_call,
                      std::string(aRunning->m_part.data(), size));
   }
@@ -287,9 +350,25 @@
 HttpClient::Impl::Finish(const RunningPtr& aRunning)
 {
   m_running.erase(aRunning->m_call.m_call);
-  aRunning->m_wire->m_stream.expires_never();
+  Wire& wire = *aRunning->m_wire;
+  wire.m_stream.expires_never();
+  const auto& answer = aRunning->m_parser->get();
+  const auto keepAlive = answer.find(http::field::keep_alive);
+  const TimePoint now = MonotonicNow();
+  wire.m_usableUntil =
+    now +
+    (keepAlive == answer.end()
+       ? kUnnamedIdle
+       : UsableIdle({ keepAlive->value().data(), keepAlive->value().size() }));
   std::list<WirePtr>& idle = m_idle[aRunning->m_call.m_peer];
-  if (aRunning->m_parser->keep_alive() && idle.size() < kIdlePerPeer) {
+  while (!idle.empty() && now >= idle.front()->m_usableUntil) {
+    Close(*idle.front());
+    idle.pop_front();
+  }
+  // Bytes beyond the answer belong to no request.
+  const bool isClean = wire.m_buffer.size() == 0;
+  if (aRunning->m_parser->keep_alive() && isClean &&
+      idle.size() < kIdlePerPeer) {
     idle.push_back(aRunning->m_wire);
   } else {
     Close(*aRunning->m_wire);
--- a/src/libwire/HttpServer.cpp
+++ b/src/libwire/HttpServer.cpp
@@ -78,6 +78,10 @@
   void StopAccepting();
   void Stop();
   SessionPtr Find(CallerId aCaller) const;
+  std::string CloseLine() const
+  {
+    return m_isClosing ? "Connection: close\r\n" : "";
+  }
 
   asio::io_context& m_context;
   HttpHandler& m_handler;
@@ -87,6 +91,7 @@
   std::set<SessionPtr> m_sessions;
   std::uint64_t m_nextCaller = 1;
   bool m_isStopping = false;
+  bool m_isClosing = false; ///< answers close their connections
 
 private:
   void Accept();
@@ -396,6 +401,24 @@
   m_impl->Listen(aEndpoint);
 }
 
+void
+HttpServer::SetLimits(const HttpServerLimits& aLimits)
+{
+  m_impl->m_limits = aLimits;
+}
+
+void
+HttpServer::CloseAfterAnswers()
+{
+  m_impl->m_isClosing = true;
+}
+
+std::size_t
+HttpServer::Connections() const
+{
+  return m_impl->m_sessions.size();
+}
+
 void
 HttpServer::StopAccepting()
 {
@@ -411,9 +434,9 @@
   }
   // The session is finished before its bytes are queued: the completion of
   // the write decides by that whether to read the next request.
-  session->Finish(true);
+  session->Finish(!m_impl->m_isClosing);
   session->Queue(StatusLine(aResponse.m_status) +
-                 HeaderLines(aResponse.m_headers) +
+                 HeaderLines(aResponse.m_headers) + m_impl->CloseLine() +
                  "Content-Length: " + std::to_string(aResponse.m_body.size()) +
                  "\r\n\r\n" + aResponse.m_body);
 }
@@ -424,7 +447,7 @@
   const auto session = m_impl->Find(aCaller);
   if (session) {
     session->Queue(StatusLine(aHead.m_status) + HeaderLines(aHead.m_headers) +
-                   "Transfer-Encoding: chunked\r\n\r\n");
+                   m_impl->CloseLine() + "Transfer-Encoding: chunked\r\n\r\n");
   }
 }
 
@@ -449,7 +472,7 @@
     session->Close();
     return;
   }
-  session->Finish(true);
+  session->Finish(!m_impl->m_isClosing);
   session->Queue("0\r\n\r\n");
 }
 
--- a/testsuite/cluster.sh
+++ b/testsuite/cluster.sh
@@ -131,7 +131,7 @@
   STANDIN_PID=$LAST_PID
   for i in 1 2 3; do
     write_control_settings $i
-    "$BIN/fulmarquay-control" --settings "$WORK/control$i.ini" --bootstrap 2>>"$WORK/control$i.log"
+    "$BIN/fulmarquay-control" --settings "$WORK/control$i.ini" --bootstrap >>"$WORK/control$i.log" 2>&1
     start_control $i
   done
   for ((i = 1; i <= entries; i++)); do
--- a/testsuite/demo.sh
+++ b/testsuite/demo.sh
@@ -69,7 +69,7 @@
 export FULMARQUAY_CONTROL=127.0.0.1:$CONTROL
 
 start standin "$BIN/fulmarquay-standin" --settings "$WORK/standin.ini"
-"$BIN/fulmarquay-control" --settings "$WORK/control.ini" --bootstrap 2>>"$WORK/control.log"
+"$BIN/fulmarquay-control" --settings "$WORK/control.ini" --bootstrap >>"$WORK/control.log" 2>&1
 start control "$BIN/fulmarquay-control" --settings "$WORK/control.ini"
 start entry "$BIN/fulmarquay-entry" --settings "$WORK/entry.ini"
 check "answers accepted" "$BIN/fulmarquay" submit "$WORK/demo.answers" --operator demo
