--- a/src/include/fulmarquay/control/ControlMessages.h
+++ b/src/include/fulmarquay/control/ControlMessages.h
@@ -3,6 +3,7 @@
 
 #include "fulmarquay/control/ConfigDelta.h"
 #include "fulmarquay/control/ControlCommands.h"
+#include "fulmarquay/control/PartStore.h"
 #include "fulmarquay/control/WorkerList.h"
 #include "fulmarquay/route/RouteDelta.h"
 
@@ -24,6 +25,9 @@
   std::uint64_t m_peersSeen = 0; ///< version of the peer list it has
   Revision m_routes;             ///< route document in force
   std::uint64_t m_workers = 0;   ///< number of the worker list it has
+  std::uint64_t m_stores = 0;    ///< state of the stores that it has
+  /// Keys of stored parts that it read since its last heartbeat.
+  std::vector<std::uint64_t> m_usedParts;
   MSGPACK_DEFINE(m_vm,
                  m_dataCentre,
                  m_boot,
@@ -32,7 +36,9 @@
                  m_inForce,
                  m_peersSeen,
                  m_routes,
-                 m_workers)
+                 m_workers,
+                 m_stores,
+                 m_usedParts)
 };
 
 /// Another entry of the same data centre.
@@ -57,13 +63,21 @@
   Revision m_routes; ///< newest committed route document
   /// Framed listeners of all replicas.
   std::vector<std::string> m_replicas;
+  std::int64_t m_workersClockMs = 0; ///< now; 0: unknown
+  /// How long after the heartbeat the entry may use what it knows of stores,
+  /// and how long a fetch that it orders may take.
+  std::int64_t m_storesUs = 0;
+  std::int64_t m_fetchUs = 0;
   MSGPACK_DEFINE(m_revision,
                  m_leaseUs,
                  m_liveEntries,
                  m_peersVersion,
                  m_peers,
                  m_routes,
-                 m_replicas)
+                 m_replicas,
+                 m_workersClockMs,
+                 m_storesUs,
+                 m_fetchUs)
 };
 
 /// The leader brings an entry to the accepted configuration.
@@ -219,7 +233,8 @@
                                     NotLeader,
                                     OnceProbe,
                                     RoutePush,
-                                    WorkerPush>;
+                                    WorkerPush,
+                                    StorePush>;
 
 } // namespace fulmarquay
 
--- a/src/include/fulmarquay/control/ControlNode.h
+++ b/src/include/fulmarquay/control/ControlNode.h
@@ -119,7 +119,8 @@
   /// Serves published routes and a VM list as well. Call it before the first
   /// event.
   void AddFleet(FleetOptions aOptions,
-                std::unique_ptr<FleetProtocol> aProtocol);
+                std::unique_ptr<FleetProtocol> aProtocol,
+                std::unique_ptr<PartStoreProtocol> aStores);
 
   /// Takes one event; returns effects in the order to carry them out.
   /// `aWall` is used for retention only.
--- a/src/include/fulmarquay/control/EntryRegistry.h
+++ b/src/include/fulmarquay/control/EntryRegistry.h
@@ -21,6 +21,8 @@
   TimePoint m_routesPushedAt;
   std::uint64_t m_workersPushed = 0; ///< number of the worker list
   TimePoint m_workersPushedAt;
+  std::uint64_t m_storesPushed = 0; ///< state of the stores
+  TimePoint m_storesPushedAt;
 };
 
 /// The entries that the leader hears, and for each data centre the list of
--- a/src/include/fulmarquay/control/FleetDesk.h
+++ b/src/include/fulmarquay/control/FleetDesk.h
@@ -5,6 +5,7 @@
 #include "fulmarquay/control/FleetProtocol.h"
 #include "fulmarquay/control/OperatorProtocol.h"
 #include "fulmarquay/control/PublishTable.h"
+#include "fulmarquay/control/StoreDesk.h"
 #include "fulmarquay/control/WorkerDirectory.h"
 #include "fulmarquay/core/LogEvent.h"
 #include "fulmarquay/wire/HttpClient.h"
@@ -59,6 +60,7 @@
   bool m_checksFencing = false;
   RolloutOptions m_rollout;
   std::string m_holder; ///< names this VM in orders
+  StoreLease m_stores;
 };
 
 /// The part of the control node that serves a deployment whose operators
@@ -71,7 +73,8 @@
 public:
   FleetDesk(FleetDeskOwner& aOwner,
             FleetOptions aOptions,
-            std::unique_ptr<FleetProtocol> aProtocol);
+            std::unique_ptr<FleetProtocol> aProtocol,
+            std::unique_ptr<PartStoreProtocol> aStores);
 
   void OnOperator(CallerId aCaller, const OperatorRequest& aRequest);
   void OnCommitted(CallerId aCaller);
@@ -137,7 +140,8 @@
   FleetDeskOwner& m_owner;
   FleetOptions m_options;
   std::unique_ptr<FleetProtocol> m_protocol;
-  RouteDocument m_document; ///< typed form of the committed one
+  std::unique_ptr<StoreDesk> m_stores; ///< null: stores are not used
+  RouteDocument m_document;            ///< typed form of the committed one
   std::deque<RouteDelta> m_deltas;
   WorkerDirectory m_workers;
   bool m_hasList = false;
--- a/src/include/fulmarquay/daemon/ControlServer.h
+++ b/src/include/fulmarquay/daemon/ControlServer.h
@@ -45,7 +45,8 @@
 private:
   explicit ControlServer(const Builder& aBuilder);
   void AddFleet(const Settings& aSettings,
-                std::unique_ptr<FleetProtocol> aProtocol);
+                std::unique_ptr<FleetProtocol> aProtocol,
+                std::unique_ptr<PartStoreProtocol> aStores);
   void ListenForOperators(const Settings& aSettings);
   void AwaitReload();
   void Carry(const AnswerOperator& aEffect);
@@ -98,6 +99,9 @@
   /// VM list and workers of the deployment.
   Builder& Fleet(std::unique_ptr<FleetProtocol> aProtocol);
 
+  /// KV cache stores that keep parts until they are told to free them.
+  Builder& Stores(std::unique_ptr<PartStoreProtocol> aProtocol);
+
   /// Recovers or formats the state disk and opens the ports. Throws Error.
   std::unique_ptr<ControlServer> Build();
 
@@ -107,6 +111,7 @@
   std::string m_settingsFile;
   mutable std::unique_ptr<OperatorProtocol> m_operators;
   mutable std::unique_ptr<FleetProtocol> m_fleet;
+  mutable std::unique_ptr<PartStoreProtocol> m_stores;
 };
 
 /// Writes identity and first membership into an empty data folder: done once
--- a/src/include/fulmarquay/serve/ControlSession.h
+++ b/src/include/fulmarquay/serve/ControlSession.h
@@ -16,12 +16,13 @@
 {
 public:
   virtual ~ControlSessionOwner() = default;
-  virtual EntryHeartbeat MakeHeartbeat() const = 0;
+  virtual EntryHeartbeat MakeHeartbeat() = 0;
   virtual void OnHeartbeatReply(const HeartbeatReply& aReply) = 0;
   virtual void OnConfigPush(const ConfigPush& aPush) = 0;
   virtual void OnOnceProbe(const OnceProbe& aProbe) = 0;
   virtual void OnRoutePush(const RoutePush& aPush) = 0;
   virtual void OnWorkerPush(const WorkerPush& aPush) = 0;
+  virtual void OnStorePush(const StorePush& aPush) = 0;
 };
 
 /// The entry's side of Channel::Control: finds the leader, keeps the lease by
@@ -80,6 +81,7 @@
   void OnReply(const OnceProbe& aProbe);
   void OnReply(const RoutePush& aPush);
   void OnReply(const WorkerPush& aPush);
+  void OnReply(const StorePush& aPush);
   template<typename Other>
   void OnReply(const Other&)
   {
--- a/src/include/fulmarquay/serve/EntryNode.h
+++ b/src/include/fulmarquay/serve/EntryNode.h
@@ -67,12 +67,13 @@
   CallerLimits Limits() const;
 
 private:
-  EntryHeartbeat MakeHeartbeat() const override;
+  EntryHeartbeat MakeHeartbeat() override;
   void OnHeartbeatReply(const HeartbeatReply& aReply) override;
   void OnConfigPush(const ConfigPush& aPush) override;
   void OnOnceProbe(const OnceProbe& aProbe) override;
   void OnRoutePush(const RoutePush& aPush) override;
   void OnWorkerPush(const WorkerPush& aPush) override;
+  void OnStorePush(const StorePush& aPush) override;
 
   void On(const EntryTick&);
   void On(const CallerRequest& aEvent);
--- /dev/null
+++ b/src/include/fulmarquay/serve/PartMap.h
@@ -0,0 +1,77 @@
+#ifndef FULMARQUAY_SERVE_PARTMAP_H
+#define FULMARQUAY_SERVE_PARTMAP_H
+
+#include "fulmarquay/control/PartStore.h"
+#include "fulmarquay/core/Units.h"
+#include "fulmarquay/serve/RelayRequest.h"
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace fulmarquay {
+
+/// What the KV cache stores hold, as the leader told this entry, and the
+/// choice of stores to read from and to save to.
+///
+/// The load that it answers: parts that several requests share are read once
+/// by some engine and fetched by all others. Usable only under the lease that
+/// the leader gave: the leader frees parts when it has run out everywhere.
+/// Pure; not thread-safe.
+class PartMap
+{
+public:
+  /// Takes what the leader sent. Returns whether it fitted what is held.
+  bool Apply(const StorePush& aPush);
+
+  /// Until when the map may be read, and how long a fetch may take.
+  void OnConfirmed(TimePoint aUntil, Duration aFetch);
+
+  /// Fills what a worker is to fetch and to save for a request, and the
+  /// latest end of its fetches, by the workers' clock `aClockMs` at `aNow`.
+  /// The last part of a prompt belongs to its request alone.
+  void Plan(TimePoint aNow,
+            std::int64_t aClockMs,
+            const RelayRequest& aRequest,
+            const DataCentreId& aDataCentre,
+            RelayOrder& aOrder);
+
+  /// Tokens at the start of a prompt that stores hold without a gap.
+  std::int64_t StoredTokens(TimePoint aNow,
+                            const RelayRequest& aRequest,
+                            const std::string& aScope) const;
+
+  /// Keys of parts that were read since the last call, at most some hundred.
+  std::vector<std::uint64_t> TakeUsed();
+
+  std::uint64_t State() const { return m_state; }
+  std::size_t Size() const { return m_parts.size(); }
+
+private:
+  /// A whole part in a store.
+  struct Copy
+  {
+    std::uint32_t m_store = 0;
+    std::int64_t m_tokens = 0;
+  };
+
+  const Copy* Find(std::uint64_t aKey, const DataCentreId& aDataCentre) const;
+  const StoreBrief* ChooseForSave(std::uint64_t aKey,
+                                  std::int64_t aTokens) const;
+  bool IsUsable(TimePoint aNow) const { return aNow < m_until; }
+
+  std::uint64_t m_state = 0;
+  std::vector<StoreBrief> m_stores;
+  std::vector<std::int64_t> m_usedTokens; ///< by store
+  std::unordered_map<std::uint64_t, std::vector<Copy>> m_parts;
+  std::unordered_map<std::uint64_t, TimePoint> m_saving; ///< until when
+  TimePoint m_nextSweep;
+  TimePoint m_until;
+  Duration m_fetch{};
+  std::vector<std::uint64_t> m_used;
+};
+
+} // namespace fulmarquay
+
+#endif
--- a/src/include/fulmarquay/serve/Placement.h
+++ b/src/include/fulmarquay/serve/Placement.h
@@ -1,6 +1,7 @@
 #ifndef FULMARQUAY_SERVE_PLACEMENT_H
 #define FULMARQUAY_SERVE_PLACEMENT_H
 
+#include "fulmarquay/serve/PartMap.h"
 #include "fulmarquay/serve/RelayRequest.h"
 #include "fulmarquay/serve/WorkerTable.h"
 
@@ -32,7 +33,8 @@
     bool m_hasPrompt = false;
     std::string m_cacheScope; ///< account, where its cache is isolated
     std::set<WorkerId> m_tried;
-    std::uint32_t m_entries = 1; ///< that share the workers
+    const PartMap* m_parts = nullptr; ///< what stores hold; null: none
+    std::uint32_t m_entries = 1;      ///< that share the workers
     Duration m_oldWeightsLimit{};
   };
 
--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -5,6 +5,7 @@
 #include "fulmarquay/route/RouteTable.h"
 #include "fulmarquay/serve/EntryContext.h"
 #include "fulmarquay/serve/EventBorders.h"
+#include "fulmarquay/serve/PartMap.h"
 #include "fulmarquay/serve/Placement.h"
 #include "fulmarquay/serve/RelayProtocol.h"
 #include "fulmarquay/serve/WorkerTable.h"
@@ -41,6 +42,10 @@
   /// a delta does not fit.
   void OnRoutes(const RouteDelta& aDelta);
   void OnWorkers(const WorkerList& aList);
+  bool OnStores(const StorePush& aPush);
+  void OnStoresConfirmed(TimePoint aUntil,
+                         Duration aFetch,
+                         std::int64_t aWorkersClockMs);
 
   /// Until when keys may be honoured, and how many entries share the work.
   void OnConfirmed(TimePoint aKeysUntil, std::uint32_t aEntries);
@@ -55,6 +60,8 @@
 
   const RouteTable& Routes() const { return m_routes; }
   const WorkerTable& Workers() const { return m_workers; }
+  const PartMap& Parts() const { return m_parts; }
+  std::vector<std::uint64_t> TakeUsedParts() { return m_parts.TakeUsed(); }
   bool HasKeys() const { return m_context.Now() < m_keysUntil; }
   /// Whether it knows routes and workers and may honour keys.
   bool IsReady() const;
@@ -97,6 +104,7 @@
   void Send(Relayed& aRelayed, WorkerState& aWorker);
   std::string ScopeFor(const Relayed& aRelayed,
                        const WorkerState& aWorker) const;
+  std::int64_t WorkersClockMs() const;
   void Release(Relayed& aRelayed);
   void OnRead(Relayed& aRelayed);
   Relayed* Find(CallId aCall);
@@ -127,6 +135,9 @@
   RouteTable m_routes;
   WorkerTable m_workers;
   Placement m_placement;
+  PartMap m_parts;
+  std::int64_t m_workersClockMs = 0; ///< at m_workersClockAt; 0: unknown
+  TimePoint m_workersClockAt;
   TimePoint m_keysUntil;
   bool m_hadKeys = false;
   std::uint32_t m_entries = 1;
--- a/src/include/fulmarquay/serve/RelayRequest.h
+++ b/src/include/fulmarquay/serve/RelayRequest.h
@@ -35,6 +35,13 @@
   HttpRequest m_forward;
 };
 
+/// Where a worker finds a part of a prompt's KV cache.
+struct PartSource
+{
+  std::string m_address; ///< IP:PORT; empty: nowhere
+  std::int64_t m_tokens = 0;
+};
+
 /// What the system tells a worker about a request.
 struct RelayOrder
 {
@@ -45,6 +52,10 @@
   std::string m_cacheScope;    ///< requests of another one share no KV cache
   std::int64_t m_weights = -1; ///< the version to run under; -1: any
   std::int64_t m_resumeAfter = -1;
+  /// One for each part of the prompt, or none at all.
+  std::vector<PartSource> m_fetches;
+  std::vector<std::string> m_saves; ///< IP:PORT; empty: not to be saved
+  std::int64_t m_fetchUntilMs = 0;  ///< on the workers' clock
 };
 
 /// The head of a worker's answer, as far as the system acts on it.
--- a/src/libcontrol/ControlNodeFleet.cpp
+++ b/src/libcontrol/ControlNodeFleet.cpp
@@ -7,11 +7,12 @@
 
 void
 ControlNode::AddFleet(FleetOptions aOptions,
-                      std::unique_ptr<FleetProtocol> aProtocol)
+                      std::unique_ptr<FleetProtocol> aProtocol,
+                      std::unique_ptr<PartStoreProtocol> aStores)
 {
   FleetDeskOwner& owner = *this;
   m_fleet = std::make_unique<FleetDesk>(
-    owner, std::move(aOptions), std::move(aProtocol));
+    owner, std::move(aOptions), std::move(aProtocol), std::move(aStores));
 }
 
 void
--- a/src/libcontrol/EntryRegistry.cpp
+++ b/src/libcontrol/EntryRegistry.cpp
@@ -29,6 +29,7 @@
     // What was pushed over another connection may be lost.
     session.m_routesPushed = Revision(0);
     session.m_workersPushed = 0;
+    session.m_storesPushed = 0;
   }
   session.m_last = aHeartbeat;
   session.m_connection = aFrom;
--- a/src/libcontrol/FleetDesk.cpp
+++ b/src/libcontrol/FleetDesk.cpp
@@ -35,12 +35,17 @@
 
 FleetDesk::FleetDesk(FleetDeskOwner& aOwner,
                      FleetOptions aOptions,
-                     std::unique_ptr<FleetProtocol> aProtocol)
+                     std::unique_ptr<FleetProtocol> aProtocol,
+                     std::unique_ptr<PartStoreProtocol> aStores)
   : m_owner(aOwner)
   , m_options(std::move(aOptions))
   , m_protocol(std::move(aProtocol))
   , m_rollout(m_options.m_rollout)
 {
+  if (aStores) {
+    m_stores = std::make_unique<StoreDesk>(
+      m_owner, m_options.m_stores, std::move(aStores));
+  }
 }
 
 void
@@ -162,6 +167,9 @@
     m_deltas.pop_front();
   }
   m_document = std::move(document);
+  if (m_stores) {
+    m_stores->Configure(m_document);
+  }
 }
 
 void
@@ -175,6 +183,9 @@
               { { "model", aCommand.m_model },
                 { "version", std::to_string(aCommand.m_version) } });
   m_nextRollout = m_owner.Now();
+  if (m_stores) {
+    m_stores->OnWeights(m_owner.Published().Weights());
+  }
   ChangeWorkers();
   StepRollout();
 }
@@ -188,6 +199,10 @@
   m_hasList = false;
   m_nextReading = m_owner.Now();
   m_workersNumber = m_owner.CurrentTerm() << kTermShift;
+  if (m_stores) {
+    m_stores->OnLeadership();
+    m_stores->Configure(m_document);
+  }
   if (aIsLeader) {
     m_rollout.Start(m_owner.Now(), aOldLease);
   }
@@ -200,6 +215,9 @@
     return;
   }
   RefreshDocument();
+  if (m_stores) {
+    m_stores->OnTick();
+  }
   const TimePoint now = m_owner.Now();
   if (!m_isReading && now >= m_nextReading) {
     m_nextReading = now + m_options.m_listInterval;
@@ -240,6 +258,9 @@
 bool
 FleetDesk::OnAnswered(const EngineAnswered& aAnswer)
 {
+  if (m_stores && m_stores->OnAnswered(aAnswer)) {
+    return true;
+  }
   const auto place = m_calls.find(aAnswer.m_call);
   if (place == m_calls.end()) {
     return false;
@@ -451,6 +472,11 @@
 FleetDesk::FillReply(HeartbeatReply& aReply) const
 {
   aReply.m_routes = m_owner.Published().Current();
+  if (m_stores) {
+    aReply.m_workersClockMs = m_stores->WorkersClockMs();
+    aReply.m_storesUs = m_options.m_stores.m_map.count();
+    aReply.m_fetchUs = m_options.m_stores.m_fetch.count();
+  }
 }
 
 void
@@ -459,6 +485,11 @@
   RefreshDocument();
   PushRoutes(aSession);
   PushWorkers(aSession);
+  if (m_stores) {
+    m_stores->OnUsed(aSession.m_last.m_usedParts);
+    aSession.m_last.m_usedParts.clear();
+    m_stores->PushTo(aSession);
+  }
 }
 
 void
--- a/src/libdaemon/ControlServer.cpp
+++ b/src/libdaemon/ControlServer.cpp
@@ -90,6 +90,13 @@
   return *this;
 }
 
+ControlServer::Builder&
+ControlServer::Builder::Stores(std::unique_ptr<PartStoreProtocol> aProtocol)
+{
+  m_stores = std::move(aProtocol);
+  return *this;
+}
+
 std::unique_ptr<ControlServer>
 ControlServer::Builder::Build()
 {
@@ -113,7 +120,8 @@
   OpenDisk(settings);
   StartNode(settings);
   if (aBuilder.m_fleet) {
-    AddFleet(settings, std::move(aBuilder.m_fleet));
+    AddFleet(
+      settings, std::move(aBuilder.m_fleet), std::move(aBuilder.m_stores));
   }
   m_hub.Listen(settings.Address("control", "listen"));
   ListenForOperators(settings);
@@ -123,7 +131,8 @@
 
 void
 ControlServer::AddFleet(const Settings& aSettings,
-                        std::unique_ptr<FleetProtocol> aProtocol)
+                        std::unique_ptr<FleetProtocol> aProtocol,
+                        std::unique_ptr<PartStoreProtocol> aStores)
 {
   const std::vector<Endpoint> lists = aSettings.Addresses("fleet", "vm_list");
   if (lists.empty()) {
@@ -140,7 +149,8 @@
   options.m_rollout.m_orderTimeout = aSettings.Time("fleet", "order_timeout");
   // Orders that get no answer are the platform's, not the engine's fault.
   options.m_rollout.m_mostFailures = std::numeric_limits<int>::max();
-  m_node->AddFleet(std::move(options), std::move(aProtocol));
+  m_node->AddFleet(
+    std::move(options), std::move(aProtocol), std::move(aStores));
 }
 
 void
--- a/src/libserve/ControlSession.cpp
+++ b/src/libserve/ControlSession.cpp
@@ -109,6 +109,12 @@
   m_owner.OnRoutePush(aPush);
 }
 
+void
+ControlSession::OnReply(const StorePush& aPush)
+{
+  m_owner.OnStorePush(aPush);
+}
+
 void
 ControlSession::OnReply(const WorkerPush& aPush)
 {
--- a/src/libserve/EntryNode.cpp
+++ b/src/libserve/EntryNode.cpp
@@ -74,7 +74,7 @@
 }
 
 EntryHeartbeat
-EntryNode::MakeHeartbeat() const
+EntryNode::MakeHeartbeat()
 {
   EntryHeartbeat heartbeat;
   const EntryIdentity& self = m_context.Self();
@@ -88,6 +88,8 @@
   if (m_relay) {
     heartbeat.m_routes = m_relay->Routes().Document().m_revision;
     heartbeat.m_workers = m_relay->Workers().Number();
+    heartbeat.m_stores = m_relay->Parts().State();
+    heartbeat.m_usedParts = m_relay->TakeUsedParts();
   }
   return heartbeat;
 }
@@ -106,6 +108,21 @@
     m_relay->OnConfirmed(m_control.LastConfirmed() + m_options.m_keyLease,
                          aReply.m_liveEntries);
   }
+  if (m_relay) {
+    m_relay->OnStoresConfirmed(m_control.LastConfirmed() +
+                                 Duration(aReply.m_storesUs),
+                               Duration(aReply.m_fetchUs),
+                               aReply.m_workersClockMs);
+  }
+}
+
+void
+EntryNode::OnStorePush(const StorePush& aPush)
+{
+  // One that does not fit is sent again in full after the next heartbeat.
+  if (m_relay && !m_relay->OnStores(aPush)) {
+    m_control.HeartbeatNow();
+  }
 }
 
 void
--- /dev/null
+++ b/src/libserve/PartMap.cpp
@@ -0,0 +1,186 @@
+#include "fulmarquay/serve/PartMap.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace fulmarquay {
+
+namespace {
+
+/// A save that was ordered is not ordered again before this: the part shows
+/// in the map when it is whole.
+constexpr Duration kSavePatience(2'500'000);
+/// Nothing is saved to a store beyond this share of its capacity: the leader
+/// makes room from here on.
+constexpr int kSavePercent = 95;
+constexpr Duration kSweepInterval(1'000'000);
+constexpr std::size_t kMostUsed = 400;
+constexpr std::int64_t kMicrosPerMilli = 1'000;
+
+} // namespace
+
+bool
+PartMap::Apply(const StorePush& aPush)
+{
+  if (aPush.m_from != 0 && aPush.m_from != m_state) {
+    return false;
+  }
+  if (aPush.m_from == 0) {
+    m_parts.clear();
+    m_stores.clear();
+    m_usedTokens.clear();
+  }
+  if (aPush.m_hasStores) {
+    m_stores = aPush.m_stores;
+    m_usedTokens.resize(m_stores.size(), 0);
+  }
+  for (const PartChange& change : aPush.m_changes) {
+    if (change.m_store >= m_stores.size()) {
+      continue;
+    }
+    std::vector<Copy>& copies = m_parts[change.m_key];
+    std::erase_if(copies, [&](const Copy& aEach) {
+      if (aEach.m_store != change.m_store) {
+        return false;
+      }
+      m_usedTokens[change.m_store] -= aEach.m_tokens;
+      return true;
+    });
+    if (change.m_tokens > 0) {
+      copies.push_back({ change.m_store, change.m_tokens });
+      m_usedTokens[change.m_store] += change.m_tokens;
+      m_saving.erase(change.m_key);
+    } else if (copies.empty()) {
+      m_parts.erase(change.m_key);
+    }
+  }
+  m_state = aPush.m_to;
+  return true;
+}
+
+void
+PartMap::OnConfirmed(TimePoint aUntil, Duration aFetch)
+{
+  m_until = std::max(m_until, aUntil);
+  m_fetch = aFetch;
+}
+
+const PartMap::Copy*
+PartMap::Find(std::uint64_t aKey, const DataCentreId& aDataCentre) const
+{
+  const auto place = m_parts.find(aKey);
+  if (place == m_parts.end()) {
+    return nullptr;
+  }
+  const Copy* best = nullptr;
+  for (const Copy& copy : place->second) {
+    const StoreBrief& store = m_stores[copy.m_store];
+    const bool isNear = store.m_dataCentre == aDataCentre;
+    if (store.m_isUp && (best == nullptr || isNear)) {
+      best = &copy;
+    }
+  }
+  return best;
+}
+
+const StoreBrief*
+PartMap::ChooseForSave(std::uint64_t aKey, std::int64_t aTokens) const
+{
+  // Rendezvous weighted by capacity: all entries choose alike, and a store
+  // that is down or full moves only its own share.
+  const StoreBrief* best = nullptr;
+  double bestScore = 0;
+  for (std::size_t i = 0; i < m_stores.size(); ++i) {
+    const StoreBrief& store = m_stores[i];
+    const bool isFull = (m_usedTokens[i] + aTokens) * 100 >
+                        store.m_capacity * kSavePercent;
+    if (!store.m_isUp || isFull) {
+      continue;
+    }
+    const double draw =
+      (static_cast<double>(Checksum64(store.m_name, aKey)) + 1.0) /
+      (static_cast<double>(std::numeric_limits<std::uint64_t>::max()) + 2.0);
+    const double score =
+      -static_cast<double>(store.m_capacity) / std::log(draw);
+    if (best == nullptr || score > bestScore) {
+      best = &store;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+std::int64_t
+PartMap::StoredTokens(TimePoint aNow,
+                      const RelayRequest& aRequest,
+                      const std::string& aScope) const
+{
+  std::int64_t tokens = 0;
+  if (!IsUsable(aNow)) {
+    return tokens;
+  }
+  for (const PromptPart& part : aRequest.m_parts) {
+    if (Find(PartKey(aScope, part.m_id), DataCentreId()) == nullptr) {
+      break;
+    }
+    tokens += part.m_tokens;
+  }
+  return tokens;
+}
+
+void
+PartMap::Plan(TimePoint aNow,
+              std::int64_t aClockMs,
+              const RelayRequest& aRequest,
+              const DataCentreId& aDataCentre,
+              RelayOrder& aOrder)
+{
+  if (!IsUsable(aNow) || aClockMs <= 0 || m_stores.empty() ||
+      aRequest.m_parts.size() < 2) {
+    return;
+  }
+  if (aNow >= m_nextSweep) {
+    m_nextSweep = aNow + kSweepInterval;
+    std::erase_if(m_saving,
+                  [&](const auto& aEach) { return aNow >= aEach.second; });
+  }
+  const std::size_t shared = aRequest.m_parts.size() - 1;
+  aOrder.m_fetches.resize(aRequest.m_parts.size());
+  aOrder.m_saves.resize(aRequest.m_parts.size());
+  bool isUnbroken = true;
+  for (std::size_t i = 0; i < shared; ++i) {
+    const PromptPart& part = aRequest.m_parts[i];
+    const std::uint64_t key = PartKey(aOrder.m_cacheScope, part.m_id);
+    const Copy* copy = Find(key, aDataCentre);
+    if (copy == nullptr) {
+      isUnbroken = false;
+      const auto saving = m_saving.find(key);
+      if (saving != m_saving.end() && aNow < saving->second) {
+        continue;
+      }
+      if (const StoreBrief* store = ChooseForSave(key, part.m_tokens)) {
+        aOrder.m_saves[i] = store->m_address;
+        m_saving[key] = aNow + kSavePatience;
+      }
+      continue;
+    }
+    if (m_used.size() < kMostUsed) {
+      m_used.push_back(key);
+    }
+    if (isUnbroken) {
+      aOrder.m_fetches[i] = { m_stores[copy->m_store].m_address,
+                              copy->m_tokens };
+    }
+  }
+  aOrder.m_fetchUntilMs = aClockMs + m_fetch.count() / kMicrosPerMilli;
+}
+
+std::vector<std::uint64_t>
+PartMap::TakeUsed()
+{
+  return std::exchange(m_used, {});
+}
+
+} // namespace fulmarquay
--- a/src/libserve/Placement.cpp
+++ b/src/libserve/Placement.cpp
@@ -15,6 +15,9 @@
 /// A home worker holds a returning conversation in about every second case:
 /// engines' caches are smaller than all conversations.
 constexpr std::int64_t kHomeDivisor = 2;
+/// Fetching a token from a store against reading it, in percent: a link
+/// carries one quicker than an engine reads it, and leaves the engine free.
+constexpr std::int64_t kFetchPercent = 25;
 /// A read part is trusted to be cached for this long.
 constexpr Duration kPartLife(6'000'000);
 constexpr Duration kSweepInterval(2'000'000);
@@ -78,7 +81,16 @@
     }
     cached += part.m_tokens;
   }
-  return std::max<std::int64_t>(0, request.m_promptTokens - cached);
+  std::int64_t fetched = 0;
+  if (aQuestion.m_parts != nullptr && version >= 0) {
+    const std::string scope = MakeCacheScope(version, aQuestion.m_cacheScope);
+    fetched = std::max<std::int64_t>(
+      0,
+      aQuestion.m_parts->StoredTokens(aQuestion.m_now, request, scope) -
+        cached);
+  }
+  return std::max<std::int64_t>(0, request.m_promptTokens - cached - fetched) +
+         fetched * kFetchPercent / 100;
 }
 
 std::int64_t
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -79,6 +79,34 @@
   }
 }
 
+bool
+RelayFlow::OnStores(const StorePush& aPush)
+{
+  return m_parts.Apply(aPush);
+}
+
+void
+RelayFlow::OnStoresConfirmed(TimePoint aUntil,
+                             Duration aFetch,
+                             std::int64_t aWorkersClockMs)
+{
+  m_parts.OnConfirmed(aUntil, aFetch);
+  if (aWorkersClockMs > 0) {
+    // Behind by the way of the answer: an end on this clock comes early.
+    m_workersClockMs = aWorkersClockMs;
+    m_workersClockAt = m_context.Now();
+  }
+}
+
+std::int64_t
+RelayFlow::WorkersClockMs() const
+{
+  return m_workersClockMs == 0
+           ? 0
+           : m_workersClockMs +
+               (m_context.Now() - m_workersClockAt).count() / 1'000;
+}
+
 bool
 RelayFlow::IsReady() const
 {
@@ -220,6 +248,7 @@
   question.m_cacheScope = aRelayed.m_cacheScope;
   question.m_tried = aRelayed.m_tried;
   question.m_entries = m_entries;
+  question.m_parts = &m_parts;
   question.m_oldWeightsLimit = m_options.m_oldWeightsLimit;
   const bool isLate = aRelayed.m_due - question.m_now < kLeastLeft;
   WorkerState* worker =
@@ -248,11 +277,7 @@
     aWorker.m_info.m_weights.find(aRelayed.m_request.m_model);
   const std::int64_t version =
     weights == aWorker.m_info.m_weights.end() ? 0 : weights->second;
-  std::string scope = "w" + std::to_string(version);
-  if (!aRelayed.m_cacheScope.empty()) {
-    scope += "." + aRelayed.m_cacheScope;
-  }
-  return scope;
+  return MakeCacheScope(version, aRelayed.m_cacheScope);
 }
 
 void
@@ -273,6 +298,11 @@
     if (weights != aWorker.m_info.m_weights.end()) {
       order.m_weights = weights->second;
     }
+    m_parts.Plan(m_context.Now(),
+                 WorkersClockMs(),
+                 aRelayed.m_request,
+                 aWorker.m_info.m_dataCentre,
+                 order);
   }
   HttpCall call;
   call.m_peer = aWorker.m_address;
