Worker links with a peer timeout; pace of stores

Change: TCP_USER_TIMEOUT and keep-alive on worker links, idle connections of a silent peer are dropped, StorePace shrinks the share of fetches from a store whose first events come late against the others'. Tried and taken back: an end of fetches at half of the target latency.

--- a/src/include/fulmarquay/control/PartStoreProtocol.h
+++ b/src/include/fulmarquay/control/PartStoreProtocol.h
@@ -23,9 +23,9 @@
 /// What a store tells of its changes, or of all that it holds.
 struct StoreNews
 {
-  std::uint64_t m_epoch = 0; ///< changes when the store starts
-  std::uint64_t m_next = 0;  ///< number to ask from the next time
-  bool m_isGap = false;      ///< events before these are lost
+  std::uint64_t m_epoch = 0;  ///< changes when the store starts
+  std::uint64_t m_next = 0;   ///< number to ask from the next time
+  bool m_isGap = false;       ///< events before these are lost
   std::int64_t m_clockMs = 0; ///< the workers' clock; 0: not told
   std::vector<StoreEvent> m_events;
 };
--- a/src/include/fulmarquay/serve/PartMap.h
+++ b/src/include/fulmarquay/serve/PartMap.h
@@ -4,8 +4,11 @@
 #include "fulmarquay/control/PartStore.h"
 #include "fulmarquay/core/Units.h"
 #include "fulmarquay/serve/RelayRequest.h"
+#include "fulmarquay/serve/StorePace.h"
 
 #include <cstdint>
+#include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -37,6 +40,11 @@
             const DataCentreId& aDataCentre,
             RelayOrder& aOrder);
 
+  /// A request that fetches from some stores has got its first event.
+  void OnFirstEvent(TimePoint aNow,
+                    Duration aTime,
+                    const std::set<std::string>& aStores);
+
   /// Tokens at the start of a prompt that stores hold without a gap.
   std::int64_t StoredTokens(TimePoint aNow,
                             const RelayRequest& aRequest,
@@ -70,6 +78,7 @@
   TimePoint m_until;
   Duration m_fetch{};
   std::vector<std::uint64_t> m_used;
+  StorePace m_pace;
 };
 
 } // namespace fulmarquay
--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -83,6 +83,8 @@
     PoolId m_pool;
     WorkerId m_worker;
     std::set<WorkerId> m_tried;
+    std::set<std::string> m_stores; ///< that its worker fetches from
+    TimePoint m_sent;
     CallId m_call;
     int m_sends = 0;          ///< workers that may have got it
     int m_misses = 0;         ///< workers that could not be reached
--- a/src/libcontrol/StoreDesk.cpp
+++ b/src/libcontrol/StoreDesk.cpp
@@ -94,8 +94,7 @@
   m_state = m_owner.CurrentTerm() << kTermShift;
   m_flushed = 0;
   m_mayListFrom = m_owner.Now() + kFreeValid + kFreeMargin;
-  m_mayFreeFrom =
-    m_owner.Now() + m_lease.m_map + m_lease.m_fetch + kFreeMargin;
+  m_mayFreeFrom = m_owner.Now() + m_lease.m_map + m_lease.m_fetch + kFreeMargin;
 }
 
 void
@@ -194,9 +193,8 @@
   }
   store.m_brief.m_isUp = false;
   m_haveStoresChanged = true;
-  m_owner.Log(
-    LogEvent::UpstreamFailed,
-    { { "store", store.m_brief.m_name }, { "why", aWhy } });
+  m_owner.Log(LogEvent::UpstreamFailed,
+              { { "store", store.m_brief.m_name }, { "why", aWhy } });
 }
 
 void
@@ -266,8 +264,7 @@
 StoreDesk::Add(std::size_t aStore, const StoreEvent& aEvent)
 {
   Store& store = m_stores[aStore];
-  const std::uint64_t key =
-    PartKey(aEvent.m_part.m_scope, aEvent.m_part.m_id);
+  const std::uint64_t key = PartKey(aEvent.m_part.m_scope, aEvent.m_part.m_id);
   Part& part = store.m_parts[key];
   store.m_usedTokens += aEvent.m_tokens - part.m_tokens;
   part = { aEvent.m_part, aEvent.m_tokens, aEvent.m_model, m_owner.Now() };
@@ -392,10 +389,13 @@
   }
   store.m_isFreeing = true;
   store.m_mayListFrom = now + kFreeValid + kFreeMargin;
-  Start(CallKind::Free,
-        aStore,
-        m_protocol->Free(parts, store.m_epoch, WorkersClockMs() + kFreeValid.count() / kMicrosPerMilli),
-        kCallTimeout);
+  Start(
+    CallKind::Free,
+    aStore,
+    m_protocol->Free(parts,
+                     store.m_epoch,
+                     WorkersClockMs() + kFreeValid.count() / kMicrosPerMilli),
+    kCallTimeout);
 }
 
 void
@@ -403,8 +403,7 @@
                       std::uint64_t aKey,
                       std::int64_t aTokens)
 {
-  m_changes.push_back(
-    { static_cast<std::uint32_t>(aStore), aKey, aTokens });
+  m_changes.push_back({ static_cast<std::uint32_t>(aStore), aKey, aTokens });
 }
 
 StorePush
--- a/src/libserve/PartMap.cpp
+++ b/src/libserve/PartMap.cpp
@@ -94,8 +94,8 @@
   double bestScore = 0;
   for (std::size_t i = 0; i < m_stores.size(); ++i) {
     const StoreBrief& store = m_stores[i];
-    const bool isFull = (m_usedTokens[i] + aTokens) * 100 >
-                        store.m_capacity * kSavePercent;
+    const bool isFull =
+      (m_usedTokens[i] + aTokens) * 100 > store.m_capacity * kSavePercent;
     if (!store.m_isUp || isFull) {
       continue;
     }
@@ -169,14 +169,23 @@
     if (m_used.size() < kMostUsed) {
       m_used.push_back(key);
     }
+    const std::string& address = m_stores[copy->m_store].m_address;
+    isUnbroken = isUnbroken && m_pace.MayFetch(aNow, address, key);
     if (isUnbroken) {
-      aOrder.m_fetches[i] = { m_stores[copy->m_store].m_address,
-                              copy->m_tokens };
+      aOrder.m_fetches[i] = { address, copy->m_tokens };
     }
   }
   aOrder.m_fetchUntilMs = aClockMs + m_fetch.count() / kMicrosPerMilli;
 }
 
+void
+PartMap::OnFirstEvent(TimePoint aNow,
+                      Duration aTime,
+                      const std::set<std::string>& aStores)
+{
+  m_pace.OnFirstEvent(aNow, aTime, aStores);
+}
+
 std::vector<std::uint64_t>
 PartMap::TakeUsed()
 {
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -14,6 +14,9 @@
 /// Workers are a few ms away: one that does not take a connection within
 /// this is down or cut off.
 constexpr Duration kConnectTimeout(300'000);
+/// A worker's VM acknowledges what it gets within a few ms, whatever its
+/// requests wait for. Some lost packets in a row fit in.
+constexpr Duration kPeerTimeout(1'000'000);
 /// Unreachable workers that one request tries before it is refused.
 constexpr int kMostMisses = 3;
 /// A worker can't do anything useful in less.
@@ -283,6 +286,7 @@
 void
 RelayFlow::Send(Relayed& aRelayed, WorkerState& aWorker)
 {
+  aRelayed.m_stores.clear();
   RelayOrder order;
   order.m_worker = aWorker.m_info.m_id.Value();
   order.m_account = aRelayed.m_account;
@@ -303,15 +307,22 @@
                  aRelayed.m_request,
                  aWorker.m_info.m_dataCentre,
                  order);
+    for (const PartSource& source : order.m_fetches) {
+      if (!source.m_address.empty()) {
+        aRelayed.m_stores.insert(source.m_address);
+      }
+    }
   }
   HttpCall call;
   call.m_peer = aWorker.m_address;
   call.m_request = m_protocol.Encode(aRelayed.m_request, order);
   call.m_idleTimeout = Duration(0);
   call.m_connectTimeout = std::min(kConnectTimeout, order.m_left);
+  call.m_peerTimeout = kPeerTimeout;
   call.m_answerMark = m_protocol.AnswerMark(aRelayed.m_request);
   aRelayed.m_worker = aWorker.m_info.m_id;
   aRelayed.m_tried.insert(aRelayed.m_worker);
+  aRelayed.m_sent = m_context.Now();
   aRelayed.m_isRead = false;
   aRelayed.m_isRunning = true;
   ++aRelayed.m_sends;
--- a/src/libwire/HttpClient.cpp
+++ b/src/libwire/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include "fulmarquay/wire/HttpClient.h"
 
 #include "fulmarquay/core/Clock.h"
+#include "fulmarquay/wire/SocketOptions.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -114,6 +115,7 @@
   void Finish(const RunningPtr& aRunning);
   void Close(Wire& aWire);
   void BoundWait(const Running& aRunning);
+  void DropIdle(const Endpoint& aPeer);
   static bool IsForeign(const Running& aRunning);
 
   HttpCallHandler& m_handler;
@@ -220,8 +222,11 @@
         return;
       }
       error_code ignored;
-      aRunning->m_wire->m_stream.socket().set_option(tcp::no_delay(true),
-                                                     ignored);
+      auto& socket = aRunning->m_wire->m_stream.socket();
+      socket.set_option(tcp::no_delay(true), ignored);
+      if (aRunning->m_call.m_peerTimeout > Duration(0)) {
+        SetPeerTimeout(socket.native_handle(), aRunning->m_call.m_peerTimeout);
+      }
       self->WriteRequest(aRunning);
     });
 }
@@ -332,11 +337,24 @@
   ReadBody(aRunning);
 }
 
+void
+HttpClient::Impl::DropIdle(const Endpoint& aPeer)
+{
+  for (const WirePtr& wire : m_idle[aPeer]) {
+    Close(*wire);
+  }
+  m_idle.erase(aPeer);
+}
+
 void
 HttpClient::Impl::Fail(const RunningPtr& aRunning, const error_code& aError)
 {
   Close(*aRunning->m_wire);
   m_running.erase(aRunning->m_call.m_call);
+  if (aError == asio::error::timed_out || aError == beast::error::timeout) {
+    // Others that wait for their next request are as silent.
+    DropIdle(aRunning->m_call.m_peer);
+  }
   CallEnd end = CallEnd::Broken;
   if (!aRunning->m_isSent) {
     end = CallEnd::NotSent;
