A silent worker is tried with a connection; tests of what was built

Change: a worker with requests that sends nothing for 400 ms is tried with a connection; one that takes none loses its requests at once, which go on elsewhere where they may. Ruled out: ending requests by silence alone.

--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -110,6 +110,9 @@
   void Release(Relayed& aRelayed);
   void OnRead(Relayed& aRelayed);
   Relayed* Find(CallId aCall);
+  void Heard(const Relayed& aRelayed);
+  void ProbeSilent();
+  void OnProbed(const WorkerId& aWorker, CallEnd aEnd);
 
   // The end of a call.
   void OnWhole(Relayed& aRelayed);
@@ -145,6 +148,8 @@
   std::uint32_t m_entries = 1;
   std::unordered_map<CallerId, RelayedPtr> m_byCaller;
   std::unordered_map<CallId, Relayed*> m_byCall;
+  std::map<CallId, WorkerId> m_probes;
+  TimePoint m_nextProbe;
   std::multimap<TimePoint, CallerId> m_due;
   std::map<PoolId, RetryBudget> m_budgets;
 };
--- a/src/include/fulmarquay/serve/StorePace.h
+++ b/src/include/fulmarquay/serve/StorePace.h
@@ -28,9 +28,7 @@
                     const std::set<std::string>& aStores);
 
   /// Whether a part is to be fetched from a store now.
-  bool MayFetch(TimePoint aNow,
-                const std::string& aStore,
-                std::uint64_t aPart);
+  bool MayFetch(TimePoint aNow, const std::string& aStore, std::uint64_t aPart);
 
   /// The share of fetches from a store that are ordered, 0 to 1.
   double ShareOf(const std::string& aStore) const;
--- a/src/include/fulmarquay/serve/WorkerTable.h
+++ b/src/include/fulmarquay/serve/WorkerTable.h
@@ -22,6 +22,8 @@
   std::int64_t m_waitingTokens = 0; ///< own prompts without a first event
   TimePoint m_suspectUntil;         ///< gets nothing new before
   int m_failures = 0;               ///< in a row
+  TimePoint m_heard;       ///< last byte, or the first request after a pause
+  bool m_isProbed = false; ///< a connection is being tried
 };
 
 /// The workers of an entry, by pool. Keeps what is known of a worker across
--- a/src/include/fulmarquay/wire/HttpClient.h
+++ b/src/include/fulmarquay/wire/HttpClient.h
@@ -47,6 +47,8 @@
   /// Never reuse an idle connection: its peer may have closed it, and then
   /// nobody knows whether the request was read.
   bool m_freshConnection = false;
+  /// Only tries whether the peer takes a connection: ends as Whole or NotSent.
+  bool m_isProbe = false;
   /// A peer that acknowledges nothing for this long is given up; 0: never.
   Duration m_peerTimeout{};
   /// A header that the answer must carry with this value. An answer with
--- a/src/libcontrol/Rollout.cpp
+++ b/src/libcontrol/Rollout.cpp
@@ -213,6 +213,9 @@
     }
     engine.m_order = OrderState::None;
     engine.m_failures = hasTarget ? 0 : engine.m_failures + 1;
+    if (hasTarget) {
+      engine.m_nextObserve = aNow + kSettledInterval;
+    }
   }
   engine.m_weights = aObservation.m_weights;
   engine.m_sequence = aObservation.m_sequence;
--- a/src/libcore/core_test.cpp
+++ b/src/libcore/core_test.cpp
@@ -1,6 +1,7 @@
 #include "fulmarquay/core/Digest.h"
 #include "fulmarquay/core/Endpoint.h"
 #include "fulmarquay/core/IniDocument.h"
+#include "fulmarquay/core/LogBuffer.h"
 #include "fulmarquay/core/LogEvent.h"
 #include "fulmarquay/core/Metrics.h"
 #include "fulmarquay/core/Settings.h"
@@ -8,6 +9,7 @@
 
 #include <set>
 #include <stdexcept>
+#include <unistd.h>
 
 // Last: its macros clash with names in other headers.
 #include <criterion/criterion.h>
@@ -173,3 +175,35 @@
   cr_assert_neq(text.find("wait_seconds_count 3"), std::string::npos);
   cr_assert_neq(text.find("le=\"+Inf\"} 3"), std::string::npos);
 }
+
+Test(log_buffer, failures_go_before_routine_lines_and_loss_is_counted)
+{
+  LogBuffer buffer(1'000);
+  const std::string line(99, 'x');
+  for (int i = 0; i < 20; ++i) {
+    buffer.Add(line + "\n", false);
+  }
+  cr_assert_eq(buffer.Size(), 500U);
+  buffer.Add("failure\n", true);
+  cr_assert_eq(buffer.Size(), 508U);
+  cr_assert_eq(buffer.TakeLeftOut(), 15U);
+  cr_assert_eq(buffer.TakeLeftOut(), 0U);
+}
+
+Test(log_buffer, a_pipe_that_nobody_reads_blocks_nothing)
+{
+  int ends[2];
+  cr_assert_eq(::pipe(ends), 0);
+  LogBuffer buffer(1U << 20U);
+  // Far more than a pipe holds.
+  for (int i = 0; i < 4'000; ++i) {
+    buffer.Add(std::string(99, 'x') + "\n", false);
+  }
+  const std::size_t before = buffer.Size();
+  buffer.Flush(ends[1]);
+  cr_assert_lt(buffer.Size(), before);
+  cr_assert_gt(buffer.Size(), 0U);
+  std::string read(1U << 20U, '\0');
+  const ssize_t size = ::read(ends[0], read.data(), read.size());
+  cr_assert_eq(static_cast<std::size_t>(size) + buffer.Size(), before);
+}
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -17,6 +17,11 @@
 /// A worker's VM acknowledges what it gets within a few ms, whatever its
 /// requests wait for. Some lost packets in a row fit in.
 constexpr Duration kPeerTimeout(1'000'000);
+/// A worker with requests that sends nothing for this long is tried with a
+/// connection: silence alone is no reason to end a request, and a VM that is
+/// gone takes no connection.
+constexpr Duration kSilence(400'000);
+constexpr Duration kProbeInterval(100'000);
 /// Unreachable workers that one request tries before it is refused.
 constexpr int kMostMisses = 3;
 /// A worker can't do anything useful in less.
@@ -326,7 +331,9 @@
   aRelayed.m_isRead = false;
   aRelayed.m_isRunning = true;
   ++aRelayed.m_sends;
-  ++aWorker.m_running;
+  if (aWorker.m_running++ == 0) {
+    aWorker.m_heard = m_context.Now();
+  }
   aWorker.m_waitingTokens += aRelayed.m_counted;
   aRelayed.m_call = m_context.Call(std::move(call), *this);
   m_byCall[aRelayed.m_call] = &aRelayed;
@@ -366,6 +373,67 @@
   aRelayed.m_counted = 0;
 }
 
+void
+RelayFlow::Heard(const Relayed& aRelayed)
+{
+  if (WorkerState* worker = m_workers.Find(aRelayed.m_worker)) {
+    worker->m_heard = m_context.Now();
+  }
+}
+
+void
+RelayFlow::ProbeSilent()
+{
+  const TimePoint now = m_context.Now();
+  if (now < m_nextProbe) {
+    return;
+  }
+  m_nextProbe = now + kProbeInterval;
+  for (const auto& [id, known] : m_workers.All()) {
+    const bool isSilent = known.m_running > 0 && !known.m_isProbed &&
+                          now >= known.m_heard + kSilence;
+    if (!isSilent) {
+      continue;
+    }
+    HttpCall call;
+    call.m_peer = known.m_address;
+    call.m_isProbe = true;
+    call.m_connectTimeout = kConnectTimeout;
+    m_workers.Find(id)->m_isProbed = true;
+    m_probes[m_context.Call(std::move(call), *this)] = id;
+  }
+}
+
+void
+RelayFlow::OnProbed(const WorkerId& aWorker, CallEnd aEnd)
+{
+  WorkerState* worker = m_workers.Find(aWorker);
+  if (worker != nullptr) {
+    worker->m_isProbed = false;
+    worker->m_heard = m_context.Now();
+  }
+  if (aEnd == CallEnd::Whole) {
+    return;
+  }
+  m_workers.OnFailure(m_context.Now(), aWorker);
+  m_context.Log(LogEvent::WorkerSuspected,
+                { { "worker", aWorker.Value() },
+                  { "why", "silent, and takes no connection" } });
+  std::vector<CallId> lost;
+  for (const auto& [call, relayed] : m_byCall) {
+    if (relayed->m_worker == aWorker) {
+      lost.push_back(call);
+    }
+  }
+  for (const CallId call : lost) {
+    Relayed* relayed = Find(call);
+    m_context.Cancel(call);
+    Release(*relayed);
+    relayed->m_mayHaveRun = true;
+    OnBroken(*relayed, "the worker is gone");
+  }
+}
+
 void
 RelayFlow::OnHead(CallId aCall, const HttpResponse& aHead)
 {
@@ -373,6 +441,7 @@
   if (relayed == nullptr) {
     return;
   }
+  Heard(*relayed);
   relayed->m_facts = m_protocol.ReadHead(aHead);
   const RelayHead& facts = relayed->m_facts;
   const bool isGood =
@@ -411,6 +480,7 @@
   if (relayed == nullptr) {
     return;
   }
+  Heard(*relayed);
   const bool isGood = relayed->m_facts.m_status >= kStatusOk &&
                       relayed->m_facts.m_status < kStatusRedirect;
   if (!relayed->m_isStreaming) {
@@ -433,6 +503,13 @@
 void
 RelayFlow::OnEnd(CallId aCall, CallEnd aEnd, const std::string& aWhy)
 {
+  const auto probe = m_probes.find(aCall);
+  if (probe != m_probes.end()) {
+    const WorkerId worker = probe->second;
+    m_probes.erase(probe);
+    OnProbed(worker, aEnd);
+    return;
+  }
   Relayed* relayed = Find(aCall);
   if (relayed == nullptr) {
     return;
@@ -653,6 +730,7 @@
       Expire(*place->second);
     }
   }
+  ProbeSilent();
   if (m_hadKeys != HasKeys()) {
     m_hadKeys = HasKeys();
     m_context.Log(m_hadKeys ? LogEvent::KeyLeaseRegained
--- a/src/libserve/StorePace.cpp
+++ b/src/libserve/StorePace.cpp
@@ -33,9 +33,9 @@
 {
   const bool isOld = aNow >= aPace.m_seen + kPaceLife;
   aPace.m_microseconds =
-    isOld ? aMicroseconds
-          : aPace.m_microseconds +
-              kWeight * (aMicroseconds - aPace.m_microseconds);
+    isOld
+      ? aMicroseconds
+      : aPace.m_microseconds + kWeight * (aMicroseconds - aPace.m_microseconds);
   aPace.m_seen = aNow;
 }
 
@@ -67,8 +67,7 @@
     Note(pace, aNow, time);
     const double usual = Usual(aNow, store);
     const bool isKnown = usual < std::numeric_limits<double>::max();
-    const bool isSlow = isKnown &&
-                        pace.m_microseconds > usual * kSlowFactor &&
+    const bool isSlow = isKnown && pace.m_microseconds > usual * kSlowFactor &&
                         pace.m_microseconds > usual + kSlowMicroseconds;
     if (!isSlow) {
       pace.m_share = std::min(1.0, pace.m_share + kGrow);
--- /dev/null
+++ b/src/libserve/relay_test.cpp
@@ -0,0 +1,596 @@
+// The way of relayed requests, with a fake form of requests and a worker whose
+// answers the tests write.
+#include "fulmarquay/core/Digest.h"
+#include "fulmarquay/core/Error.h"
+#include "fulmarquay/route/RouteDelta.h"
+#include "fulmarquay/serve/RelayFlow.h"
+
+#include <functional>
+#include <set>
+
+// Last: its macros clash with names in other headers.
+#include <criterion/criterion.h>
+
+using namespace fulmarquay;
+
+namespace {
+
+constexpr Duration kMillisecond(1'000);
+constexpr std::int64_t kTimeoutMs = 2'000;
+
+/// Facts of an answer travel as `status/flags`: p proven, s stream, n not run.
+class FakeProtocol : public RelayProtocol
+{
+public:
+  RelayRequest Decode(HttpRequest aRequest) const override
+  {
+    if (aRequest.m_method == "BAD") {
+      throw Error("read request", "", "bad");
+    }
+    RelayRequest request;
+    request.m_id = FindHeader(aRequest.m_headers, "id");
+    request.m_host = "h";
+    request.m_path = aRequest.m_target;
+    request.m_key = FindHeader(aRequest.m_headers, "key");
+    request.m_model = "m";
+    request.m_promptTokens = 100;
+    request.m_parts = { { "shared", 80 }, { "own", 20 } };
+    return request;
+  }
+  HttpRequest Encode(const RelayRequest& aRequest,
+                     const RelayOrder& aOrder) const override
+  {
+    m_orders.push_back(aOrder);
+    return { "POST", aRequest.m_path, {}, "" };
+  }
+  HttpHeader AnswerMark(const RelayRequest& aRequest) const override
+  {
+    return { "id", aRequest.m_id };
+  }
+  RelayHead ReadHead(const HttpResponse& aHead) const override
+  {
+    const std::string flags = FindHeader(aHead.m_headers, "flags");
+    RelayHead head;
+    head.m_status = aHead.m_status;
+    head.m_isProven = flags.find('p') != std::string::npos;
+    head.m_isStream = flags.find('s') != std::string::npos;
+    head.m_isNotRun = flags.find('n') != std::string::npos;
+    return head;
+  }
+  HttpResponse CallerHead(HttpResponse aHead) const override { return aHead; }
+  HttpResponse Refuse(const RelayRequest&,
+                      const RelayRefusal& aRefusal) const override
+  {
+    HttpResponse response;
+    response.m_status = aRefusal.m_status;
+    response.m_body = aRefusal.m_reason;
+    return response;
+  }
+
+  mutable std::vector<RelayOrder> m_orders;
+};
+
+WorkerInfo
+Worker(const std::string& aId, std::int64_t aVersion)
+{
+  WorkerInfo worker;
+  worker.m_id = WorkerId(aId);
+  worker.m_pool = PoolId("p");
+  worker.m_address = "10.0.0.1:" + std::to_string(8000 + aId.back());
+  worker.m_weights["m"] = aVersion;
+  return worker;
+}
+
+RouteRule
+Rule(Repetition aKind, std::int64_t aAttempts)
+{
+  RouteRule rule;
+  rule.m_host = "h";
+  rule.m_repetition = static_cast<std::uint8_t>(aKind);
+  rule.m_timeoutUs = kTimeoutMs * 1'000;
+  rule.m_targetUs = 300'000;
+  rule.m_attempts = aAttempts;
+  rule.m_pools = { { PoolId("p"), 1 } };
+  return rule;
+}
+
+/// An entry that serves four routes under a confirmed lease.
+class Entry
+{
+public:
+  Entry()
+    : m_context({}, 1)
+    , m_flow(m_context, m_protocol, RelayOptions())
+  {
+    RouteDocument document;
+    document.m_revision = Revision(3);
+    document.m_pools["p"];
+    Add(document, "/idempotent/", Rule(Repetition::Idempotent, 2));
+    Add(document, "/once/", Rule(Repetition::Once, 2));
+    RouteRule stream = Rule(Repetition::Stream, 2);
+    Add(document, "/stream/", stream);
+    stream.m_isResumable = true;
+    stream.m_hasPrompt = true;
+    Add(document, "/resumable/", stream);
+    RouteRule open = Rule(Repetition::Idempotent, 1);
+    open.m_isAnonymous = true;
+    Add(document, "/open/", open);
+    document.m_accounts["acc"].m_keyHashes = { Sha256Hex("key") };
+    document.m_needsKeys = true;
+    Begin(0);
+    m_flow.OnRoutes(MakeDelta(RouteDocument(), document));
+    SetWorkers({ Worker("w1", 1), Worker("w2", 1), Worker("w3", 1) });
+    Confirm();
+  }
+
+  void SetWorkers(std::vector<WorkerInfo> aWorkers, std::int64_t aNamed = -1)
+  {
+    WorkerList list;
+    list.m_number = ++m_list;
+    list.m_workers = std::move(aWorkers);
+    if (aNamed >= 0) {
+      list.m_weights = { { "m", aNamed, 0 } };
+    }
+    m_flow.OnWorkers(list);
+  }
+
+  void Confirm() { m_flow.OnConfirmed(m_now + 4'000 * kMillisecond, 1); }
+
+  void Begin(std::int64_t aMillis)
+  {
+    m_now += aMillis * kMillisecond;
+    m_context.Begin(m_now);
+  }
+
+  /// Lets time pass in ticks.
+  void Pass(std::int64_t aMillis)
+  {
+    for (std::int64_t passed = 0; passed < aMillis; passed += 20) {
+      Begin(20);
+      m_flow.OnTick();
+      Take();
+    }
+  }
+
+  void Ask(const std::string& aPath, const std::string& aKey = "key")
+  {
+    Begin(1);
+    HttpRequest request{ "POST",
+                         aPath,
+                         { { "id", "r" + std::to_string(++m_caller) },
+                           { "key", aKey } },
+                         "" };
+    m_flow.Start(CallerId(m_caller), request);
+    Take();
+  }
+
+  void Head(int aStatus, const std::string& aFlags)
+  {
+    Begin(1);
+    HttpResponse head;
+    head.m_status = aStatus;
+    head.m_headers = { { "flags", aFlags } };
+    m_flow.OnHead(m_calls.back().m_call, head);
+    Take();
+  }
+  void Data(const std::string& aData)
+  {
+    Begin(1);
+    m_flow.OnData(m_calls.back().m_call, aData);
+    Take();
+  }
+  void End(CallEnd aEnd)
+  {
+    Begin(1);
+    m_flow.OnEnd(m_calls.back().m_call, aEnd, "why");
+    Take();
+  }
+
+  void Take()
+  {
+    for (EntryEffect& effect : m_context.TakeEffects()) {
+      if (auto* call = std::get_if<StartCall>(&effect)) {
+        (call->m_call.m_isProbe ? m_probes : m_calls)
+          .push_back(std::move(call->m_call));
+      } else if (auto* answer = std::get_if<RespondCaller>(&effect)) {
+        m_status = answer->m_response.m_status;
+        m_body += answer->m_response.m_body;
+        ++m_answers;
+      } else if (std::holds_alternative<BeginCallerStream>(effect)) {
+        ++m_heads;
+      } else if (auto* data = std::get_if<WriteCallerStream>(&effect)) {
+        m_body += data->m_data;
+      } else if (auto* end = std::get_if<EndCallerStream>(&effect)) {
+        m_isWhole = end->m_isWhole;
+        ++m_answers;
+      } else if (std::holds_alternative<CancelCall>(effect)) {
+        ++m_cancels;
+      }
+    }
+  }
+
+  FakeProtocol m_protocol;
+  EntryContext m_context;
+  RelayFlow m_flow;
+  TimePoint m_now{ Duration(1'000'000'000) };
+  std::uint64_t m_list = 0;
+  std::uint64_t m_caller = 0;
+  std::vector<HttpCall> m_calls;
+  std::vector<HttpCall> m_probes;
+  int m_status = 0;
+  std::string m_body;
+  int m_answers = 0;
+  int m_heads = 0;
+  int m_cancels = 0;
+  bool m_isWhole = false;
+
+private:
+  static void Add(RouteDocument& aDocument,
+                  const std::string& aPrefix,
+                  RouteRule aRule)
+  {
+    aRule.m_prefix = aPrefix;
+    aDocument.m_routes[aPrefix] = aRule;
+  }
+};
+
+/// How a worker treats a request, up to the end of its call.
+using Fault = std::function<void(Entry&)>;
+
+void
+NotSent(Entry& aEntry)
+{
+  aEntry.End(CallEnd::NotSent);
+}
+void
+Broken(Entry& aEntry)
+{
+  aEntry.End(CallEnd::Broken);
+}
+void
+NotRun(Entry& aEntry)
+{
+  aEntry.Head(503, "n");
+  aEntry.End(CallEnd::Whole);
+}
+void
+Failure(Entry& aEntry)
+{
+  aEntry.Head(500, "p");
+  aEntry.End(CallEnd::Whole);
+}
+void
+Unproven(Entry& aEntry)
+{
+  aEntry.Head(200, "");
+  aEntry.Data("forged");
+  aEntry.End(CallEnd::Whole);
+}
+
+struct FaultCase
+{
+  const char* m_path;
+  Fault m_fault;
+  std::size_t m_calls; ///< sends after the fault
+  int m_status;        ///< 0: the second worker is still at work
+};
+
+} // namespace
+
+Test(relay, faults_before_the_first_byte_of_an_answer)
+{
+  const std::vector<FaultCase> cases = {
+    { "/idempotent/x", NotSent, 2, 0 },
+    { "/idempotent/x", Broken, 2, 0 },
+    { "/idempotent/x", NotRun, 2, 0 },
+    { "/idempotent/x", Failure, 2, 0 },
+    { "/idempotent/x", Unproven, 2, 0 },
+    { "/once/x", NotSent, 2, 0 },
+    { "/once/x", NotRun, 2, 0 },
+    { "/once/x", Broken, 1, 502 },
+    { "/once/x", Failure, 1, 500 },
+    { "/once/x", Unproven, 1, 502 },
+    { "/stream/x", NotSent, 2, 0 },
+    { "/stream/x", NotRun, 2, 0 },
+    { "/stream/x", Broken, 1, 502 },
+    { "/resumable/x", Broken, 2, 0 },
+    { "/open/x", Broken, 1, 502 },
+    { "/open/x", NotRun, 1, 503 },
+    { "/open/x", Failure, 1, 500 },
+  };
+  for (const FaultCase& each : cases) {
+    Entry entry;
+    entry.Ask(each.m_path);
+    each.m_fault(entry);
+    cr_assert_eq(entry.m_calls.size(), each.m_calls, "%s", each.m_path);
+    cr_assert_eq(entry.m_status, each.m_status, "%s", each.m_path);
+    cr_assert_eq(entry.m_body.find("forged"), std::string::npos);
+    if (each.m_calls == 2) {
+      cr_assert(!(entry.m_calls[0].m_peer == entry.m_calls[1].m_peer));
+    }
+  }
+}
+
+Test(relay, a_second_worker_is_the_last_one)
+{
+  Entry entry;
+  entry.Ask("/idempotent/x");
+  Broken(entry);
+  Broken(entry);
+  cr_assert_eq(entry.m_calls.size(), 2U);
+  cr_assert_eq(entry.m_status, 502);
+}
+
+Test(relay, once_it_may_have_run_it_is_never_said_not_to_have)
+{
+  Entry entry;
+  entry.Ask("/idempotent/x");
+  Broken(entry);
+  NotRun(entry);
+  cr_assert_eq(entry.m_status, 502);
+  Entry late;
+  late.Ask("/once/x");
+  late.Pass(kTimeoutMs + 100);
+  cr_assert_eq(late.m_status, 504);
+  cr_assert_eq(late.m_cancels, 1);
+}
+
+Test(relay, refusals_by_route_and_key)
+{
+  struct Case
+  {
+    const char* m_path;
+    const char* m_key;
+    bool m_isConfirmed;
+    int m_status;
+  };
+  const std::vector<Case> cases = {
+    { "/once/x", "key", true, 0 },    { "/once/x", "other", true, 401 },
+    { "/once/x", "", true, 401 },     { "/open/x", "", true, 0 },
+    { "/none/x", "key", true, 404 },  { "/once/x", "key", false, 503 },
+    { "/open/x", "", false, 0 },      { "/none/x", "key", false, 503 },
+    { "/open/x", "key", false, 0 },   { "/once/x", "other", false, 503 },
+  };
+  for (const Case& each : cases) {
+    Entry entry;
+    if (!each.m_isConfirmed) {
+      entry.Pass(4'100);
+    }
+    entry.Ask(each.m_path, each.m_key);
+    cr_assert_eq(entry.m_status, each.m_status, "%s %s %d", each.m_path,
+                 each.m_key, static_cast<int>(each.m_isConfirmed));
+  }
+}
+
+Test(relay, an_account_is_named_by_its_key_only)
+{
+  Entry entry;
+  entry.Ask("/once/x");
+  cr_assert_eq(entry.m_protocol.m_orders.back().m_account, "acc");
+  entry.Ask("/open/x", "");
+  cr_assert_eq(entry.m_protocol.m_orders.back().m_account, "");
+}
+
+Test(relay, a_stream_goes_on_after_its_last_whole_event)
+{
+  Entry entry;
+  entry.Ask("/resumable/x");
+  entry.Head(200, "ps");
+  entry.Data("id: 1\ndata: a\n\nid: 2\nda");
+  entry.Data("ta: b\n\nid: 3\ndata: c");
+  Broken(entry);
+  cr_assert_eq(entry.m_calls.size(), 2U);
+  cr_assert_eq(entry.m_protocol.m_orders.back().m_resumeAfter, 2);
+  entry.Head(200, "ps");
+  entry.Data("id: 3\ndata: c\n\n");
+  entry.End(CallEnd::Whole);
+  cr_assert(entry.m_isWhole);
+  cr_assert_eq(entry.m_heads, 1);
+  cr_assert_eq(
+    entry.m_body,
+    "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+}
+
+Test(relay, a_stream_that_can_not_go_on_is_cut)
+{
+  for (const char* path : { "/stream/x", "/resumable/x" }) {
+    Entry entry;
+    entry.Ask(path);
+    entry.Head(200, "ps");
+    entry.Data("id: 1\ndata: a\n\nid: 2\n");
+    Broken(entry);
+    if (entry.m_calls.size() == 2) {
+      Broken(entry);
+    }
+    cr_assert_eq(entry.m_answers, 1);
+    cr_assert_not(entry.m_isWhole, "%s", path);
+    cr_assert_eq(entry.m_body, "id: 1\ndata: a\n\n");
+  }
+}
+
+Test(relay, an_end_within_an_event_is_not_whole)
+{
+  Entry entry;
+  entry.Ask("/stream/x");
+  entry.Head(200, "ps");
+  entry.Data("id: 1\ndata: a\n\nid: 2\n");
+  entry.End(CallEnd::Whole);
+  cr_assert_eq(entry.m_answers, 1);
+  cr_assert_not(entry.m_isWhole);
+}
+
+Test(relay, a_caller_who_leaves_ends_the_work)
+{
+  Entry entry;
+  entry.Ask("/once/x");
+  entry.Begin(1);
+  entry.m_flow.OnGone(CallerId(1));
+  entry.Take();
+  cr_assert_eq(entry.m_cancels, 1);
+  cr_assert_eq(entry.m_flow.Running(), 0U);
+}
+
+Test(relay, a_silent_worker_is_tried_before_it_is_given_up)
+{
+  for (const CallEnd end : { CallEnd::Whole, CallEnd::NotSent }) {
+    Entry entry;
+    entry.Ask("/resumable/x");
+    entry.Head(200, "ps");
+    entry.Pass(380);
+    cr_assert(entry.m_probes.empty());
+    entry.Pass(200);
+    cr_assert_eq(entry.m_probes.size(), 1U);
+    entry.Begin(1);
+    entry.m_flow.OnEnd(entry.m_probes[0].m_call, end, "");
+    entry.Take();
+    const bool isGone = end == CallEnd::NotSent;
+    cr_assert_eq(entry.m_calls.size(), isGone ? 2U : 1U);
+    cr_assert_eq(entry.m_cancels, isGone ? 1 : 0);
+  }
+}
+
+Test(relay, nothing_goes_to_leaving_or_outdated_workers)
+{
+  Entry entry;
+  WorkerInfo leaving = Worker("w1", 2);
+  leaving.m_isLeaving = true;
+  entry.SetWorkers({ leaving, Worker("w2", 1), Worker("w3", 2) }, 2);
+  entry.Pass(6'100); // beyond the time for older weights
+  entry.Confirm();
+  for (int i = 0; i < 5; ++i) {
+    entry.Ask("/resumable/x");
+    cr_assert_eq(entry.m_protocol.m_orders.back().m_worker, "w3");
+    cr_assert_eq(entry.m_protocol.m_orders.back().m_weights, 2);
+    cr_assert_eq(entry.m_protocol.m_orders.back().m_cacheScope, "w2");
+  }
+}
+
+Test(relay, repeats_are_bounded_by_the_budget)
+{
+  Entry entry;
+  std::size_t requests = 0;
+  for (; requests < 400; ++requests) {
+    entry.Ask("/idempotent/x");
+    NotRun(entry);
+    if (entry.m_calls.back().m_call.Value() != 0 &&
+        entry.m_flow.Running() != 0) {
+      NotRun(entry);
+    }
+    entry.Pass(20);
+    entry.Confirm();
+  }
+  const std::size_t repeats = entry.m_calls.size() - requests;
+  const RelayOptions options;
+  cr_assert_leq(static_cast<double>(repeats),
+                options.m_retryShare * static_cast<double>(requests) +
+                  options.m_retrySlack);
+  cr_assert_gt(repeats, 20U);
+}
+
+namespace {
+
+StorePush
+Push(std::uint64_t aFrom, std::uint64_t aTo, std::vector<PartChange> aChanges)
+{
+  StorePush push;
+  push.m_from = aFrom;
+  push.m_to = aTo;
+  push.m_changes = std::move(aChanges);
+  if (aFrom == 0) {
+    push.m_hasStores = true;
+    push.m_stores = {
+      { "a", "10.0.0.8:1", DataCentreId("d1"), 10'000, true },
+      { "b", "10.0.0.9:1", DataCentreId("d2"), 10'000, true },
+    };
+  }
+  return push;
+}
+
+RelayRequest
+Prompt()
+{
+  RelayRequest request;
+  request.m_parts = { { "x", 500 }, { "y", 300 }, { "own", 50 } };
+  return request;
+}
+
+} // namespace
+
+Test(part_map, a_part_is_saved_once_and_fetched_then)
+{
+  PartMap map;
+  const TimePoint now(Duration(1'000'000'000));
+  map.OnConfirmed(now + 4'000 * kMillisecond, 3'000 * kMillisecond);
+  cr_assert(map.Apply(Push(0, 1, {})));
+  RelayOrder order;
+  order.m_cacheScope = "w1";
+  map.Plan(now, 50'000, Prompt(), DataCentreId("d1"), order);
+  cr_assert_not(order.m_saves.at(0).empty());
+  cr_assert(order.m_saves.at(2).empty(), "the last part is its request's own");
+  cr_assert_eq(order.m_fetchUntilMs, 53'000);
+  RelayOrder again;
+  again.m_cacheScope = "w1";
+  map.Plan(now, 50'000, Prompt(), DataCentreId("d1"), again);
+  cr_assert(again.m_saves.at(0).empty(), "a save is under way");
+  cr_assert(map.Apply(Push(1, 2, { { 1, PartKey("w1", "x"), 500 } })));
+  RelayOrder fetch;
+  fetch.m_cacheScope = "w1";
+  map.Plan(now, 50'000, Prompt(), DataCentreId("d1"), fetch);
+  cr_assert_eq(fetch.m_fetches.at(0).m_address, "10.0.0.9:1");
+  cr_assert_eq(fetch.m_fetches.at(0).m_tokens, 500);
+  cr_assert(fetch.m_fetches.at(1).m_address.empty());
+  RelayOrder other;
+  other.m_cacheScope = "w2";
+  map.Plan(now, 50'000, Prompt(), DataCentreId("d1"), other);
+  cr_assert(other.m_fetches.at(0).m_address.empty(), "another scope");
+}
+
+Test(part_map, nothing_is_read_beyond_the_lease_or_from_what_is_gone)
+{
+  PartMap map;
+  const TimePoint now(Duration(1'000'000'000));
+  map.OnConfirmed(now + 4'000 * kMillisecond, 3'000 * kMillisecond);
+  map.Apply(Push(0, 1, { { 0, PartKey("w1", "x"), 500 } }));
+  const auto isFetched = [&](TimePoint aNow, std::int64_t aClock) {
+    RelayOrder order;
+    order.m_cacheScope = "w1";
+    map.Plan(aNow, aClock, Prompt(), DataCentreId("d1"), order);
+    return !order.m_fetches.empty() && !order.m_fetches[0].m_address.empty();
+  };
+  cr_assert(isFetched(now, 50'000));
+  cr_assert_not(isFetched(now + 4'000 * kMillisecond, 50'000), "lease over");
+  cr_assert_not(isFetched(now, 0), "no end could be named");
+  cr_assert_not(map.Apply(Push(7, 8, {})), "a change for another state");
+  map.Apply(Push(1, 2, { { 0, PartKey("w1", "x"), 0 } }));
+  cr_assert_not(isFetched(now, 50'000));
+  StorePush down = Push(2, 3, { { 0, PartKey("w1", "x"), 500 } });
+  down.m_hasStores = true;
+  down.m_stores = Push(0, 0, {}).m_stores;
+  down.m_stores[0].m_isUp = false;
+  map.Apply(down);
+  cr_assert_not(isFetched(now, 50'000), "the store is down");
+}
+
+Test(store_pace, a_slow_store_gets_less_and_load_alone_changes_nothing)
+{
+  StorePace pace;
+  TimePoint now(Duration(1'000'000'000));
+  const auto serve = [&](std::int64_t aSlowMs, std::int64_t aOtherMs) {
+    for (int i = 0; i < 100; ++i) {
+      now += 10 * kMillisecond;
+      pace.OnFirstEvent(now, aSlowMs * kMillisecond, { "a" });
+      pace.OnFirstEvent(now, aOtherMs * kMillisecond, { "b" });
+      pace.OnFirstEvent(now, aOtherMs * kMillisecond, {});
+    }
+  };
+  serve(100, 80);
+  cr_assert_float_eq(pace.ShareOf("a"), 1, 1e-9);
+  serve(1'500, 1'400);
+  cr_assert_float_eq(pace.ShareOf("a"), 1, 1e-9, "all are late alike");
+  serve(1'500, 100);
+  cr_assert_lt(pace.ShareOf("a"), 0.2);
+  cr_assert_float_eq(pace.ShareOf("b"), 1, 1e-9);
+  serve(100, 80);
+  serve(100, 80);
+  cr_assert_gt(pace.ShareOf("a"), 0.5, "it recovers");
+}
--- a/src/libwire/HttpClient.cpp
+++ b/src/libwire/HttpClient.cpp
@@ -171,7 +171,7 @@
   request.body() = from.m_body;
   request.prepare_payload();
   m_running[running->m_call.m_call] = running;
-  if (!running->m_call.m_freshConnection) {
+  if (!running->m_call.m_freshConnection && !running->m_call.m_isProbe) {
     running->m_wire = TakeIdle(running->m_call.m_peer);
   }
   if (running->m_wire) {
@@ -222,6 +222,12 @@
         return;
       }
       error_code ignored;
+      if (aRunning->m_call.m_isProbe) {
+        self->Close(*aRunning->m_wire);
+        self->m_running.erase(aRunning->m_call.m_call);
+        self->m_handler.OnEnd(aRunning->m_call.m_call, CallEnd::Whole, "");
+        return;
+      }
       auto& socket = aRunning->m_wire->m_stream.socket();
       socket.set_option(tcp::no_delay(true), ignored);
       if (aRunning->m_call.m_peerTimeout > Duration(0)) {
