A full disk ends no replica; an entry that leaves refuses what it would cut

Cause: a full disk refuses writes to reserved room too; the write's ENOSPC counted as a failed disk. The log line that says so was lost, as the buffer was not flushed. Change: ENOSPC and EDQUOT of writes and syncs are DiskFullError, which DiskWriter repeats with the same bytes at the same place. LOST: a request was taken 4.5 s after SIGTERM over a kept connection and cut at the end of the grace. Change: from drain_delay on new requests get 503 at once. Test: relay/an_entry_that_leaves_takes_nothing_that_it_would_cut.

--- a/src/include/fulmarquay/consensus/DiskFolder.h
+++ b/src/include/fulmarquay/consensus/DiskFolder.h
@@ -12,7 +12,8 @@
 
 namespace fulmarquay {
 
-/// The disk has no room; nothing of the request was written.
+/// The disk has no room; of the request, nothing or a part was written. The
+/// same request again makes it whole.
 class DiskFullError : public Error
 {
 public:
@@ -31,9 +32,10 @@
 {
 public:
   virtual ~DiskFile() = default;
-  /// Writes all bytes. Throws DiskFailedError.
+  /// Writes all bytes. Throws DiskFullError or DiskFailedError.
   virtual void WriteAt(std::uint64_t aOffset, std::string_view aBytes) = 0;
-  /// Returns once written bytes survive a power loss. Throws DiskFailedError.
+  /// Returns once written bytes survive a power loss. Throws DiskFullError
+  /// or DiskFailedError.
   virtual void Sync() = 0;
 };
 
--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -50,6 +50,10 @@
   /// Until when keys may be honoured, and how many entries share the work.
   void OnConfirmed(TimePoint aKeysUntil, std::uint32_t aEntries);
 
+  /// From now on new requests are refused: the process ends too soon for
+  /// them. Running ones go on.
+  void StopTaking() { m_isLeaving = true; }
+
   void Start(CallerId aCaller, HttpRequest aRequest);
   void OnGone(CallerId aCaller);
   void OnTick();
@@ -145,6 +149,7 @@
   TimePoint m_workersClockAt;
   TimePoint m_keysUntil;
   bool m_hadKeys = false;
+  bool m_isLeaving = false;
   std::uint32_t m_entries = 1;
   std::unordered_map<CallerId, RelayedPtr> m_byCaller;
   std::unordered_map<CallId, Relayed*> m_byCall;
--- a/src/libconsensus/DiskFolder.cpp
+++ b/src/libconsensus/DiskFolder.cpp
@@ -65,7 +65,7 @@
         continue;
       }
       if (written < 0) {
-        throw DiskFailedError("write file", m_path, Reason(errno));
+        Refuse("write file");
       }
       aOffset += static_cast<std::uint64_t>(written);
       aBytes.remove_prefix(static_cast<std::size_t>(written));
@@ -75,11 +75,21 @@
   void Sync() override
   {
     if (::fdatasync(m_descriptor.Value()) != 0) {
-      throw DiskFailedError("sync file", m_path, Reason(errno));
+      Refuse("sync file");
     }
   }
 
 private:
+  [[noreturn]] void Refuse(const std::string& aStep) const
+  {
+    // Reserved room is no promise on every disk. Who writes the same bytes to
+    // the same place again, and syncs them, has lost nothing.
+    if (errno == ENOSPC || errno == EDQUOT) {
+      throw DiskFullError(aStep, m_path, Reason(errno));
+    }
+    throw DiskFailedError(aStep, m_path, Reason(errno));
+  }
+
   std::string m_path;
   Descriptor m_descriptor;
 };
--- a/src/libconsensus/consensus_test.cpp
+++ b/src/libconsensus/consensus_test.cpp
@@ -6,7 +6,10 @@
 #include "fulmarquay/core/Digest.h"
 
 #include <algorithm>
+#include <cstdlib>
+#include <filesystem>
 #include <random>
+#include <unistd.h>
 
 // Last: its macros clash with names in other headers.
 #include <criterion/criterion.h>
@@ -213,6 +216,35 @@
   cr_assert_eq(RecoverLast(disk), next);
 }
 
+Test(log_store, a_disk_that_refuses_writes_for_a_while_loses_nothing)
+{
+  FakeDisk disk;
+  Format(disk);
+  LogStore store(disk);
+  for (std::uint64_t i = 1; i <= 20; ++i) {
+    disk.SetRefuses(true);
+    cr_assert_throw(store.Append({ MakeBatch(i) }), DiskFullError);
+    disk.SetRefuses(false);
+    store.Append({ MakeBatch(i) });
+  }
+  disk.Crash();
+  cr_assert_eq(RecoverLast(disk), 20U);
+}
+
+Test(disk_folder, a_write_without_room_is_told_from_a_failure)
+{
+  char path[] = "/tmp/fulmarquay-full-XXXXXX";
+  const std::string folder = ::mkdtemp(path);
+  // A file of the system that takes no byte.
+  cr_assert_eq(::symlink("/dev/full", (folder + "/log").c_str()), 0);
+  {
+    const auto disk = OpenDiskFolder(folder);
+    const auto file = disk->Open("log");
+    cr_assert_throw(file->WriteAt(0, "bytes"), DiskFullError);
+  }
+  std::filesystem::remove_all(folder);
+}
+
 Test(log_store, entries_replace_later_ones)
 {
   FakeDisk disk;
--- a/src/libconsensus/fake_disk_test.cpp
+++ b/src/libconsensus/fake_disk_test.cpp
@@ -15,6 +15,9 @@
 
   void WriteAt(std::uint64_t aOffset, std::string_view aBytes) override
   {
+    if (m_disk.m_refuses) {
+      throw DiskFullError("write file", "", "no room");
+    }
     ++m_disk.m_writes;
     std::string& now = m_content->m_now;
     now.resize(std::max(now.size(), aOffset + aBytes.size()), '\0');
--- a/src/libconsensus/fake_disk_test.h
+++ b/src/libconsensus/fake_disk_test.h
@@ -24,6 +24,8 @@
   void Damage(const std::string& aName, std::size_t aOffset);
 
   void SetFailSync(bool aFails) { m_failSync = aFails; }
+  /// Refuses every write, as a disk does that filled up.
+  void SetRefuses(bool aRefuses) { m_refuses = aRefuses; }
   void SetRoom(std::int64_t aBytes) { m_room = aBytes; }
   int Writes() const { return m_writes; }
   std::size_t SizeOf(const std::string& aName) const;
@@ -53,6 +55,7 @@
   std::map<std::string, ContentPtr> m_syncedNames;
   std::int64_t m_room = INT64_MAX;
   bool m_failSync = false;
+  bool m_refuses = false;
   int m_writes = 0;
 };
 
--- a/src/libcontrol/fleet_test.cpp
+++ b/src/libcontrol/fleet_test.cpp
@@ -135,8 +135,8 @@
     EntryHeartbeat heartbeat;
     heartbeat.m_vm = VmId("e1");
     heartbeat.m_routes = Revision(aRoutes);
-    EntrySession& session = m_owner.m_entries.OnHeartbeat(
-      m_owner.m_now, ConnectionId(1), heartbeat);
+    EntrySession& session =
+      m_owner.m_entries.OnHeartbeat(m_owner.m_now, ConnectionId(1), heartbeat);
     m_desk.PushTo(session);
     return session;
   }
@@ -219,10 +219,9 @@
   Desk desk;
   desk.Publish(4, "four");
   desk.m_owner.m_mayLead = false;
-  const std::vector<OperatorRequest> requests = { ReadRoutes(),
-                                                  ValidRoutes(4),
-                                                  ValidRoutes(9),
-                                                  NameWeights{ "m", 2 } };
+  const std::vector<OperatorRequest> requests = {
+    ReadRoutes(), ValidRoutes(4), ValidRoutes(9), NameWeights{ "m", 2 }
+  };
   for (const OperatorRequest& request : requests) {
     // Elected, but its lease ran out: it must not send callers to itself.
     desk.m_owner.m_isLeading = true;
@@ -269,9 +268,9 @@
   desk.m_desk.OnTick();
   desk.AnswerLast(200);
   cr_assert_eq(desk.m_desk.Workers().Workers().size(), 2U);
-  const std::vector<std::pair<int, std::string>> failures = {
-    { 429, "" }, { 200, "torn" }, { 500, "" }
-  };
+  const std::vector<std::pair<int, std::string>> failures = { { 429, "" },
+                                                              { 200, "torn" },
+                                                              { 500, "" } };
   for (const auto& [status, body] : failures) {
     desk.m_owner.m_now += 1'100 * kMillisecond;
     desk.m_desk.OnTick();
--- a/src/libserve/EntryNode.cpp
+++ b/src/libserve/EntryNode.cpp
@@ -178,6 +178,9 @@
     return;
   }
   const TimePoint now = m_context.Now();
+  if (m_relay && now >= m_drainSince + m_options.m_drainDelay) {
+    m_relay->StopTaking();
+  }
   const bool isIdle =
     now >= m_drainSince + m_options.m_drainDelay && Running() == 0;
   if (isIdle || now >= m_drainSince + m_options.m_drainLimit) {
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -30,6 +30,8 @@
 /// leader again, a worker with a full queue.
 constexpr Duration kRetryStart(500'000);
 constexpr Duration kRetryBusy(150'000);
+/// Another entry takes the request at once.
+constexpr Duration kRetrySoon(10'000);
 constexpr int kStatusOk = 200;
 constexpr int kStatusRedirect = 300;
 constexpr int kStatusUnauthorized = 401;
@@ -163,6 +165,10 @@
 RelayFlow::Admit(Relayed& aRelayed)
 {
   const RelayRequest& request = aRelayed.m_request;
+  if (m_isLeaving) {
+    Refuse(aRelayed, kStatusUnavailable, "this entry is leaving", kRetrySoon);
+    return;
+  }
   if (m_routes.Document().m_revision == Revision(0)) {
     Refuse(aRelayed, kStatusUnavailable, "no routes yet", kRetryStart);
     return;
--- a/src/libserve/relay_test.cpp
+++ b/src/libserve/relay_test.cpp
@@ -280,22 +280,14 @@
 Test(relay, faults_before_the_first_byte_of_an_answer)
 {
   const std::vector<FaultCase> cases = {
-    { "/idempotent/x", NotSent, 2, 0 },
-    { "/idempotent/x", Broken, 2, 0 },
-    { "/idempotent/x", NotRun, 2, 0 },
-    { "/idempotent/x", Failure, 2, 0 },
-    { "/idempotent/x", Unproven, 2, 0 },
-    { "/once/x", NotSent, 2, 0 },
-    { "/once/x", NotRun, 2, 0 },
-    { "/once/x", Broken, 1, 502 },
-    { "/once/x", Failure, 1, 500 },
-    { "/once/x", Unproven, 1, 502 },
-    { "/stream/x", NotSent, 2, 0 },
-    { "/stream/x", NotRun, 2, 0 },
-    { "/stream/x", Broken, 1, 502 },
-    { "/resumable/x", Broken, 2, 0 },
-    { "/open/x", Broken, 1, 502 },
-    { "/open/x", NotRun, 1, 503 },
+    { "/idempotent/x", NotSent, 2, 0 },  { "/idempotent/x", Broken, 2, 0 },
+    { "/idempotent/x", NotRun, 2, 0 },   { "/idempotent/x", Failure, 2, 0 },
+    { "/idempotent/x", Unproven, 2, 0 }, { "/once/x", NotSent, 2, 0 },
+    { "/once/x", NotRun, 2, 0 },         { "/once/x", Broken, 1, 502 },
+    { "/once/x", Failure, 1, 500 },      { "/once/x", Unproven, 1, 502 },
+    { "/stream/x", NotSent, 2, 0 },      { "/stream/x", NotRun, 2, 0 },
+    { "/stream/x", Broken, 1, 502 },     { "/resumable/x", Broken, 2, 0 },
+    { "/open/x", Broken, 1, 502 },       { "/open/x", NotRun, 1, 503 },
     { "/open/x", Failure, 1, 500 },
   };
   for (const FaultCase& each : cases) {
@@ -345,11 +337,11 @@
     int m_status;
   };
   const std::vector<Case> cases = {
-    { "/once/x", "key", true, 0 },    { "/once/x", "other", true, 401 },
-    { "/once/x", "", true, 401 },     { "/open/x", "", true, 0 },
-    { "/none/x", "key", true, 404 },  { "/once/x", "key", false, 503 },
-    { "/open/x", "", false, 0 },      { "/none/x", "key", false, 503 },
-    { "/open/x", "key", false, 0 },   { "/once/x", "other", false, 503 },
+    { "/once/x", "key", true, 0 },   { "/once/x", "other", true, 401 },
+    { "/once/x", "", true, 401 },    { "/open/x", "", true, 0 },
+    { "/none/x", "key", true, 404 }, { "/once/x", "key", false, 503 },
+    { "/open/x", "", false, 0 },     { "/none/x", "key", false, 503 },
+    { "/open/x", "key", false, 0 },  { "/once/x", "other", false, 503 },
   };
   for (const Case& each : cases) {
     Entry entry;
@@ -357,8 +349,12 @@
       entry.Pass(4'100);
     }
     entry.Ask(each.m_path, each.m_key);
-    cr_assert_eq(entry.m_status, each.m_status, "%s %s %d", each.m_path,
-                 each.m_key, static_cast<int>(each.m_isConfirmed));
+    cr_assert_eq(entry.m_status,
+                 each.m_status,
+                 "%s %s %d",
+                 each.m_path,
+                 each.m_key,
+                 static_cast<int>(each.m_isConfirmed));
   }
 }
 
@@ -386,9 +382,8 @@
   entry.End(CallEnd::Whole);
   cr_assert(entry.m_isWhole);
   cr_assert_eq(entry.m_heads, 1);
-  cr_assert_eq(
-    entry.m_body,
-    "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+  cr_assert_eq(entry.m_body,
+               "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
 }
 
 Test(relay, a_stream_that_can_not_go_on_is_cut)
@@ -430,6 +425,17 @@
   cr_assert_eq(entry.m_flow.Running(), 0U);
 }
 
+Test(relay, an_entry_that_leaves_takes_nothing_that_it_would_cut)
+{
+  Entry entry;
+  entry.Ask("/once/x");
+  entry.m_flow.StopTaking();
+  entry.Ask("/once/x");
+  cr_assert_eq(entry.m_calls.size(), 1U);
+  cr_assert_eq(entry.m_status, 503);
+  cr_assert_eq(entry.m_flow.Running(), 1U, "what runs goes on");
+}
+
 Test(relay, a_silent_worker_is_tried_before_it_is_given_up)
 {
   for (const CallEnd end : { CallEnd::Whole, CallEnd::NotSent }) {
--- a/src/libwire/http_client_test.cpp
+++ b/src/libwire/http_client_test.cpp
@@ -31,10 +31,7 @@
     , m_thread([this] { Run(); })
   {
   }
-  ~Server()
-  {
-    m_thread.join();
-  }
+  ~Server() { m_thread.join(); }
 
   Endpoint Address() const
   {
@@ -52,8 +49,8 @@
       std::string input;
       boost::system::error_code error;
       while (next < m_answers.size()) {
-        const std::size_t size =
-          asio::read_until(socket, asio::dynamic_buffer(input), "\r\n\r\n", error);
+        const std::size_t size = asio::read_until(
+          socket, asio::dynamic_buffer(input), "\r\n\r\n", error);
         if (error) {
           break;
         }
@@ -143,8 +140,8 @@
 
 Test(http_client, bytes_beyond_an_answer_end_its_connection)
 {
-  const Server server({ Answer("1", "a") + Answer("1", "again"),
-                        Answer("2", "b") });
+  const Server server(
+    { Answer("1", "a") + Answer("1", "again"), Answer("2", "b") });
   Calls calls;
   calls.Make(CallTo(server, "1"));
   calls.Make(CallTo(server, "2"));
@@ -154,7 +151,8 @@
 
 Test(http_client, a_kept_connection_is_used_again_within_its_idle_time)
 {
-  const Server server({ Answer("1", "a"), Answer("2", "b"),
+  const Server server({ Answer("1", "a"),
+                        Answer("2", "b"),
                         Answer("3", "c", "Keep-Alive: timeout=0\r\n"),
                         Answer("4", "d") });
   Calls calls;
