Admission queue at the entries by memory, wanted time and rank

Change: an entry sends a prompt only where the engine's memory holds it beside its own requests and the mean of the others'; the rest waits at the entry, those that can still be in time first, ordered by wanted time with 100 ms a rank. Stores are filled by the speed of their links; near stores count less.

--- a/src/include/fulmarquay/control/PartStore.h
+++ b/src/include/fulmarquay/control/PartStore.h
@@ -42,8 +42,14 @@
   std::string m_address; ///< IP:PORT
   DataCentreId m_dataCentre;
   std::int64_t m_capacity = 0; ///< tokens
+  std::int64_t m_linkBitsPerSecond = 0;
   bool m_isUp = false;
-  MSGPACK_DEFINE(m_name, m_address, m_dataCentre, m_capacity, m_isUp)
+  MSGPACK_DEFINE(m_name,
+                 m_address,
+                 m_dataCentre,
+                 m_capacity,
+                 m_linkBitsPerSecond,
+                 m_isUp)
   bool operator==(const StoreBrief&) const = default;
 };
 
--- a/src/include/fulmarquay/route/RouteDocument.h
+++ b/src/include/fulmarquay/route/RouteDocument.h
@@ -91,12 +91,14 @@
   std::string m_storeAddress; ///< IP:PORT of a KV cache store; else empty
   DataCentreId m_storeDataCentre;
   std::int64_t m_storeTokens = 0;
+  std::int64_t m_storeBitsPerSecond = 0; ///< of its link
   MSGPACK_DEFINE(m_connections,
                  m_healthPath,
                  m_engines,
                  m_storeAddress,
                  m_storeDataCentre,
-                 m_storeTokens)
+                 m_storeTokens,
+                 m_storeBitsPerSecond)
   bool operator==(const PoolRule&) const = default;
 };
 
--- a/src/include/fulmarquay/serve/PartMap.h
+++ b/src/include/fulmarquay/serve/PartMap.h
@@ -31,24 +31,38 @@
   /// Until when the map may be read, and how long a fetch may take.
   void OnConfirmed(TimePoint aUntil, Duration aFetch);
 
+  /// Who is to read a prompt, and when.
+  struct Reader
+  {
+    TimePoint m_now;
+    std::int64_t m_clockMs = 0; ///< the workers' clock then
+    DataCentreId m_dataCentre;
+    std::int64_t m_tokenBytes = 0;
+    std::int64_t m_linkBitsPerSecond = 0;
+    std::uint32_t m_entries = 1; ///< that share the stores' links
+  };
+
   /// Fills what a worker is to fetch and to save for a request, and the
-  /// latest end of its fetches, by the workers' clock `aClockMs` at `aNow`.
-  /// The last part of a prompt belongs to its request alone.
-  void Plan(TimePoint aNow,
-            std::int64_t aClockMs,
+  /// latest end of its fetches by the workers' clock. The last part of a
+  /// prompt belongs to its request alone.
+  void Plan(const Reader& aReader,
             const RelayRequest& aRequest,
-            const DataCentreId& aDataCentre,
             RelayOrder& aOrder);
 
   /// A request that fetches from some stores has got its first event.
-  void OnFirstEvent(TimePoint aNow,
-                    Duration aTime,
-                    const std::set<std::string>& aStores);
+  void OnFirstEvent(Duration aTime, const std::set<std::string>& aStores);
 
-  /// Tokens at the start of a prompt that stores hold without a gap.
-  std::int64_t StoredTokens(TimePoint aNow,
-                            const RelayRequest& aRequest,
-                            const std::string& aScope) const;
+  /// Tokens at the start of a prompt that stores hold without a gap: those of
+  /// stores in the reader's data centre, and those of others.
+  struct Stored
+  {
+    std::int64_t m_near = 0;
+    std::int64_t m_far = 0;
+  };
+  Stored StoredTokens(TimePoint aNow,
+                      const RelayRequest& aRequest,
+                      const std::string& aScope,
+                      const DataCentreId& aDataCentre) const;
 
   /// Keys of parts that were read since the last call, at most some hundred.
   std::vector<std::uint64_t> TakeUsed();
@@ -67,6 +81,13 @@
   const Copy* Find(std::uint64_t aKey, const DataCentreId& aDataCentre) const;
   const StoreBrief* ChooseForSave(std::uint64_t aKey,
                                   std::int64_t aTokens) const;
+  void PlanSave(TimePoint aNow,
+                std::uint64_t aKey,
+                std::int64_t aTokens,
+                std::string& aAddress);
+  static Duration TransferTime(const StoreBrief& aStore,
+                               const Reader& aReader,
+                               std::int64_t aTokens);
   bool IsUsable(TimePoint aNow) const { return aNow < m_until; }
 
   std::uint64_t m_state = 0;
--- a/src/include/fulmarquay/serve/Placement.h
+++ b/src/include/fulmarquay/serve/Placement.h
@@ -36,6 +36,10 @@
     const PartMap* m_parts = nullptr; ///< what stores hold; null: none
     std::uint32_t m_entries = 1;      ///< that share the workers
     Duration m_oldWeightsLimit{};
+    /// Tokens of memory that the request needs, and that a worker has for all
+    /// entries; 0: memory is no bound.
+    std::int64_t m_needed = 0;
+    std::int64_t m_memory = 0;
   };
 
   /// The chosen worker, or null when none may get the request.
@@ -52,6 +56,13 @@
                               const Question& aQuestion) const;
 
 private:
+  /// Memory that the other entries' requests hold at each worker.
+  static std::int64_t OthersHold(const std::vector<WorkerState*>& aWorkers,
+                                 std::uint32_t aEntries);
+  static bool HasRoom(const WorkerState& aWorker,
+                      const Question& aQuestion,
+                      std::int64_t aOthersHold);
+
   /// Parts that a worker has read, newest use first forgotten last.
   struct Known
   {
--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -2,6 +2,7 @@
 #define FULMARQUAY_SERVE_RELAYFLOW_H
 
 #include "fulmarquay/route/RetryBudget.h"
+#include "fulmarquay/serve/AdmissionQueue.h"
 #include "fulmarquay/route/RouteTable.h"
 #include "fulmarquay/serve/EntryContext.h"
 #include "fulmarquay/serve/EventBorders.h"
@@ -93,6 +94,8 @@
     int m_sends = 0;          ///< workers that may have got it
     int m_misses = 0;         ///< workers that could not be reached
     bool m_isRunning = false; ///< a call is under way
+    bool m_isQueued = false;  ///< waits for room at a worker
+    std::int64_t m_held = 0;  ///< memory counted at the worker
     bool m_mayHaveRun = false;
     std::int64_t m_counted = 0; ///< waiting tokens counted at the worker
     HttpResponse m_head;
@@ -107,10 +110,19 @@
   bool Identify(Relayed& aRelayed, const RouteRule& aRule);
   const PoolShare& ChoosePool(const Relayed& aRelayed) const;
   void Place(Relayed& aRelayed);
+  Placement::Question QuestionOf(const Relayed& aRelayed) const;
+  /// Puts a request that no worker has room for into its pool's queue; false
+  /// when there is nothing to wait for.
+  bool Wait(Relayed& aRelayed);
+  /// Sends what has room now.
+  void Dispatch();
+  void LeaveQueue(Relayed& aRelayed);
   void Send(Relayed& aRelayed, WorkerState& aWorker);
   std::string ScopeFor(const Relayed& aRelayed,
                        const WorkerState& aWorker) const;
   std::int64_t WorkersClockMs() const;
+  PartMap::Reader ReaderAt(const Relayed& aRelayed,
+                           const WorkerState& aWorker) const;
   void Release(Relayed& aRelayed);
   void OnRead(Relayed& aRelayed);
   Relayed* Find(CallId aCall);
@@ -157,6 +169,7 @@
   TimePoint m_nextProbe;
   std::multimap<TimePoint, CallerId> m_due;
   std::map<PoolId, RetryBudget> m_budgets;
+  std::map<PoolId, AdmissionQueue> m_queues;
 };
 
 } // namespace fulmarquay
--- a/src/include/fulmarquay/serve/StorePace.h
+++ b/src/include/fulmarquay/serve/StorePace.h
@@ -3,6 +3,8 @@
 
 #include "fulmarquay/core/Units.h"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -10,43 +12,50 @@
 
 namespace fulmarquay {
 
-/// How much of the fetches from each store are ordered.
+/// How many fetches from each store are ordered.
 ///
-/// The load that it answers: a store whose link has become slow, so that
-/// fetches wait behind one another, while the engines could read the prompts.
-/// A store's share of its fetches shrinks while first events of requests that
-/// fetch from it come much later than those of other requests, and grows back
-/// when they don't. Load on the engines delays all alike and changes nothing.
-/// Pure; not thread-safe.
+/// The load that it answers: more fetches than a store's link carries, by its
+/// told speed or because it has become slow, so that they wait behind one
+/// another while the engines could read the prompts. Each entry takes its
+/// share of a link's time and orders nothing that would wait for long. The
+/// link counts as slower while first events of requests that fetch over it
+/// come much later than others do. Load on the engines delays all alike and
+/// changes nothing. Pure; not thread-safe.
 class StorePace
 {
 public:
   /// The time from placing a request to its first event, and the stores that
   /// it fetched from; none for a request that fetched nothing.
-  void OnFirstEvent(TimePoint aNow,
-                    Duration aTime,
-                    const std::set<std::string>& aStores);
+  void OnFirstEvent(Duration aTime, const std::set<std::string>& aStores);
 
-  /// Whether a part is to be fetched from a store now.
-  bool MayFetch(TimePoint aNow, const std::string& aStore, std::uint64_t aPart);
+  /// Whether a transfer may be ordered now; it takes the link's time then.
+  /// `aTime` is what it takes at the told speed, `aEntries` how many entries
+  /// share the link.
+  bool Take(TimePoint aNow,
+            const std::string& aStore,
+            Duration aTime,
+            std::uint32_t aEntries);
 
-  /// The share of fetches from a store that are ordered, 0 to 1.
-  double ShareOf(const std::string& aStore) const;
+  /// The speed that a store's link is trusted with, as a part of the told one.
+  double SpeedOf(const std::string& aStore) const;
 
 private:
+  static constexpr std::size_t kRecent = 64;
+
   struct Pace
   {
-    double m_microseconds = 0; ///< moving average of first events
-    double m_share = 1;
-    TimePoint m_seen;
-    TimePoint m_shrunk;
+    double m_speed = 1;
+    double m_lateness = 0; ///< moving share of late first events
+    double m_backlogUs = 0;
+    TimePoint m_counted;
   };
 
-  void Note(Pace& aPace, TimePoint aNow, double aMicroseconds);
-  double Usual(TimePoint aNow, const std::string& aStore) const;
+  double Usual() const;
 
-  std::map<std::string, Pace> m_paces; ///< by store; "" for no fetch
-  std::uint64_t m_draws = 0;
+  std::map<std::string, Pace> m_paces;
+  std::array<std::int64_t, kRecent> m_recent{}; ///< first events, us
+  std::size_t m_next = 0;
+  std::size_t m_count = 0;
 };
 
 } // namespace fulmarquay
--- a/src/include/fulmarquay/serve/WorkerTable.h
+++ b/src/include/fulmarquay/serve/WorkerTable.h
@@ -19,6 +19,7 @@
   WorkerInfo m_info;
   Endpoint m_address;
   std::int64_t m_running = 0;       ///< own requests at it
+  std::int64_t m_heldTokens = 0;    ///< of memory, by own requests
   std::int64_t m_waitingTokens = 0; ///< own prompts without a first event
   TimePoint m_suspectUntil;         ///< gets nothing new before
   int m_failures = 0;               ///< in a row
--- a/src/libcontrol/StoreDesk.cpp
+++ b/src/libcontrol/StoreDesk.cpp
@@ -26,10 +26,11 @@
 /// A late order to free must not meet a part that was saved again.
 constexpr Duration kFreeValid(1'000'000);
 constexpr std::size_t kMostFreed = 256; ///< parts of one call
-// From the first share of its capacity on a store is emptied to the second
-// one, the parts that were used longest ago first.
-constexpr int kFullPercent = 92;
-constexpr int kEmptiedPercent = 85;
+// When all stores hold the first share of their capacity, each is emptied to
+// the second one, the parts that were used longest ago first. Entries save
+// nothing to a store that holds little more than the first share.
+constexpr int kFullPercent = 95;
+constexpr int kEmptiedPercent = 90;
 constexpr unsigned kTermShift = 32;
 constexpr int kStatusOk = 200;
 constexpr std::int64_t kMicrosPerMilli = 1'000;
@@ -55,6 +56,7 @@
                          pool.m_storeAddress,
                          pool.m_storeDataCentre,
                          pool.m_storeTokens,
+                         pool.m_storeBitsPerSecond,
                          false });
     }
   }
@@ -346,7 +348,12 @@
 {
   Store& store = m_stores[aStore];
   const std::int64_t capacity = store.m_brief.m_capacity;
-  if (store.m_usedTokens * 100 < capacity * kFullPercent) {
+  const bool hasRoom =
+    std::any_of(m_stores.begin(), m_stores.end(), [](const Store& aEach) {
+      return aEach.m_brief.m_isUp &&
+             aEach.m_usedTokens * 100 < aEach.m_brief.m_capacity * kFullPercent;
+    });
+  if (hasRoom) {
     return;
   }
   std::vector<std::pair<TimePoint, std::uint64_t>> byUse;
--- a/src/libserve/PartMap.cpp
+++ b/src/libserve/PartMap.cpp
@@ -14,7 +14,11 @@
 constexpr Duration kSavePatience(2'500'000);
 /// Nothing is saved to a store beyond this share of its capacity: the leader
 /// makes room from here on.
-constexpr int kSavePercent = 95;
+constexpr int kSavePercent = 98;
+/// Transfers between data centres take this many times longer.
+constexpr std::int64_t kFarFactor = 2;
+constexpr std::int64_t kBitsPerByte = 8;
+constexpr double kMicrosPerSecond = 1e6;
 constexpr Duration kSweepInterval(1'000'000);
 constexpr std::size_t kMostUsed = 400;
 constexpr std::int64_t kMicrosPerMilli = 1'000;
@@ -88,8 +92,9 @@
 const StoreBrief*
 PartMap::ChooseForSave(std::uint64_t aKey, std::int64_t aTokens) const
 {
-  // Rendezvous weighted by capacity: all entries choose alike, and a store
-  // that is down or full moves only its own share.
+  // Rendezvous weighted by the speed of the links, which carry the fetches:
+  // all entries choose alike, and what comes first, the most popular parts,
+  // goes to the quick stores. One that is down or full moves only its share.
   const StoreBrief* best = nullptr;
   double bestScore = 0;
   for (std::size_t i = 0; i < m_stores.size(); ++i) {
@@ -103,7 +108,7 @@
       (static_cast<double>(Checksum64(store.m_name, aKey)) + 1.0) /
       (static_cast<double>(std::numeric_limits<std::uint64_t>::max()) + 2.0);
     const double score =
-      -static_cast<double>(store.m_capacity) / std::log(draw);
+      -static_cast<double>(store.m_linkBitsPerSecond) / std::log(draw);
     if (best == nullptr || score > bestScore) {
       best = &store;
       bestScore = score;
@@ -112,39 +117,59 @@
   return best;
 }
 
-std::int64_t
+PartMap::Stored
 PartMap::StoredTokens(TimePoint aNow,
                       const RelayRequest& aRequest,
-                      const std::string& aScope) const
+                      const std::string& aScope,
+                      const DataCentreId& aDataCentre) const
 {
-  std::int64_t tokens = 0;
+  Stored stored;
   if (!IsUsable(aNow)) {
-    return tokens;
+    return stored;
   }
   for (const PromptPart& part : aRequest.m_parts) {
-    if (Find(PartKey(aScope, part.m_id), DataCentreId()) == nullptr) {
+    const Copy* copy = Find(PartKey(aScope, part.m_id), aDataCentre);
+    if (copy == nullptr) {
       break;
     }
-    tokens += part.m_tokens;
+    const bool isNear = m_stores[copy->m_store].m_dataCentre == aDataCentre;
+    (isNear ? stored.m_near : stored.m_far) += part.m_tokens;
   }
-  return tokens;
+  return stored;
+}
+
+Duration
+PartMap::TransferTime(const StoreBrief& aStore,
+                      const Reader& aReader,
+                      std::int64_t aTokens)
+{
+  const std::int64_t speed =
+    std::min(aStore.m_linkBitsPerSecond, aReader.m_linkBitsPerSecond);
+  if (speed <= 0) {
+    return Duration(0);
+  }
+  const auto bits =
+    static_cast<double>(aTokens * aReader.m_tokenBytes * kBitsPerByte);
+  const bool isFar = aStore.m_dataCentre != aReader.m_dataCentre;
+  const auto time = static_cast<std::int64_t>(
+    bits / static_cast<double>(speed) * kMicrosPerSecond);
+  return Duration(isFar ? time * kFarFactor : time);
 }
 
 void
-PartMap::Plan(TimePoint aNow,
-              std::int64_t aClockMs,
+PartMap::Plan(const Reader& aReader,
               const RelayRequest& aRequest,
-              const DataCentreId& aDataCentre,
               RelayOrder& aOrder)
 {
-  if (!IsUsable(aNow) || aClockMs <= 0 || m_stores.empty() ||
+  const TimePoint now = aReader.m_now;
+  if (!IsUsable(now) || aReader.m_clockMs <= 0 || m_stores.empty() ||
       aRequest.m_parts.size() < 2) {
     return;
   }
-  if (aNow >= m_nextSweep) {
-    m_nextSweep = aNow + kSweepInterval;
+  if (now >= m_nextSweep) {
+    m_nextSweep = now + kSweepInterval;
     std::erase_if(m_saving,
-                  [&](const auto& aEach) { return aNow >= aEach.second; });
+                  [&](const auto& aEach) { return now >= aEach.second; });
   }
   const std::size_t shared = aRequest.m_parts.size() - 1;
   aOrder.m_fetches.resize(aRequest.m_parts.size());
@@ -153,37 +178,48 @@
   for (std::size_t i = 0; i < shared; ++i) {
     const PromptPart& part = aRequest.m_parts[i];
     const std::uint64_t key = PartKey(aOrder.m_cacheScope, part.m_id);
-    const Copy* copy = Find(key, aDataCentre);
+    const Copy* copy = Find(key, aReader.m_dataCentre);
     if (copy == nullptr) {
       isUnbroken = false;
-      const auto saving = m_saving.find(key);
-      if (saving != m_saving.end() && aNow < saving->second) {
-        continue;
-      }
-      if (const StoreBrief* store = ChooseForSave(key, part.m_tokens)) {
-        aOrder.m_saves[i] = store->m_address;
-        m_saving[key] = aNow + kSavePatience;
-      }
+      PlanSave(now, key, part.m_tokens, aOrder.m_saves[i]);
       continue;
     }
     if (m_used.size() < kMostUsed) {
       m_used.push_back(key);
     }
-    const std::string& address = m_stores[copy->m_store].m_address;
-    isUnbroken = isUnbroken && m_pace.MayFetch(aNow, address, key);
+    const StoreBrief& store = m_stores[copy->m_store];
+    isUnbroken =
+      isUnbroken && m_pace.Take(now,
+                                store.m_address,
+                                TransferTime(store, aReader, copy->m_tokens),
+                                aReader.m_entries);
     if (isUnbroken) {
-      aOrder.m_fetches[i] = { address, copy->m_tokens };
+      aOrder.m_fetches[i] = { store.m_address, copy->m_tokens };
     }
   }
-  aOrder.m_fetchUntilMs = aClockMs + m_fetch.count() / kMicrosPerMilli;
+  aOrder.m_fetchUntilMs = aReader.m_clockMs + m_fetch.count() / kMicrosPerMilli;
+}
+
+void
+PartMap::PlanSave(TimePoint aNow,
+                  std::uint64_t aKey,
+                  std::int64_t aTokens,
+                  std::string& aAddress)
+{
+  const auto saving = m_saving.find(aKey);
+  if (saving != m_saving.end() && aNow < saving->second) {
+    return;
+  }
+  if (const StoreBrief* store = ChooseForSave(aKey, aTokens)) {
+    aAddress = store->m_address;
+    m_saving[aKey] = aNow + kSavePatience;
+  }
 }
 
 void
-PartMap::OnFirstEvent(TimePoint aNow,
-                      Duration aTime,
-                      const std::set<std::string>& aStores)
+PartMap::OnFirstEvent(Duration aTime, const std::set<std::string>& aStores)
 {
-  m_pace.OnFirstEvent(aNow, aTime, aStores);
+  m_pace.OnFirstEvent(aTime, aStores);
 }
 
 std::vector<std::uint64_t>
--- a/src/libserve/Placement.cpp
+++ b/src/libserve/Placement.cpp
@@ -17,7 +17,9 @@
 constexpr std::int64_t kHomeDivisor = 2;
 /// Fetching a token from a store against reading it, in percent: a link
 /// carries one quicker than an engine reads it, and leaves the engine free.
-constexpr std::int64_t kFetchPercent = 25;
+/// Links between data centres are slower and paid for.
+constexpr std::int64_t kNearPercent = 25;
+constexpr std::int64_t kFarPercent = 50;
 /// A read part is trusted to be cached for this long.
 constexpr Duration kPartLife(6'000'000);
 constexpr Duration kSweepInterval(2'000'000);
@@ -27,6 +29,9 @@
 /// Prompt tokens that a caller would rather wait for than get old weights.
 constexpr std::int64_t kOldWeightsTokens = 1'000;
 constexpr std::int64_t kLateWeightsTokens = 30'000;
+/// Part of an engine's memory that running requests may hold. Prompts that
+/// share parts hold those once, so that all of it may be counted on.
+constexpr std::int64_t kMemoryPercent = 100;
 /// One more running request at a plain service.
 constexpr std::int64_t kServiceCost = 1'000;
 constexpr std::int64_t kExcluded = std::numeric_limits<std::int64_t>::max();
@@ -60,6 +65,33 @@
   return aPart + "/" + std::to_string(aVersion) + "/" + aCacheScope;
 }
 
+std::int64_t
+Placement::OthersHold(const std::vector<WorkerState*>& aWorkers,
+                      std::uint32_t aEntries)
+{
+  // Callers are spread over the entries by a hash, so that the others
+  // together hold as much as this entry each; on which workers is not known.
+  std::int64_t own = 0;
+  for (const WorkerState* worker : aWorkers) {
+    own += worker->m_heldTokens;
+  }
+  const auto count = static_cast<std::int64_t>(aWorkers.size());
+  return count == 0 ? 0 : own * (aEntries - 1) / count;
+}
+
+bool
+Placement::HasRoom(const WorkerState& aWorker,
+                   const Question& aQuestion,
+                   std::int64_t aOthersHold)
+{
+  if (aQuestion.m_memory <= 0 || aWorker.m_heldTokens == 0) {
+    return true;
+  }
+  const std::int64_t held =
+    aWorker.m_heldTokens + aOthersHold + aQuestion.m_needed;
+  return held * 100 <= aQuestion.m_memory * kMemoryPercent;
+}
+
 std::int64_t
 Placement::UncachedTokens(const WorkerState& aWorker,
                           const Question& aQuestion) const
@@ -81,16 +113,22 @@
     }
     cached += part.m_tokens;
   }
-  std::int64_t fetched = 0;
+  PartMap::Stored stored;
   if (aQuestion.m_parts != nullptr && version >= 0) {
-    const std::string scope = MakeCacheScope(version, aQuestion.m_cacheScope);
-    fetched = std::max<std::int64_t>(
-      0,
-      aQuestion.m_parts->StoredTokens(aQuestion.m_now, request, scope) -
-        cached);
+    stored = aQuestion.m_parts->StoredTokens(
+      aQuestion.m_now,
+      request,
+      MakeCacheScope(version, aQuestion.m_cacheScope),
+      aWorker.m_info.m_dataCentre);
   }
-  return std::max<std::int64_t>(0, request.m_promptTokens - cached - fetched) +
-         fetched * kFetchPercent / 100;
+  // What the worker keeps itself is not fetched.
+  const std::int64_t kept = std::min(cached, stored.m_near + stored.m_far);
+  const std::int64_t far = std::max<std::int64_t>(0, stored.m_far - kept);
+  const std::int64_t near = std::max<std::int64_t>(
+    0, stored.m_near - std::max<std::int64_t>(0, kept - stored.m_far));
+  return std::max<std::int64_t>(0,
+                                request.m_promptTokens - cached - near - far) +
+         (near * kNearPercent + far * kFarPercent) / 100;
 }
 
 std::int64_t
@@ -140,6 +178,7 @@
   std::erase_if(usable, [&](const WorkerState* aEach) {
     return aQuestion.m_tried.count(aEach->m_info.m_id) != 0;
   });
+  const std::int64_t others = OthersHold(usable, aQuestion.m_entries);
   const std::uint64_t item = AffinityItem(aQuestion);
   const WorkerState* home = nullptr;
   std::uint64_t homeWeight = 0;
@@ -154,7 +193,7 @@
   std::int64_t bestCost = kExcluded;
   for (WorkerState* worker : usable) {
     const std::int64_t age = AgeCost(aWorkers, *worker, aQuestion);
-    if (age == kExcluded) {
+    if (age == kExcluded || !HasRoom(*worker, aQuestion, others)) {
       continue;
     }
     const std::int64_t cost = Cost(*worker, aQuestion, item, home) + age;
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -251,8 +251,8 @@
   return pools.back();
 }
 
-void
-RelayFlow::Place(Relayed& aRelayed)
+Placement::Question
+RelayFlow::QuestionOf(const Relayed& aRelayed) const
 {
   Placement::Question question;
   question.m_now = m_context.Now();
@@ -264,22 +264,98 @@
   question.m_entries = m_entries;
   question.m_parts = &m_parts;
   question.m_oldWeightsLimit = m_options.m_oldWeightsLimit;
+  const PoolRule* pool = m_routes.FindPool(aRelayed.m_pool);
+  if (question.m_hasPrompt && pool != nullptr) {
+    question.m_needed =
+      aRelayed.m_request.m_promptTokens + aRelayed.m_request.m_mostOutputTokens;
+    question.m_memory = pool->m_engines.m_cacheTokens;
+  }
+  return question;
+}
+
+void
+RelayFlow::Place(Relayed& aRelayed)
+{
+  const Placement::Question question = QuestionOf(aRelayed);
   const bool isLate = aRelayed.m_due - question.m_now < kLeastLeft;
+  // Who waits already goes first.
+  const bool isBehind = question.m_hasPrompt && !aRelayed.m_isQueued &&
+                        !aRelayed.m_isStreaming &&
+                        m_queues[aRelayed.m_pool].Size() > 0;
   WorkerState* worker =
-    isLate ? nullptr : m_placement.Choose(m_workers, question);
-  if (worker == nullptr) {
-    const std::string reason = isLate ? "no time left" : "no worker";
-    if (aRelayed.m_isStreaming || aRelayed.m_mayHaveRun) {
-      Fail(aRelayed, kStatusBadGateway, reason);
-    } else {
-      Refuse(aRelayed, kStatusUnavailable, reason, kRetryBusy);
+    isLate || isBehind ? nullptr : m_placement.Choose(m_workers, question);
+  if (worker != nullptr) {
+    LeaveQueue(aRelayed);
+    aRelayed.m_counted = aRelayed.m_rule.m_hasPrompt
+                           ? m_placement.UncachedTokens(*worker, question)
+                           : 0;
+    aRelayed.m_held = question.m_needed;
+    if (question.m_hasPrompt) {
+      m_queues[aRelayed.m_pool].OnSent(question.m_now, question.m_needed);
     }
+    Send(aRelayed, *worker);
     return;
   }
-  aRelayed.m_counted = aRelayed.m_rule.m_hasPrompt
-                         ? m_placement.UncachedTokens(*worker, question)
-                         : 0;
-  Send(aRelayed, *worker);
+  if (!isLate && Wait(aRelayed)) {
+    return;
+  }
+  const std::string reason = isLate ? "no time left" : "no worker";
+  if (aRelayed.m_isStreaming || aRelayed.m_mayHaveRun) {
+    Fail(aRelayed, kStatusBadGateway, reason);
+  } else {
+    Refuse(aRelayed, kStatusUnavailable, reason, kRetryBusy);
+  }
+}
+
+bool
+RelayFlow::Wait(Relayed& aRelayed)
+{
+  Placement::Question anyRoom = QuestionOf(aRelayed);
+  anyRoom.m_memory = 0;
+  const bool isHopeless = aRelayed.m_isStreaming || aRelayed.m_mayHaveRun ||
+                          !anyRoom.m_hasPrompt ||
+                          m_placement.Choose(m_workers, anyRoom) == nullptr;
+  if (aRelayed.m_isQueued || isHopeless) {
+    return aRelayed.m_isQueued && !isHopeless;
+  }
+  AdmissionQueue::Item item;
+  item.m_caller = aRelayed.m_caller;
+  item.m_rank = aRelayed.m_rank;
+  item.m_wanted = aRelayed.m_arrived + Duration(aRelayed.m_rule.m_targetUs);
+  item.m_due = aRelayed.m_due;
+  item.m_tokens = anyRoom.m_needed;
+  const std::optional<Duration> refused =
+    m_queues[aRelayed.m_pool].Push(m_context.Now(), item);
+  if (refused) {
+    Refuse(aRelayed, kStatusUnavailable, "queue too long", *refused);
+    return true;
+  }
+  aRelayed.m_isQueued = true;
+  return true;
+}
+
+void
+RelayFlow::LeaveQueue(Relayed& aRelayed)
+{
+  if (aRelayed.m_isQueued) {
+    aRelayed.m_isQueued = false;
+    m_queues[aRelayed.m_pool].Remove(aRelayed.m_caller);
+  }
+}
+
+void
+RelayFlow::Dispatch()
+{
+  for (auto& [pool, queue] : m_queues) {
+    while (const auto next = queue.Next(m_context.Now())) {
+      Relayed& relayed = *m_byCaller.at(next->m_caller);
+      Place(relayed);
+      const auto after = queue.Next(m_context.Now());
+      if (after && after->m_caller == next->m_caller) {
+        break;
+      }
+    }
+  }
 }
 
 std::string
@@ -294,6 +370,21 @@
   return MakeCacheScope(version, aRelayed.m_cacheScope);
 }
 
+PartMap::Reader
+RelayFlow::ReaderAt(const Relayed& aRelayed, const WorkerState& aWorker) const
+{
+  PartMap::Reader reader;
+  reader.m_now = m_context.Now();
+  reader.m_clockMs = WorkersClockMs();
+  reader.m_dataCentre = aWorker.m_info.m_dataCentre;
+  reader.m_entries = m_entries;
+  if (const PoolRule* pool = m_routes.FindPool(aRelayed.m_pool)) {
+    reader.m_tokenBytes = pool->m_engines.m_tokenBytes;
+    reader.m_linkBitsPerSecond = pool->m_engines.m_linkBitsPerSecond;
+  }
+  return reader;
+}
+
 void
 RelayFlow::Send(Relayed& aRelayed, WorkerState& aWorker)
 {
@@ -313,11 +404,7 @@
     if (weights != aWorker.m_info.m_weights.end()) {
       order.m_weights = weights->second;
     }
-    m_parts.Plan(m_context.Now(),
-                 WorkersClockMs(),
-                 aRelayed.m_request,
-                 aWorker.m_info.m_dataCentre,
-                 order);
+    m_parts.Plan(ReaderAt(aRelayed, aWorker), aRelayed.m_request, order);
     for (const PartSource& source : order.m_fetches) {
       if (!source.m_address.empty()) {
         aRelayed.m_stores.insert(source.m_address);
@@ -341,6 +428,7 @@
     aWorker.m_heard = m_context.Now();
   }
   aWorker.m_waitingTokens += aRelayed.m_counted;
+  aWorker.m_heldTokens += aRelayed.m_held;
   aRelayed.m_call = m_context.Call(std::move(call), *this);
   m_byCall[aRelayed.m_call] = &aRelayed;
   m_context.Log(
@@ -353,6 +441,8 @@
       { "send", std::to_string(aRelayed.m_sends) },
       { "uncached", std::to_string(aRelayed.m_counted) },
       { "running", std::to_string(aWorker.m_running) },
+      { "held", std::to_string(aWorker.m_heldTokens) },
+      { "age_ms", Millis(Age(aRelayed)) },
       { "left_ms", Millis(order.m_left) } });
 }
 
@@ -375,8 +465,11 @@
     worker->m_running = std::max<std::int64_t>(0, worker->m_running - 1);
     worker->m_waitingTokens =
       std::max<std::int64_t>(0, worker->m_waitingTokens - aRelayed.m_counted);
+    worker->m_heldTokens =
+      std::max<std::int64_t>(0, worker->m_heldTokens - aRelayed.m_held);
   }
   aRelayed.m_counted = 0;
+  aRelayed.m_held = 0;
 }
 
 void
@@ -531,6 +624,7 @@
     relayed->m_mayHaveRun = true;
     OnBroken(*relayed, aWhy);
   }
+  Dispatch();
 }
 
 void
@@ -737,6 +831,7 @@
     }
   }
   ProbeSilent();
+  Dispatch();
   if (m_hadKeys != HasKeys()) {
     m_hadKeys = HasKeys();
     m_context.Log(m_hadKeys ? LogEvent::KeyLeaseRegained
@@ -747,6 +842,7 @@
 void
 RelayFlow::Forget(Relayed& aRelayed)
 {
+  LeaveQueue(aRelayed);
   if (aRelayed.m_isRunning) {
     m_context.Cancel(aRelayed.m_call);
     Release(aRelayed);
--- a/src/libserve/StorePace.cpp
+++ b/src/libserve/StorePace.cpp
@@ -1,105 +1,90 @@
 #include "fulmarquay/serve/StorePace.h"
 
-#include "fulmarquay/core/Digest.h"
-
 #include <algorithm>
-#include <limits>
+#include <vector>
 
 namespace fulmarquay {
 
 namespace {
 
-/// Weight of a new time in the moving averages: some ten requests count.
-constexpr double kWeight = 0.1;
-/// A store is slow when its first events come later than this many times the
-/// usual ones, and this much more: the usual spread is below both.
-constexpr double kSlowFactor = 2;
-constexpr double kSlowMicroseconds = 80'000;
-/// A slow store's share shrinks by the factor, at most once in the interval,
-/// in which the requests of the smaller share show; each request in time
-/// gives a step back. The least share keeps the times coming in.
-constexpr double kShrink = 0.6;
-constexpr Duration kShrinkInterval(150'000);
-constexpr double kGrow = 0.01;
-constexpr double kLeastShare = 0.05;
-/// Averages that got nothing new for this long say nothing.
-constexpr Duration kPaceLife(3'000'000);
-constexpr std::uint64_t kDrawRange = 1'000;
+/// A first event is late when it comes this many times later than the best
+/// quarter of the recent ones, and this much more.
+constexpr double kLateFactor = 3;
+constexpr double kLateMicroseconds = 150'000;
+constexpr std::size_t kBestPart = 4;
+/// Weight of a new event in the share of late ones: some four events count.
+constexpr double kWeight = 0.25;
+// The trusted speed shrinks while most events are late, and grows back while
+// few are. The least speed keeps events coming in.
+constexpr double kMostLate = 0.5;
+constexpr double kFewLate = 0.3;
+constexpr double kShrink = 0.7;
+constexpr double kGrow = 1.25;
+constexpr double kLeastSpeed = 0.15;
+/// Waiting longer than this costs more than reading the part.
+constexpr double kMostBacklogUs = 1'000'000;
 
 } // namespace
 
-void
-StorePace::Note(Pace& aPace, TimePoint aNow, double aMicroseconds)
-{
-  const bool isOld = aNow >= aPace.m_seen + kPaceLife;
-  aPace.m_microseconds =
-    isOld
-      ? aMicroseconds
-      : aPace.m_microseconds + kWeight * (aMicroseconds - aPace.m_microseconds);
-  aPace.m_seen = aNow;
-}
-
 double
-StorePace::Usual(TimePoint aNow, const std::string& aStore) const
+StorePace::Usual() const
 {
-  double usual = std::numeric_limits<double>::max();
-  for (const auto& [store, pace] : m_paces) {
-    const bool isFresh = aNow < pace.m_seen + kPaceLife;
-    if (store != aStore && isFresh) {
-      usual = std::min(usual, pace.m_microseconds);
-    }
-  }
-  return usual;
+  std::vector<std::int64_t> recent(
+    m_recent.begin(), m_recent.begin() + static_cast<std::ptrdiff_t>(m_count));
+  const std::size_t place = recent.size() / kBestPart;
+  std::nth_element(recent.begin(),
+                   recent.begin() + static_cast<std::ptrdiff_t>(place),
+                   recent.end());
+  return static_cast<double>(recent[place]);
 }
 
 void
-StorePace::OnFirstEvent(TimePoint aNow,
-                        Duration aTime,
-                        const std::set<std::string>& aStores)
+StorePace::OnFirstEvent(Duration aTime, const std::set<std::string>& aStores)
 {
+  m_recent[m_next] = aTime.count();
+  m_next = (m_next + 1) % kRecent;
+  m_count = std::min(kRecent, m_count + 1);
+  const double usual = Usual();
   const auto time = static_cast<double>(aTime.count());
-  if (aStores.empty()) {
-    Note(m_paces[""], aNow, time);
-    return;
-  }
+  const bool isLate =
+    time > usual * kLateFactor && time > usual + kLateMicroseconds;
   for (const std::string& store : aStores) {
     Pace& pace = m_paces[store];
-    Note(pace, aNow, time);
-    const double usual = Usual(aNow, store);
-    const bool isKnown = usual < std::numeric_limits<double>::max();
-    const bool isSlow = isKnown && pace.m_microseconds > usual * kSlowFactor &&
-                        pace.m_microseconds > usual + kSlowMicroseconds;
-    if (!isSlow) {
-      pace.m_share = std::min(1.0, pace.m_share + kGrow);
-    } else if (aNow >= pace.m_shrunk + kShrinkInterval) {
-      pace.m_share = std::max(kLeastShare, pace.m_share * kShrink);
-      pace.m_shrunk = aNow;
+    pace.m_lateness += kWeight * ((isLate ? 1 : 0) - pace.m_lateness);
+    if (pace.m_lateness > kMostLate) {
+      pace.m_speed = std::max(kLeastSpeed, pace.m_speed * kShrink);
+    } else if (pace.m_lateness < kFewLate) {
+      pace.m_speed = std::min(1.0, pace.m_speed * kGrow);
     }
   }
 }
 
-double
-StorePace::ShareOf(const std::string& aStore) const
+bool
+StorePace::Take(TimePoint aNow,
+                const std::string& aStore,
+                Duration aTime,
+                std::uint32_t aEntries)
 {
-  const auto place = m_paces.find(aStore);
-  return place == m_paces.end() ? 1 : place->second.m_share;
+  Pace& pace = m_paces[aStore];
+  const auto passed = static_cast<double>((aNow - pace.m_counted).count());
+  pace.m_backlogUs = std::max(0.0, pace.m_backlogUs - passed);
+  pace.m_counted = aNow;
+  const double cost =
+    static_cast<double>(aTime.count()) * aEntries / pace.m_speed;
+  // A transfer that is long by itself may start on an idle link.
+  const bool isFree =
+    pace.m_backlogUs + std::min(cost, kMostBacklogUs) <= kMostBacklogUs;
+  if (isFree) {
+    pace.m_backlogUs += cost;
+  }
+  return isFree;
 }
 
-bool
-StorePace::MayFetch(TimePoint aNow,
-                    const std::string& aStore,
-                    std::uint64_t aPart)
+double
+StorePace::SpeedOf(const std::string& aStore) const
 {
   const auto place = m_paces.find(aStore);
-  if (place == m_paces.end() || place->second.m_share >= 1) {
-    return true;
-  }
-  if (aNow >= place->second.m_seen + kPaceLife) {
-    place->second.m_share = std::max(place->second.m_share, kShrink);
-  }
-  const std::uint64_t draw = Checksum64(aStore, aPart + ++m_draws) % kDrawRange;
-  return static_cast<double>(draw) <
-         place->second.m_share * static_cast<double>(kDrawRange);
+  return place == m_paces.end() ? 1 : place->second.m_speed;
 }
 
 } // namespace fulmarquay
