Others' memory follows the own one in the proportion that is told

Told sums alone are a second old: all entries follow them together and overshoot. Change: heartbeats tell the average memory that an entry's requests hold, the leader returns the others' sum, and an entry scales its own memory of now by that proportion.

--- a/src/include/fulmarquay/control/ControlMessages.h
+++ b/src/include/fulmarquay/control/ControlMessages.h
@@ -7,6 +7,7 @@
 #include "fulmarquay/control/WorkerList.h"
 #include "fulmarquay/route/RouteDelta.h"
 
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -26,6 +27,8 @@
   Revision m_routes;             ///< route document in force
   std::uint64_t m_workers = 0;   ///< number of the worker list it has
   std::uint64_t m_stores = 0;    ///< state of the stores that it has
+  /// Tokens of engines' memory that its requests hold of late, by pool.
+  std::map<std::string, std::int64_t> m_heldTokens;
   /// Keys of stored parts that it read since its last heartbeat.
   std::vector<std::uint64_t> m_usedParts;
   MSGPACK_DEFINE(m_vm,
@@ -38,7 +41,8 @@
                  m_routes,
                  m_workers,
                  m_stores,
-                 m_usedParts)
+                 m_usedParts,
+                 m_heldTokens)
 };
 
 /// Another entry of the same data centre.
@@ -68,6 +72,8 @@
   /// and how long a fetch that it orders may take.
   std::int64_t m_storesUs = 0;
   std::int64_t m_fetchUs = 0;
+  /// What the other live entries' requests hold, by pool.
+  std::map<std::string, std::int64_t> m_othersHold;
   MSGPACK_DEFINE(m_revision,
                  m_leaseUs,
                  m_liveEntries,
@@ -77,7 +83,8 @@
                  m_replicas,
                  m_workersClockMs,
                  m_storesUs,
-                 m_fetchUs)
+                 m_fetchUs,
+                 m_othersHold)
 };
 
 /// The leader brings an entry to the accepted configuration.
--- a/src/include/fulmarquay/serve/AdmissionQueue.h
+++ b/src/include/fulmarquay/serve/AdmissionQueue.h
@@ -27,9 +27,9 @@
   struct Item
   {
     CallerId m_caller;
-    std::int64_t m_rank = 0;  ///< 0 is served first
-    TimePoint m_wanted;       ///< a later first event is late
-    TimePoint m_due;          ///< a later answer is of no use
+    std::int64_t m_rank = 0; ///< 0 is served first
+    TimePoint m_wanted;      ///< a later first event is late
+    TimePoint m_due;         ///< a later start is of no use
     std::int64_t m_tokens = 0;
   };
 
--- a/src/include/fulmarquay/serve/Placement.h
+++ b/src/include/fulmarquay/serve/Placement.h
@@ -40,6 +40,8 @@
     /// entries; 0: memory is no bound.
     std::int64_t m_needed = 0;
     std::int64_t m_memory = 0;
+    /// Memory that the other entries' requests hold at all workers together.
+    std::int64_t m_othersHold = 0;
   };
 
   /// The chosen worker, or null when none may get the request.
@@ -56,9 +58,6 @@
                               const Question& aQuestion) const;
 
 private:
-  /// Memory that the other entries' requests hold at each worker.
-  static std::int64_t OthersHold(const std::vector<WorkerState*>& aWorkers,
-                                 std::uint32_t aEntries);
   static bool HasRoom(const WorkerState& aWorker,
                       const Question& aQuestion,
                       std::int64_t aOthersHold);
--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -66,6 +66,13 @@
   const RouteTable& Routes() const { return m_routes; }
   const WorkerTable& Workers() const { return m_workers; }
   const PartMap& Parts() const { return m_parts; }
+  /// Memory that own requests hold of late, by pool, and what those of the
+  /// other entries do.
+  std::map<std::string, std::int64_t> HeldTokens() const;
+  void OnOthersHold(std::map<std::string, std::int64_t> aOthersHold)
+  {
+    m_othersHold = std::move(aOthersHold);
+  }
   std::vector<std::uint64_t> TakeUsedParts() { return m_parts.TakeUsed(); }
   bool HasKeys() const { return m_context.Now() < m_keysUntil; }
   /// Whether it knows routes and workers and may honour keys.
@@ -114,6 +121,8 @@
   /// Puts a request that no worker has room for into its pool's queue; false
   /// when there is nothing to wait for.
   bool Wait(Relayed& aRelayed);
+  std::int64_t OthersHold(const PoolId& aPool) const;
+  void AverageHeld();
   /// Sends what has room now.
   void Dispatch();
   void LeaveQueue(Relayed& aRelayed);
@@ -170,6 +179,9 @@
   std::multimap<TimePoint, CallerId> m_due;
   std::map<PoolId, RetryBudget> m_budgets;
   std::map<PoolId, AdmissionQueue> m_queues;
+  std::map<std::string, double> m_heldAverage; ///< by pool
+  std::map<std::string, std::int64_t> m_othersHold;
+  TimePoint m_averagedAt;
 };
 
 } // namespace fulmarquay
--- a/src/libcontrol/EntryRegistry.cpp
+++ b/src/libcontrol/EntryRegistry.cpp
@@ -89,6 +89,14 @@
   if (list.m_version != aHeartbeat.m_peersSeen) {
     reply.m_peers = list.m_peers;
   }
+  for (const auto& [vm, session] : m_sessions) {
+    if (!session.m_isListed || vm == aHeartbeat.m_vm) {
+      continue;
+    }
+    for (const auto& [pool, tokens] : session.m_last.m_heldTokens) {
+      reply.m_othersHold[pool] += tokens;
+    }
+  }
   return reply;
 }
 
--- a/src/libserve/AdmissionQueue.cpp
+++ b/src/libserve/AdmissionQueue.cpp
@@ -44,8 +44,8 @@
   const auto passed = static_cast<double>((aNow - m_sentAt).count());
   const double rate = m_sentTokens * std::exp(-passed / kRateMicros);
   // Tokens of the decaying sum left within its time.
-  return Duration(static_cast<std::int64_t>(ahead / std::max(1.0, rate) *
-                                            kRateMicros));
+  return Duration(
+    static_cast<std::int64_t>(ahead / std::max(1.0, rate) * kRateMicros));
 }
 
 std::optional<Duration>
--- a/src/libserve/EntryNode.cpp
+++ b/src/libserve/EntryNode.cpp
@@ -90,6 +90,7 @@
     heartbeat.m_workers = m_relay->Workers().Number();
     heartbeat.m_stores = m_relay->Parts().State();
     heartbeat.m_usedParts = m_relay->TakeUsedParts();
+    heartbeat.m_heldTokens = m_relay->HeldTokens();
   }
   return heartbeat;
 }
@@ -109,6 +110,7 @@
                          aReply.m_liveEntries);
   }
   if (m_relay) {
+    m_relay->OnOthersHold(aReply.m_othersHold);
     m_relay->OnStoresConfirmed(m_control.LastConfirmed() +
                                  Duration(aReply.m_storesUs),
                                Duration(aReply.m_fetchUs),
--- a/src/libserve/Placement.cpp
+++ b/src/libserve/Placement.cpp
@@ -65,20 +65,6 @@
   return aPart + "/" + std::to_string(aVersion) + "/" + aCacheScope;
 }
 
-std::int64_t
-Placement::OthersHold(const std::vector<WorkerState*>& aWorkers,
-                      std::uint32_t aEntries)
-{
-  // Callers are spread over the entries by a hash, so that the others
-  // together hold as much as this entry each; on which workers is not known.
-  std::int64_t own = 0;
-  for (const WorkerState* worker : aWorkers) {
-    own += worker->m_heldTokens;
-  }
-  const auto count = static_cast<std::int64_t>(aWorkers.size());
-  return count == 0 ? 0 : own * (aEntries - 1) / count;
-}
-
 bool
 Placement::HasRoom(const WorkerState& aWorker,
                    const Question& aQuestion,
@@ -178,7 +164,10 @@
   std::erase_if(usable, [&](const WorkerState* aEach) {
     return aQuestion.m_tried.count(aEach->m_info.m_id) != 0;
   });
-  const std::int64_t others = OthersHold(usable, aQuestion.m_entries);
+  // On which workers the others' requests run is not known: each counts alike.
+  const std::int64_t others =
+    aQuestion.m_othersHold /
+    std::max<std::int64_t>(1, static_cast<std::int64_t>(usable.size()));
   const std::uint64_t item = AffinityItem(aQuestion);
   const WorkerState* home = nullptr;
   std::uint64_t homeWeight = 0;
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -5,6 +5,7 @@
 #include "fulmarquay/route/RouteDelta.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace fulmarquay {
@@ -22,6 +23,11 @@
 /// gone takes no connection.
 constexpr Duration kSilence(400'000);
 constexpr Duration kProbeInterval(100'000);
+/// An entry has at most so many times the callers of another one, or so many
+/// times fewer.
+constexpr double kMostUneven = 3;
+/// Held memory is told to the others as its average over about this long.
+constexpr double kHeldMicros = 1e6;
 /// Unreachable workers that one request tries before it is refused.
 constexpr int kMostMisses = 3;
 /// A worker can't do anything useful in less.
@@ -269,6 +275,7 @@
     question.m_needed =
       aRelayed.m_request.m_promptTokens + aRelayed.m_request.m_mostOutputTokens;
     question.m_memory = pool->m_engines.m_cacheTokens;
+    question.m_othersHold = OthersHold(aRelayed.m_pool);
   }
   return question;
 }
@@ -343,6 +350,57 @@
   }
 }
 
+std::int64_t
+RelayFlow::OthersHold(const PoolId& aPool) const
+{
+  std::int64_t own = 0;
+  for (const auto& [id, worker] : m_workers.All()) {
+    own += worker.m_info.m_pool == aPool ? worker.m_heldTokens : 0;
+  }
+  // What is told of the others is some seconds old; all entries would follow
+  // it at the same time. Their load rises and falls with the own one, in the
+  // proportion that is told.
+  double ratio = m_entries - 1;
+  const auto others = m_othersHold.find(aPool.Value());
+  const auto average = m_heldAverage.find(aPool.Value());
+  if (others != m_othersHold.end() && average != m_heldAverage.end()) {
+    const double told =
+      static_cast<double>(others->second) / std::max(1.0, average->second);
+    ratio = std::clamp(told, ratio / kMostUneven, ratio * kMostUneven);
+  }
+  return static_cast<std::int64_t>(static_cast<double>(own) * ratio);
+}
+
+void
+RelayFlow::AverageHeld()
+{
+  const TimePoint now = m_context.Now();
+  const auto passed = static_cast<double>((now - m_averagedAt).count());
+  const double weight = 1 - std::exp(-passed / kHeldMicros);
+  m_averagedAt = now;
+  std::map<std::string, double> held;
+  for (const auto& [id, worker] : m_workers.All()) {
+    held[worker.m_info.m_pool.Value()] +=
+      static_cast<double>(worker.m_heldTokens);
+  }
+  for (const auto& [pool, tokens] : held) {
+    double& average = m_heldAverage[pool];
+    average += weight * (tokens - average);
+  }
+}
+
+std::map<std::string, std::int64_t>
+RelayFlow::HeldTokens() const
+{
+  std::map<std::string, std::int64_t> held;
+  for (const auto& [pool, average] : m_heldAverage) {
+    if (average >= 1) {
+      held[pool] = static_cast<std::int64_t>(average);
+    }
+  }
+  return held;
+}
+
 void
 RelayFlow::Dispatch()
 {
@@ -831,6 +889,7 @@
     }
   }
   ProbeSilent();
+  AverageHeld();
   Dispatch();
   if (m_hadKeys != HasKeys()) {
     m_hadKeys = HasKeys();
