Stores say how full they are; late ones wait in the order of their wanted time

Change: the leader asks each store every 2 s how full it is and counts what it can't name; entries save nothing to a full store. Late ones go by wanted time. A first form counted parts that wait to be freed twice and would have emptied the store: stores/room_that_no_known_part_holds_counts_as_held failed on it.

--- a/src/include/fulmarquay/control/PartStore.h
+++ b/src/include/fulmarquay/control/PartStore.h
@@ -44,12 +44,14 @@
   std::int64_t m_capacity = 0; ///< tokens
   std::int64_t m_linkBitsPerSecond = 0;
   bool m_isUp = false;
+  bool m_isFull = false; ///< nothing more is to be saved there
   MSGPACK_DEFINE(m_name,
                  m_address,
                  m_dataCentre,
                  m_capacity,
                  m_linkBitsPerSecond,
-                 m_isUp)
+                 m_isUp,
+                 m_isFull)
   bool operator==(const StoreBrief&) const = default;
 };
 
--- a/src/include/fulmarquay/control/PartStoreProtocol.h
+++ b/src/include/fulmarquay/control/PartStoreProtocol.h
@@ -30,6 +30,13 @@
   std::vector<StoreEvent> m_events;
 };
 
+/// How full a store says it is.
+struct StoreFill
+{
+  std::int64_t m_usedTokens = 0;
+  std::int64_t m_allTokens = 0;
+};
+
 /// The contract with KV cache stores that keep parts until they are told to
 /// free them: requests out, answers in, no I/O. Parsers throw Error.
 class PartStoreProtocol
@@ -45,6 +52,10 @@
   virtual HttpRequest List() const = 0;
   virtual StoreNews ParseList(const std::string& aBody) const = 0;
 
+  /// How full the store is, parts included that were never written whole.
+  virtual HttpRequest Fill() const = 0;
+  virtual StoreFill ParseFill(const std::string& aBody) const = 0;
+
   /// Frees parts, unless the store has started again since or the workers'
   /// clock is past the time.
   virtual HttpRequest Free(const std::vector<PartName>& aParts,
--- a/src/include/fulmarquay/control/StoreDesk.h
+++ b/src/include/fulmarquay/control/StoreDesk.h
@@ -72,6 +72,7 @@
   {
     Events,
     List,
+    Fill,
     Free,
   };
   struct Part
@@ -84,6 +85,7 @@
   struct Leaving
   {
     PartName m_name;
+    std::int64_t m_tokens = 0;
     TimePoint m_notBefore;
   };
   struct Store
@@ -92,7 +94,12 @@
     std::uint64_t m_epoch = 0;
     std::uint64_t m_next = 0;
     std::int64_t m_usedTokens = 0;
+    /// What the store says it holds beyond the parts that are known: parts
+    /// being written or broken off, and such whose event was lost.
+    std::int64_t m_otherTokens = 0;
+    TimePoint m_nextFill;
     std::unordered_map<std::uint64_t, Part> m_parts;
+    std::int64_t m_leavingTokens = 0;
     std::deque<Leaving> m_leaving; ///< in the order in which they may go
     bool m_isCalling = false;      ///< an events or list call is under way
     bool m_isFreeing = false;
@@ -113,6 +120,12 @@
                HttpRequest aRequest,
                Duration aTimeout);
   void OnNews(std::size_t aStore, const StoreNews& aNews, bool aIsList);
+  void OnFillAnswer(std::size_t aStore, const EngineAnswered& aAnswer);
+  void OnFill(std::size_t aStore, const StoreFill& aFill);
+  static std::int64_t Held(const Store& aStore)
+  {
+    return aStore.m_usedTokens + aStore.m_otherTokens;
+  }
   void OnDown(std::size_t aStore, const std::string& aWhy);
   void Add(std::size_t aStore, const StoreEvent& aEvent);
   void Remove(std::size_t aStore, std::uint64_t aKey);
--- a/src/libcontrol/StoreDesk.cpp
+++ b/src/libcontrol/StoreDesk.cpp
@@ -18,6 +18,8 @@
 constexpr Duration kCallTimeout(1'000'000);
 /// Before a store that failed is asked again.
 constexpr Duration kDownPause(250'000);
+/// Between two questions how full a store is; they are paid for.
+constexpr Duration kFillInterval(2'000'000);
 /// Changes are collected for this long before entries get them.
 constexpr Duration kFlushInterval(50'000);
 constexpr Duration kPushRepeat(1'500'000);
@@ -30,6 +32,8 @@
 // the second one, the parts that were used longest ago first. Entries save
 // nothing to a store that holds little more than the first share.
 constexpr int kFullPercent = 95;
+/// Entries save nothing to a store that says it holds this share.
+constexpr int kClosedPercent = 97;
 constexpr int kEmptiedPercent = 90;
 constexpr unsigned kTermShift = 32;
 constexpr int kStatusOk = 200;
@@ -57,6 +61,7 @@
                          pool.m_storeDataCentre,
                          pool.m_storeTokens,
                          pool.m_storeBitsPerSecond,
+                         false,
                          false });
     }
   }
@@ -108,6 +113,10 @@
       Poll(i);
     }
     StartFree(i);
+    if (m_stores[i].m_brief.m_isUp && now >= m_stores[i].m_nextFill) {
+      m_stores[i].m_nextFill = now + kFillInterval;
+      Start(CallKind::Fill, i, m_protocol->Fill(), kCallTimeout);
+    }
   }
   if (now >= m_nextFlush) {
     m_nextFlush = now + kFlushInterval;
@@ -166,6 +175,10 @@
     store.m_isFreeing = false;
     return true;
   }
+  if (call.m_kind == CallKind::Fill) {
+    OnFillAnswer(call.m_store, aAnswer);
+    return true;
+  }
   store.m_isCalling = false;
   const bool isGood =
     aAnswer.m_end == CallEnd::Whole && aAnswer.m_status == kStatusOk;
@@ -185,6 +198,37 @@
   return true;
 }
 
+void
+StoreDesk::OnFillAnswer(std::size_t aStore, const EngineAnswered& aAnswer)
+{
+  if (aAnswer.m_end != CallEnd::Whole || aAnswer.m_status != kStatusOk) {
+    // The events call finds out whether the store is down.
+    return;
+  }
+  try {
+    OnFill(aStore, m_protocol->ParseFill(aAnswer.m_body));
+  } catch (const Error& e) {
+    m_owner.Log(
+      LogEvent::UpstreamFailed,
+      { { "store", m_stores[aStore].m_brief.m_name }, { "why", e.Reason() } });
+  }
+}
+
+void
+StoreDesk::OnFill(std::size_t aStore, const StoreFill& aFill)
+{
+  Store& store = m_stores[aStore];
+  store.m_otherTokens = std::max<std::int64_t>(
+    0, aFill.m_usedTokens - store.m_usedTokens - store.m_leavingTokens);
+  const bool isFull =
+    aFill.m_usedTokens * 100 >= aFill.m_allTokens * kClosedPercent;
+  if (isFull != store.m_brief.m_isFull) {
+    store.m_brief.m_isFull = isFull;
+    m_haveStoresChanged = true;
+  }
+  MakeRoom(aStore);
+}
+
 void
 StoreDesk::OnDown(std::size_t aStore, const std::string& aWhy)
 {
@@ -233,6 +277,7 @@
   if (isRestarted || aIsList) {
     Clear(aStore);
     store.m_leaving.clear();
+    store.m_leavingTokens = 0;
   }
   if (isRestarted && !aIsList) {
     // What it holds from before its first event must be listed.
@@ -306,7 +351,10 @@
     return;
   }
   const Duration readers = m_lease.m_map + m_lease.m_fetch + kFreeMargin;
-  store.m_leaving.push_back({ place->second.m_name, m_owner.Now() + readers });
+  const std::int64_t tokens = place->second.m_tokens;
+  store.m_leavingTokens += tokens;
+  store.m_leaving.push_back(
+    { place->second.m_name, tokens, m_owner.Now() + readers });
   Remove(aStore, aKey);
 }
 
@@ -351,7 +399,7 @@
   const bool hasRoom =
     std::any_of(m_stores.begin(), m_stores.end(), [](const Store& aEach) {
       return aEach.m_brief.m_isUp &&
-             aEach.m_usedTokens * 100 < aEach.m_brief.m_capacity * kFullPercent;
+             Held(aEach) * 100 < aEach.m_brief.m_capacity * kFullPercent;
     });
   if (hasRoom) {
     return;
@@ -363,7 +411,7 @@
   }
   std::sort(byUse.begin(), byUse.end());
   for (const auto& [used, key] : byUse) {
-    if (store.m_usedTokens * 100 < capacity * kEmptiedPercent) {
+    if (Held(store) * 100 < capacity * kEmptiedPercent) {
       return;
     }
     Release(aStore, key);
@@ -385,6 +433,7 @@
   while (!store.m_leaving.empty() && parts.size() < kMostFreed &&
          now >= store.m_leaving.front().m_notBefore) {
     PartName part = std::move(store.m_leaving.front().m_name);
+    store.m_leavingTokens -= store.m_leaving.front().m_tokens;
     store.m_leaving.pop_front();
     // A part that was saved again meanwhile is in the map: leave it.
     if (store.m_parts.count(PartKey(part.m_scope, part.m_id)) == 0) {
--- a/src/libcontrol/fleet_test.cpp
+++ b/src/libcontrol/fleet_test.cpp
@@ -310,6 +310,8 @@
   StoreNews ParseEvents(const std::string&) const override { return m_news; }
   HttpRequest List() const override { return { "GET", "list", {}, "" }; }
   StoreNews ParseList(const std::string&) const override { return m_news; }
+  HttpRequest Fill() const override { return { "GET", "fill", {}, "" }; }
+  StoreFill ParseFill(const std::string&) const override { return m_fill; }
   HttpRequest Free(const std::vector<PartName>& aParts,
                    std::uint64_t,
                    std::int64_t) const override
@@ -322,6 +324,7 @@
   }
 
   StoreNews m_news;
+  StoreFill m_fill;
 };
 
 struct Stores
@@ -354,7 +357,9 @@
           m_freed += call.m_request.m_body;
         }
         m_desk.OnAnswered({ call.m_call, CallEnd::Whole, 200, "" });
-        m_protocol->m_news.m_events.clear();
+        if (call.m_request.m_target == "events") {
+          m_protocol->m_news.m_events.clear();
+        }
       }
     }
   }
@@ -418,6 +423,20 @@
   cr_assert_eq(stores.m_freed, "p1 p2 ", "%s", stores.m_freed.c_str());
 }
 
+Test(stores, room_that_no_known_part_holds_counts_as_held)
+{
+  Stores stores(1'000);
+  for (int i = 0; i < 6; ++i) {
+    stores.Tell("p" + std::to_string(i), 100);
+    stores.Run(100);
+  }
+  stores.Run(8'000);
+  cr_assert(stores.m_freed.empty());
+  stores.m_protocol->m_fill = { 960, 1'000 };
+  stores.Run(12'000);
+  cr_assert_eq(stores.m_freed, "p0 ", "%s", stores.m_freed.c_str());
+}
+
 Test(stores, a_store_that_started_again_holds_what_it_lists)
 {
   Stores stores;
--- a/src/libcore/LogEvent.cpp
+++ b/src/libcore/LogEvent.cpp
@@ -177,7 +177,7 @@
       "DiskFailed",
       "error",
       "A write or sync of the state disk failed; the process ends.",
-      "Replace the disk; see OPERATING.md, lost disk." },
+      "Replace the disk; see OPERATIONS.md, lost disk." },
     { LogEvent::SnapshotSaved,
       "SnapshotSaved",
       "info",
--- a/src/libserve/AdmissionQueue.cpp
+++ b/src/libserve/AdmissionQueue.cpp
@@ -72,9 +72,8 @@
 {
   const auto order = [&](const Item& aItem) {
     const bool isLate = aItem.m_wanted <= aNow;
-    const TimePoint end = isLate ? aItem.m_due : aItem.m_wanted;
     return std::make_tuple(
-      isLate, end + kRankStep * aItem.m_rank, aItem.m_caller);
+      isLate, aItem.m_wanted + kRankStep * aItem.m_rank, aItem.m_caller);
   };
   const auto next = std::min_element(
     m_items.begin(), m_items.end(), [&](const auto& aLeft, const auto& aRight) {
--- a/src/libserve/PartMap.cpp
+++ b/src/libserve/PartMap.cpp
@@ -101,7 +101,7 @@
     const StoreBrief& store = m_stores[i];
     const bool isFull =
       (m_usedTokens[i] + aTokens) * 100 > store.m_capacity * kSavePercent;
-    if (!store.m_isUp || isFull) {
+    if (!store.m_isUp || store.m_isFull || isFull) {
       continue;
     }
     const double draw =
--- a/src/libserve/relay_test.cpp
+++ b/src/libserve/relay_test.cpp
@@ -505,8 +505,8 @@
   if (aFrom == 0) {
     push.m_hasStores = true;
     push.m_stores = {
-      { "a", "10.0.0.8:1", DataCentreId("d1"), 10'000, 1'000, true },
-      { "b", "10.0.0.9:1", DataCentreId("d2"), 10'000, 1'000, true },
+      { "a", "10.0.0.8:1", DataCentreId("d1"), 10'000, 1'000, true, false },
+      { "b", "10.0.0.9:1", DataCentreId("d2"), 10'000, 1'000, true, false },
     };
   }
   return push;
--- a/testsuite/check-proofs.sh
+++ b/testsuite/check-proofs.sh
@@ -10,7 +10,7 @@
     missing=1
   fi
 done
-for name in $(grep -o '`case-[a-z-]*`' docs/PROOFS.md docs/OPERATING.md | sed 's/.*`\(.*\)`/\1/' | sort -u); do
+for name in $(grep -o '`case-[a-z-]*`' docs/PROOFS.md docs/OPERATIONS.md | sed 's/.*`\(.*\)`/\1/' | sort -u); do
   [ -f "testsuite/$name.sh" ] || {
     echo "no case $name"
     missing=1
