--- a/cmake/lint.sh
+++ b/cmake/lint.sh
@@ -3,4 +3,4 @@
 set -eu
 build=$1
 jobs=$2
-git ls-files 'src/*.cpp' | xargs -P "$jobs" -n 1 clang-tidy --quiet -p "$build" 2>/dev/null
+git ls-files 'src/*.cpp' 'platform/*.cpp' | xargs -P "$jobs" -n 1 clang-tidy --quiet -p "$build" 2>/dev/null
--- a/src/include/fulmarquay/daemon/EntryServer.h
+++ b/src/include/fulmarquay/daemon/EntryServer.h
@@ -82,6 +82,7 @@
   std::map<Endpoint, ConnectionId> m_peers;
   int m_ticks = 0;
   std::string m_settingsFile;
+  HttpServerLimits m_limits; ///< of the settings
   Revision m_limitsRevision;
   std::unique_ptr<AnswerServer> m_readyHttp;
   std::unique_ptr<AnswerServer> m_metricsHttp;
--- a/src/include/fulmarquay/serve/Placement.h
+++ b/src/include/fulmarquay/serve/Placement.h
@@ -62,12 +62,10 @@
                       const Question& aQuestion,
                       std::int64_t aOthersHold);
 
-  /// Parts that a worker has read, newest use first forgotten last.
-  struct Known
-  {
-    std::unordered_map<std::string, TimePoint> m_parts;
-    TimePoint m_nextSweep;
-  };
+  /// Parts that a worker has read, and when.
+  using Known = std::unordered_map<std::string, TimePoint>;
+
+  void Sweep(TimePoint aNow);
 
   std::int64_t Cost(const WorkerState& aWorker,
                     const Question& aQuestion,
@@ -81,6 +79,7 @@
                              std::int64_t aVersion);
 
   std::unordered_map<std::string, Known> m_known; ///< by worker
+  TimePoint m_nextSweep;
 };
 
 } // namespace fulmarquay
--- a/src/libcontrol/ProgramSettings.cpp
+++ b/src/libcontrol/ProgramSettings.cpp
@@ -180,6 +180,12 @@
               "routes: repeats beyond retry_ratio in some ten seconds, of all "
               "entries together")
     .Between(0, 1'000'000)
+    .Optional("descriptors",
+              Kind::Integer,
+              "8192",
+              "open files and connections that the process may have; callers "
+              "get half of them")
+    .Between(64, 10'000'000)
     .Optional("restore_policy",
               Kind::Choice,
               "cost",
--- a/src/libdaemon/EntryServer.cpp
+++ b/src/libdaemon/EntryServer.cpp
@@ -18,6 +18,8 @@
 constexpr int kKeyLeasePercent = 80;
 constexpr int kWeightsPercent = 80;
 constexpr double kRetryPart = 0.8;
+/// The other half of the descriptors is for workers, replicas and listeners.
+constexpr std::int64_t kCallersDivisor = 2;
 
 /// Framed listeners of the control replicas: `control`, and the VMs of
 /// `control_seeds` at the port that all replicas use.
@@ -73,6 +75,8 @@
   HttpServerLimits limits;
   limits.m_bodyBytes =
     static_cast<std::size_t>(aSettings.Size("entry", "body_limit").Count());
+  limits.m_connections = static_cast<std::size_t>(
+    aSettings.Integer("entry", "descriptors") / kCallersDivisor);
   return limits;
 }
 
@@ -106,6 +110,7 @@
   , m_server(m_context, *this, MakeLimits(aBuilder.m_settings))
   , m_client(m_context, *this)
   , m_settingsFile(aBuilder.m_settingsFile)
+  , m_limits(MakeLimits(aBuilder.m_settings))
 {
   const Settings& settings = aBuilder.m_settings;
   for (const Endpoint& address : ControlReplicas(settings)) {
@@ -162,7 +167,7 @@
   }
   m_limitsRevision = revision;
   const CallerLimits allowed = m_node.Limits();
-  HttpServerLimits limits;
+  HttpServerLimits limits = m_limits;
   limits.m_headerBytes = static_cast<std::size_t>(allowed.m_headerBytes);
   limits.m_bodyBytes = static_cast<std::size_t>(allowed.m_bodyBytes);
   limits.m_readTimeout = Duration(allowed.m_idleTimeoutUs);
--- a/src/libserve/Placement.cpp
+++ b/src/libserve/Placement.cpp
@@ -90,10 +90,10 @@
     if (known == m_known.end()) {
       break;
     }
-    const auto read = known->second.m_parts.find(
-      PartKey(part.m_id, aQuestion.m_cacheScope, version));
-    const bool isKept = read != known->second.m_parts.end() &&
-                        aQuestion.m_now < read->second + kPartLife;
+    const auto read =
+      known->second.find(PartKey(part.m_id, aQuestion.m_cacheScope, version));
+    const bool isKept =
+      read != known->second.end() && aQuestion.m_now < read->second + kPartLife;
     if (!isKept) {
       break;
     }
@@ -203,14 +203,25 @@
   Known& known = m_known[aWorker.m_info.m_id.Value()];
   const std::int64_t version = VersionOf(aWorker, aRequest.m_model);
   for (const PromptPart& part : aRequest.m_parts) {
-    known.m_parts[PartKey(part.m_id, aCacheScope, version)] = aNow;
+    known[PartKey(part.m_id, aCacheScope, version)] = aNow;
   }
-  if (aNow >= known.m_nextSweep) {
-    known.m_nextSweep = aNow + kSweepInterval;
-    std::erase_if(known.m_parts, [&](const auto& aEach) {
+  Sweep(aNow);
+}
+
+void
+Placement::Sweep(TimePoint aNow)
+{
+  if (aNow < m_nextSweep) {
+    return;
+  }
+  m_nextSweep = aNow + kSweepInterval;
+  for (auto& [worker, parts] : m_known) {
+    std::erase_if(parts, [&](const auto& aEach) {
       return aNow >= aEach.second + kPartLife;
     });
   }
+  std::erase_if(m_known,
+                [](const auto& aEach) { return aEach.second.empty(); });
 }
 
 } // namespace fulmarquay
