--- a/src/libroute/route_table_test.cpp
+++ b/src/libroute/route_table_test.cpp
@@ -76,17 +76,32 @@
 {
   using Change = std::function<void(RouteDocument&)>;
   const std::vector<std::pair<Change, std::string>> cases = {
-    { [](auto& d) { d.m_routes["r1"].m_pools[0].m_pool = PoolId("x"); },
+    { [](auto& aDocument) {
+       aDocument.m_routes["r1"].m_pools[0].m_pool = PoolId("x");
+     },
       "unknown pool" },
-    { [](auto& d) { d.m_routes["r1"].m_pools[0].m_pool = PoolId("s1"); },
+    { [](auto& aDocument) {
+       aDocument.m_routes["r1"].m_pools[0].m_pool = PoolId("s1");
+     },
       "unknown pool" },
-    { [](auto& d) { d.m_routes["r2"].m_prefix = "/a/"; }, "same host" },
-    { [](auto& d) { d.m_routes["r1"].m_pools[0].m_weight = 0; }, "weights" },
-    { [](auto& d) { d.m_routes["r1"].m_pools.clear(); }, "weights" },
-    { [](auto& d) { d.m_routes["r1"].m_pools[0].m_weight = -1; }, "negative" },
-    { [](auto& d) { d.m_routes["r1"].m_timeoutUs = 0; }, "timeout" },
-    { [](auto& d) { d.m_routes["r1"].m_prefix = "a/"; }, "slash" },
-    { [](auto& d) { d.m_accounts["c2"].m_keyHashes = { "k1" }; }, "shares" },
+    { [](auto& aDocument) { aDocument.m_routes["r2"].m_prefix = "/a/"; },
+      "same host" },
+    { [](auto& aDocument) { aDocument.m_routes["r1"].m_pools[0].m_weight = 0; },
+      "weights" },
+    { [](auto& aDocument) { aDocument.m_routes["r1"].m_pools.clear(); },
+      "weights" },
+    { [](auto& aDocument) {
+       aDocument.m_routes["r1"].m_pools[0].m_weight = -1;
+     },
+      "negative" },
+    { [](auto& aDocument) { aDocument.m_routes["r1"].m_timeoutUs = 0; },
+      "timeout" },
+    { [](auto& aDocument) { aDocument.m_routes["r1"].m_prefix = "a/"; },
+      "slash" },
+    { [](auto& aDocument) {
+       aDocument.m_accounts["c2"].m_keyHashes = { "k1" };
+     },
+      "shares" },
   };
   cr_assert(FindProblems(Document()).empty());
   for (const auto& [change, word] : cases) {
