--- a/testsuite/check-proofs.sh
+++ b/testsuite/check-proofs.sh
@@ -4,8 +4,8 @@
 missing=0
 for name in $(grep -oE '`[a-z_]+/[a-z_0-9]+`' docs/PROOFS.md | tr -d '`' | sort -u); do
   suite=${name%%/*} test=${name##*/}
-  if ! grep -rqE "Test\($suite, *$test\)" src --include='*_test.cpp' &&
-    ! tr -d '\n ' <<<"$(cat src/*/*_test.cpp)" | grep -q "Test($suite,$test)"; then
+  if ! grep -rqE "Test\($suite, *$test\)" src platform --include='*_test.cpp' &&
+    ! tr -d '\n ' <<<"$(cat src/*/*_test.cpp platform/*_test.cpp)" | grep -q "Test($suite,$test)"; then
     echo "no test $name"
     missing=1
   fi
