--- a/src/fulmarquay-control/fulmarquay-control.cpp
+++ b/src/fulmarquay-control/fulmarquay-control.cpp
@@ -33,6 +33,6 @@
         Bootstrap(aSettings);
         return;
       }
-      ControlServer::Builder(aSettings, aLine.SettingsFile()).Build()->Run();
+      ControlServer::Builder(aSettings, aLine.Value("settings")).Build()->Run();
     });
 }
--- a/src/fulmarquay-entry/fulmarquay-entry.cpp
+++ b/src/fulmarquay-entry/fulmarquay-entry.cpp
@@ -24,6 +24,6 @@
     EntrySettings(),
     [](const Settings& aSettings, const CommandLine& aLine) {
       StartLog("fulmarquay-entry", aSettings.Text("entry", "log_format"));
-      EntryServer::Builder(aSettings, aLine.SettingsFile()).Build()->Run();
+      EntryServer::Builder(aSettings, aLine.Value("settings")).Build()->Run();
     });
 }
--- a/src/include/fulmarquay/core/CommandLine.h
+++ b/src/include/fulmarquay/core/CommandLine.h
@@ -34,6 +34,7 @@
   std::vector<CommandOption> m_options;
   std::string m_positionals; ///< in the usage line, e.g. `COMMAND [ARG ...]`
   std::string m_details;     ///< after the options: commands, examples
+  std::string m_settings;    ///< a daemon's settings file when none is named
 };
 
 /// A parsed command line. `--help`, `--version` are part of every program.
@@ -51,9 +52,6 @@
   std::string Value(const std::string& aName) const;
   const std::vector<std::string>& Positionals() const;
 
-  /// The file of `--settings`; without one, that of FULMARQUAY_BOOT.
-  std::string SettingsFile() const;
-
 private:
   class Impl;
   std::unique_ptr<Impl> m_impl;
--- a/src/libcore/CommandLine.cpp
+++ b/src/libcore/CommandLine.cpp
@@ -1,6 +1,5 @@
 #include "fulmarquay/core/CommandLine.h"
 
-#include <cstdlib>
 #include <boost/program_options.hpp>
 #include <iostream>
 
@@ -120,12 +119,4 @@
   return m_impl->m_positionals;
 }
 
-std::string
-CommandLine::SettingsFile() const
-{
-  const std::string named = Value("settings");
-  const char* boot = std::getenv("FULMARQUAY_BOOT");
-  return named.empty() && boot != nullptr ? boot : named;
-}
-
 } // namespace fulmarquay
--- a/src/libcore/Program.cpp
+++ b/src/libcore/Program.cpp
@@ -13,11 +13,8 @@
           const SettingsSpec& aSettings,
           const std::function<void(const Settings&, const CommandLine&)>& aRun)
 {
-  aSpec.m_options.push_back({ "settings",
-                              "the settings file; without it, the one that "
-                              "FULMARQUAY_BOOT names",
-                              true,
-                              "" });
+  aSpec.m_options.push_back(
+    { "settings", "the settings file", true, aSpec.m_settings });
   aSpec.m_options.push_back(
     { "check-settings", "check a settings file and exit", true, "" });
   const CommandLine line(aCount, aWords, aSpec);
@@ -25,8 +22,7 @@
     return line.ExitStatus();
   }
   const bool isCheck = line.Has("check-settings");
-  const std::string file =
-    isCheck ? line.Value("check-settings") : line.SettingsFile();
+  const std::string file = line.Value(isCheck ? "check-settings" : "settings");
   if (file.empty()) {
     std::cerr << aSpec.m_program << ": --settings FILE is needed; see --help\n";
     return static_cast<int>(ExitCode::Usage);
