A new leader follows the state, not each command of its log

The fleet part took each command for news: it read and logged eight past documents, would have pushed them to entries that it knew, and stepped the rollout for past weight versions. Ruled out: a lease that counts applied entries one by one; what an event passes through on the way would still be acted on. Change: FleetDesk::FollowState compares the state with what was acted on, once after each event. The hooks of the two commands, RefreshDocument and PushAll are gone; weights named while the lease was away are announced too.

--- a/src/include/fulmarquay/control/ControlNode.h
+++ b/src/include/fulmarquay/control/ControlNode.h
@@ -211,12 +211,6 @@
   void AfterApply(const LogEntry& aEntry,
                   const IssueOrderCommand& aCommand,
                   const ControlResult& aResult);
-  void AfterApply(const LogEntry& aEntry,
-                  const PublishRoutesCommand& aCommand,
-                  const ControlResult& aResult);
-  void AfterApply(const LogEntry& aEntry,
-                  const NameWeightsCommand& aCommand,
-                  const ControlResult& aResult);
   void Propose(const Pending& aPending, const ControlCommand& aCommand);
   void Propose(ConnectionId aFrom,
                RequestId aRequest,
--- a/src/include/fulmarquay/control/FleetDesk.h
+++ b/src/include/fulmarquay/control/FleetDesk.h
@@ -80,9 +80,11 @@
   void OnCommitted(CallerId aCaller);
   void OnRefused(CallerId aCaller);
 
-  /// The replicated state changed by a command or was replaced.
-  void OnPublished();
-  void OnNamed(const NameWeightsCommand& aCommand);
+  /// Acts on what is new in the replicated state since the last call: a
+  /// document, named weights. To be called after each event of the control
+  /// node, when all that it applied is in the state; what an event passes
+  /// through on the way, as a new leader does with its log, is no news.
+  void FollowState();
 
   void OnLeadership(bool aIsLeader, Duration aOldLease);
   void OnTick();
@@ -98,7 +100,6 @@
                      std::uint64_t aNumber);
 
   const WorkerDirectory& Workers() const { return m_workers; }
-  Revision Routes() const { return m_document.m_revision; }
 
 private:
   enum class CallKind
@@ -119,7 +120,8 @@
   void On(CallerId aCaller, const NameWeights& aRequest);
   void On(CallerId aCaller, const WrongRequest& aRequest);
   void On(CallerId aCaller, const NoSuchCall&);
-  void RefreshDocument();
+  void FollowRoutes();
+  void FollowWeights();
   void ReadList(const std::string& aToken);
   void OnListPage(const EngineAnswered& aAnswer);
   void OnObservation(const Call& aCall, const EngineAnswered& aAnswer);
@@ -132,7 +134,6 @@
              HttpRequest aRequest,
              Duration aTimeout);
   void ChangeWorkers();
-  void PushAll();
   void PushRoutes(EntrySession& aSession);
   void PushWorkers(EntrySession& aSession);
   WorkerList MakeList() const;
@@ -146,7 +147,14 @@
   WorkerDirectory m_workers;
   bool m_hasList = false;
   std::uint64_t m_workersNumber = 0;
-  std::map<std::string, TimePoint> m_namedAt;
+  /// A named version, and when this replica learned of it.
+  struct Named
+  {
+    std::int64_t m_version = 0;
+    TimePoint m_since;
+  };
+  std::map<std::string, Named> m_named;            ///< by model
+  std::map<std::string, std::int64_t> m_announced; ///< by this leader
   Rollout m_rollout;
   std::map<CallId, Call> m_calls;
   bool m_isReading = false;
--- a/src/libcontrol/ControlNode.cpp
+++ b/src/libcontrol/ControlNode.cpp
@@ -35,6 +35,9 @@
   m_wall = aWall;
   m_effects.clear();
   std::visit([this](const auto& aBody) { On(aBody); }, aEvent);
+  if (m_fleet) {
+    m_fleet->FollowState();
+  }
   MaybeSnapshot();
   return std::move(m_effects);
 }
@@ -246,27 +249,6 @@
   }
 }
 
-void
-ControlNode::AfterApply(const LogEntry&,
-                        const PublishRoutesCommand&,
-                        const ControlResult&)
-{
-  if (m_fleet) {
-    m_fleet->OnPublished();
-  }
-}
-
-void
-ControlNode::AfterApply(const LogEntry&,
-                        const NameWeightsCommand& aCommand,
-                        const ControlResult& aResult)
-{
-  const bool isNew = std::get<DoneResult>(aResult).m_value != 0;
-  if (m_fleet && isNew) {
-    m_fleet->OnNamed(aCommand);
-  }
-}
-
 void
 ControlNode::Carry(const RestoreMachine& aEffect)
 {
--- a/src/libcontrol/FleetDesk.cpp
+++ b/src/libcontrol/FleetDesk.cpp
@@ -138,26 +138,30 @@
 }
 
 void
-FleetDesk::OnPublished()
+FleetDesk::FollowState()
 {
-  const PublishTable& published = m_owner.Published();
-  if (!m_owner.MayLead() || published.Current() == m_document.m_revision) {
-    return;
+  for (const auto& [model, version] : m_owner.Published().Weights()) {
+    Named& named = m_named[model];
+    if (named.m_version != version) {
+      named = { version, m_owner.Now() };
+    }
+  }
+  if (m_owner.MayLead()) {
+    FollowRoutes();
+    FollowWeights();
   }
-  m_owner.Log(LogEvent::RoutesPublished,
-              { { "revision", std::to_string(published.Current().Value()) },
-                { "bytes", std::to_string(published.Source().size()) } });
-  RefreshDocument();
-  PushAll();
 }
 
 void
-FleetDesk::RefreshDocument()
+FleetDesk::FollowRoutes()
 {
   const PublishTable& published = m_owner.Published();
   if (published.Current() == m_document.m_revision) {
     return;
   }
+  m_owner.Log(LogEvent::RoutesPublished,
+              { { "revision", std::to_string(published.Current().Value()) },
+                { "bytes", std::to_string(published.Source().size()) } });
   RouteDocument document = m_protocol->ParseRoutes(published.Source());
   document.m_revision = published.Current();
   if (m_document.m_revision != Revision(0)) {
@@ -170,21 +174,28 @@
   if (m_stores) {
     m_stores->Configure(m_document);
   }
+  for (auto& [vm, session] : m_owner.Entries().All()) {
+    PushTo(session);
+  }
 }
 
 void
-FleetDesk::OnNamed(const NameWeightsCommand& aCommand)
+FleetDesk::FollowWeights()
 {
-  m_namedAt[aCommand.m_model] = m_owner.Now();
-  if (!m_owner.MayLead()) {
+  const auto& weights = m_owner.Published().Weights();
+  if (weights == m_announced) {
     return;
   }
-  m_owner.Log(LogEvent::WeightsNamed,
-              { { "model", aCommand.m_model },
-                { "version", std::to_string(aCommand.m_version) } });
-  m_nextRollout = m_owner.Now();
+  for (const auto& [model, version] : weights) {
+    if (m_announced[model] != version) {
+      m_owner.Log(
+        LogEvent::WeightsNamed,
+        { { "model", model }, { "version", std::to_string(version) } });
+    }
+  }
+  m_announced = weights;
   if (m_stores) {
-    m_stores->OnWeights(m_owner.Published().Weights());
+    m_stores->OnWeights(weights);
   }
   ChangeWorkers();
   StepRollout();
@@ -197,6 +208,7 @@
   m_deltas.clear();
   m_isReading = false;
   m_hasList = false;
+  m_announced.clear();
   m_nextReading = m_owner.Now();
   m_workersNumber = m_owner.CurrentTerm() << kTermShift;
   if (m_stores) {
@@ -214,7 +226,6 @@
   if (!m_owner.MayLead()) {
     return;
   }
-  RefreshDocument();
   if (m_stores) {
     m_stores->OnTick();
   }
@@ -460,14 +471,6 @@
   }
 }
 
-void
-FleetDesk::PushAll()
-{
-  for (auto& [vm, session] : m_owner.Entries().All()) {
-    PushTo(session);
-  }
-}
-
 void
 FleetDesk::FillReply(HeartbeatReply& aReply) const
 {
@@ -482,7 +485,6 @@
 void
 FleetDesk::PushTo(EntrySession& aSession)
 {
-  RefreshDocument();
   PushRoutes(aSession);
   PushWorkers(aSession);
   if (m_stores) {
@@ -546,9 +548,9 @@
   list.m_workers = m_workers.Workers();
   for (const auto& [model, version] : m_owner.Published().Weights()) {
     NamedWeights named{ model, version, 0 };
-    const auto since = m_namedAt.find(model);
-    if (since != m_namedAt.end()) {
-      named.m_agoUs = (m_owner.Now() - since->second).count();
+    const auto known = m_named.find(model);
+    if (known != m_named.end()) {
+      named.m_agoUs = (m_owner.Now() - known->second.m_since).count();
     }
     list.m_weights.push_back(named);
   }
--- a/src/libcontrol/fleet_test.cpp
+++ b/src/libcontrol/fleet_test.cpp
@@ -127,7 +127,7 @@
   void Publish(std::uint64_t aRevision, const std::string& aSource)
   {
     m_owner.m_published.Publish({ Revision(aRevision), aSource });
-    m_desk.OnPublished();
+    m_desk.FollowState();
   }
 
   EntrySession& Beat(std::uint64_t aRoutes)
@@ -455,3 +455,79 @@
     cr_assert_eq(WeightsOfScope(foreign), -1, "%s", foreign);
   }
 }
+
+namespace {
+
+/// A single replica that starts with a log and becomes its own leader.
+class Restarted
+{
+public:
+  explicit Restarted(const std::vector<ControlCommand>& aCommands)
+  {
+    ReplicaOptions options;
+    options.m_self = { ReplicaId(1), "vm1", "10.0.0.1:1" };
+    RecoveredState state;
+    state.m_hard.m_term = Term(1);
+    state.m_snapshot.m_membership.m_voters = { options.m_self };
+    for (const ControlCommand& command : aCommands) {
+      LogEntry entry;
+      entry.m_index = LogIndex(state.m_entries.size() + 1);
+      entry.m_term = Term(1);
+      entry.m_kind = static_cast<std::uint8_t>(EntryKind::Command);
+      entry.m_payload = PackMessage(command);
+      state.m_entries.push_back(std::move(entry));
+    }
+    m_node = std::make_unique<ControlNode>(
+      ControlOptions(),
+      std::make_unique<Replica>(options, std::move(state), m_now));
+    m_node->AddFleet(FleetOptions(), std::make_unique<FakeFleet>(), nullptr);
+  }
+
+  void Run(std::int64_t aMillis)
+  {
+    for (std::int64_t passed = 0; passed < aMillis; passed += 20) {
+      m_now += 20 * kMillisecond;
+      Feed(ReplicaEvent(ReplicaTick{}));
+    }
+  }
+
+  int Logged(LogEvent aEvent) { return m_logged[aEvent]; }
+  const ControlNode& Node() const { return *m_node; }
+  int OrderCalls() const { return m_orderCalls; }
+
+private:
+  void Feed(const ControlEvent& aEvent)
+  {
+    for (const ControlEffect& effect :
+         m_node->Reduce(m_now, WallTime(), aEvent)) {
+      if (const auto* line = std::get_if<LogLine>(&effect)) {
+        ++m_logged[line->m_event];
+      } else if (const auto* batch = std::get_if<PersistBatch>(&effect)) {
+        Feed(ReplicaEvent(DiskSynced{ batch->m_number }));
+      } else if (const auto* call = std::get_if<CallEngine>(&effect)) {
+        m_orderCalls += call->m_call.m_request.m_method == "POST" ? 1 : 0;
+      }
+    }
+  }
+
+  TimePoint m_now{ Duration(1'000'000'000) };
+  std::unique_ptr<ControlNode> m_node;
+  std::map<LogEvent, int> m_logged;
+  int m_orderCalls = 0;
+};
+
+} // namespace
+
+Test(fleet_node, a_new_leader_publishes_the_newest_document_only)
+{
+  Restarted restarted({ PublishRoutesCommand{ Revision(2), "a" },
+                        NameWeightsCommand{ "m", 2 },
+                        PublishRoutesCommand{ Revision(10), "b" },
+                        NameWeightsCommand{ "m", 3 },
+                        PublishRoutesCommand{ Revision(14), "c" } });
+  restarted.Run(2'000);
+  cr_assert_eq(restarted.Logged(LogEvent::BecameLeader), 1);
+  cr_assert_eq(restarted.Node().State().Published().Current(), Revision(14));
+  cr_assert_eq(restarted.Logged(LogEvent::RoutesPublished), 1);
+  cr_assert_eq(restarted.Logged(LogEvent::WeightsNamed), 1);
+}
