Control: no work repeated for each entry and each tick

Cause, by reading the change: each heartbeat added up what all entries hold, quadratic in entries, and the rollout's goal was built anew from all workers 20 times a second, though it changes with the worker list only. Change: EntryRegistry keeps the sums, FleetDesk keeps the goal beside the list. Before an order is sent its version is still compared with the state itself.

--- a/src/include/fulmarquay/control/EntryRegistry.h
+++ b/src/include/fulmarquay/control/EntryRegistry.h
@@ -61,11 +61,14 @@
   };
 
   PeerList& ListOf(const DataCentreId& aDataCentre);
+  /// Adds or takes away what a listed entry holds.
+  void CountHeld(const EntrySession& aSession, std::int64_t aSign);
 
   Duration m_lease;
   std::map<VmId, EntrySession> m_sessions;
   std::map<DataCentreId, PeerList> m_lists;
   std::uint32_t m_listed = 0;
+  std::map<std::string, std::int64_t> m_heldTokens; ///< of all, by pool
 };
 
 } // namespace fulmarquay
--- a/src/include/fulmarquay/control/FleetDesk.h
+++ b/src/include/fulmarquay/control/FleetDesk.h
@@ -127,8 +127,8 @@
   void OnObservation(const Call& aCall, const EngineAnswered& aAnswer);
   void OnOrderAnswer(const Call& aCall, const EngineAnswered& aAnswer);
   void StepRollout();
-  Configuration RolloutGoal() const;
-  void Carry(const Configuration& aGoal, const RolloutAction& aAction);
+  Configuration MakeGoal() const;
+  void Carry(const RolloutAction& aAction);
   void Start(CallKind aKind,
              const EngineConfig& aEngine,
              HttpRequest aRequest,
@@ -156,6 +156,7 @@
   std::map<std::string, Named> m_named;            ///< by model
   std::map<std::string, std::int64_t> m_announced; ///< by this leader
   Rollout m_rollout;
+  Configuration m_goal; ///< workers and their named weights, for m_rollout
   std::map<CallId, Call> m_calls;
   bool m_isReading = false;
   TimePoint m_nextReading;
--- a/src/libcontrol/EntryRegistry.cpp
+++ b/src/libcontrol/EntryRegistry.cpp
@@ -15,6 +15,7 @@
                            const EntryHeartbeat& aHeartbeat)
 {
   EntrySession& session = m_sessions[aHeartbeat.m_vm];
+  CountHeld(session, -1);
   const EntryHeartbeat& last = session.m_last;
   const bool isSame = session.m_isListed && last.m_boot == aHeartbeat.m_boot &&
                       last.m_address == aHeartbeat.m_address &&
@@ -34,6 +35,7 @@
   session.m_last = aHeartbeat;
   session.m_connection = aFrom;
   session.m_heard = aNow;
+  CountHeld(session, 1);
   return session;
 }
 
@@ -52,6 +54,7 @@
 {
   for (auto& [vm, session] : m_sessions) {
     if (session.m_isListed && !IsLive(aNow, session)) {
+      CountHeld(session, -1);
       session.m_isListed = false;
       --m_listed;
       m_lists[session.m_last.m_dataCentre].m_isStale = true;
@@ -89,17 +92,24 @@
   if (list.m_version != aHeartbeat.m_peersSeen) {
     reply.m_peers = list.m_peers;
   }
-  for (const auto& [vm, session] : m_sessions) {
-    if (!session.m_isListed || vm == aHeartbeat.m_vm) {
-      continue;
-    }
-    for (const auto& [pool, tokens] : session.m_last.m_heldTokens) {
-      reply.m_othersHold[pool] += tokens;
-    }
+  reply.m_othersHold = m_heldTokens;
+  for (const auto& [pool, tokens] : aHeartbeat.m_heldTokens) {
+    reply.m_othersHold[pool] -= tokens;
   }
   return reply;
 }
 
+void
+EntryRegistry::CountHeld(const EntrySession& aSession, std::int64_t aSign)
+{
+  if (!aSession.m_isListed) {
+    return;
+  }
+  for (const auto& [pool, tokens] : aSession.m_last.m_heldTokens) {
+    m_heldTokens[pool] += aSign * tokens;
+  }
+}
+
 bool
 EntryRegistry::IsLive(TimePoint aNow, const EntrySession& aSession) const
 {
@@ -119,6 +129,7 @@
   m_sessions.clear();
   m_lists.clear();
   m_listed = 0;
+  m_heldTokens.clear();
 }
 
 } // namespace fulmarquay
--- a/src/libcontrol/FleetDesk.cpp
+++ b/src/libcontrol/FleetDesk.cpp
@@ -209,6 +209,7 @@
   m_isReading = false;
   m_hasList = false;
   m_announced.clear();
+  m_goal = Configuration();
   m_nextReading = m_owner.Now();
   m_workersNumber = m_owner.CurrentTerm() << kTermShift;
   if (m_stores) {
@@ -325,7 +326,7 @@
 }
 
 Configuration
-FleetDesk::RolloutGoal() const
+FleetDesk::MakeGoal() const
 {
   Configuration goal;
   for (const auto& [name, version] : m_owner.Published().Weights()) {
@@ -359,18 +360,17 @@
   if (m_owner.Published().Weights().empty() || !m_hasList) {
     return;
   }
-  const Configuration goal = RolloutGoal();
-  for (const RolloutAction& action : m_rollout.Step(m_owner.Now(), goal)) {
-    Carry(goal, action);
+  for (const RolloutAction& action : m_rollout.Step(m_owner.Now(), m_goal)) {
+    Carry(action);
   }
 }
 
 void
-FleetDesk::Carry(const Configuration& aGoal, const RolloutAction& aAction)
+FleetDesk::Carry(const RolloutAction& aAction)
 {
   if (const auto* observe = std::get_if<ObserveEngine>(&aAction)) {
     Start(CallKind::Observation,
-          aGoal.m_engines.at(observe->m_engine),
+          m_goal.m_engines.at(observe->m_engine),
           m_protocol->Observe(),
           kObserveTimeout);
   } else if (const auto* request = std::get_if<RequestOrder>(&aAction)) {
@@ -387,17 +387,19 @@
                          const std::string& aTarget,
                          std::uint64_t aNumber)
 {
-  const Configuration goal = RolloutGoal();
-  const auto engine = goal.m_engines.find(aEngine);
+  const auto engine = m_goal.m_engines.find(aEngine);
   const std::vector<RolloutAction> actions =
     m_rollout.OnNumber(m_owner.Now(), aEngine, aTarget, aNumber);
   if (actions.empty()) {
     return;
   }
   // A new version may have been named while the number was committed.
+  const auto& weights = m_owner.Published().Weights();
+  const bool isKnown = engine != m_goal.m_engines.end();
+  const auto newest =
+    isKnown ? weights.find(engine->second.m_model) : weights.end();
   const bool isWanted =
-    engine != goal.m_engines.end() &&
-    goal.m_models.at(engine->second.m_model).m_target == aTarget;
+    newest != weights.end() && std::to_string(newest->second) == aTarget;
   if (!isWanted || !m_owner.MayLead()) {
     m_rollout.OnOrderEnded(m_owner.Now(), aEngine, OrderEnd::Failed);
     return;
@@ -466,6 +468,7 @@
 FleetDesk::ChangeWorkers()
 {
   ++m_workersNumber;
+  m_goal = MakeGoal();
   for (auto& [vm, session] : m_owner.Entries().All()) {
     PushWorkers(session);
   }
--- a/src/libcontrol/fleet_test.cpp
+++ b/src/libcontrol/fleet_test.cpp
@@ -531,3 +531,29 @@
   cr_assert_eq(restarted.Logged(LogEvent::RoutesPublished), 1);
   cr_assert_eq(restarted.Logged(LogEvent::WeightsNamed), 1);
 }
+
+Test(entries, the_others_hold_what_live_entries_told)
+{
+  EntryRegistry entries(Duration(5'000'000));
+  TimePoint now(Duration(1'000'000'000));
+  const auto beat = [&](const std::string& aVm, std::int64_t aTokens) {
+    EntryHeartbeat heartbeat;
+    heartbeat.m_vm = VmId(aVm);
+    heartbeat.m_heldTokens = { { "p", aTokens } };
+    entries.OnHeartbeat(now, ConnectionId(1), heartbeat);
+    return entries.MakeReply(heartbeat).m_othersHold.at("p");
+  };
+  cr_assert_eq(beat("a", 100), 0);
+  cr_assert_eq(beat("b", 40), 100);
+  cr_assert_eq(beat("a", 60), 40);
+  cr_assert_eq(beat("c", 5), 100);
+  now += 4'000 * kMillisecond;
+  beat("a", 60);
+  beat("c", 5);
+  now += 2'000 * kMillisecond;
+  entries.Review(now);
+  cr_assert_eq(beat("c", 5), 60, "b is lost");
+  cr_assert_eq(beat("b", 40), 65, "it is back");
+  entries.Clear();
+  cr_assert_eq(beat("a", 10), 0);
+}
