Entry: one pass over the workers for each request; dead code gone

Cause, by reading the change: a request without room weighed all workers twice, with and without their memory, at each attempt; the keys of its parts were hashed anew for each worker, in a second form beside PartKey; the version of a worker's weights was looked up in four ways; RelayHead's version, PoolSize and HttpServer::Connections had no reader. Change: Placement::Choice tells the worker, its unread tokens and whether there was room; PartKeys once for each version; WorkerInfo::VersionOf; RendezvousWeight shared with libcache; sums of held memory in WorkerTable.

--- a/src/include/fulmarquay/control/WorkerList.h
+++ b/src/include/fulmarquay/control/WorkerList.h
@@ -34,6 +34,13 @@
                  m_bornMs,
                  m_weights)
   bool operator==(const WorkerInfo&) const = default;
+
+  /// The version of a model's weights; -1 when it does not serve the model.
+  std::int64_t VersionOf(const std::string& aModel) const
+  {
+    const auto place = m_weights.find(aModel);
+    return place == m_weights.end() ? -1 : place->second;
+  }
 };
 
 /// A page of the VM list.
--- a/src/include/fulmarquay/serve/AdmissionQueue.h
+++ b/src/include/fulmarquay/serve/AdmissionQueue.h
@@ -44,6 +44,7 @@
   /// Tokens of a request went to a worker, from the queue or past it.
   void OnSent(TimePoint aNow, std::int64_t aTokens);
 
+  bool Contains(CallerId aCaller) const { return m_items.count(aCaller) != 0; }
   std::size_t Size() const { return m_items.size(); }
 
 private:
--- a/src/include/fulmarquay/serve/PartMap.h
+++ b/src/include/fulmarquay/serve/PartMap.h
@@ -15,6 +15,10 @@
 
 namespace fulmarquay {
 
+/// The keys of a prompt's parts under a cache scope.
+std::vector<std::uint64_t>
+PartKeys(const std::string& aScope, const std::vector<PromptPart>& aParts);
+
 /// What the KV cache stores hold, as the leader told this entry, and the
 /// choice of stores to read from and to save to.
 ///
@@ -60,8 +64,8 @@
     std::int64_t m_far = 0;
   };
   Stored StoredTokens(TimePoint aNow,
-                      const RelayRequest& aRequest,
-                      const std::string& aScope,
+                      const std::vector<PromptPart>& aParts,
+                      const std::vector<std::uint64_t>& aKeys,
                       const DataCentreId& aDataCentre) const;
 
   /// Keys of parts that were read since the last call, at most some hundred.
--- a/src/include/fulmarquay/serve/Placement.h
+++ b/src/include/fulmarquay/serve/Placement.h
@@ -6,6 +6,7 @@
 #include "fulmarquay/serve/WorkerTable.h"
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -31,7 +32,7 @@
     PoolId m_pool;
     const RelayRequest* m_request = nullptr;
     bool m_hasPrompt = false;
-    std::string m_cacheScope; ///< account, where its cache is isolated
+    std::string m_account; ///< whose cache is isolated; empty: shared
     std::set<WorkerId> m_tried;
     const PartMap* m_parts = nullptr; ///< what stores hold; null: none
     std::uint32_t m_entries = 1;      ///< that share the workers
@@ -44,18 +45,22 @@
     std::int64_t m_othersHold = 0;
   };
 
-  /// The chosen worker, or null when none may get the request.
-  WorkerState* Choose(WorkerTable& aWorkers, const Question& aQuestion);
+  /// What was chosen.
+  struct Choice
+  {
+    WorkerState* m_worker = nullptr;
+    std::int64_t m_unread = 0; ///< prompt tokens that it has to read or fetch
+    bool m_isFull = false;     ///< some worker may get it and has no room
+  };
+
+  /// The worker for a request, if any may get it and has room.
+  Choice Choose(WorkerTable& aWorkers, const Question& aQuestion) const;
 
   /// The prompt of a request has been read by a worker.
   void OnRead(TimePoint aNow,
               const WorkerState& aWorker,
               const RelayRequest& aRequest,
-              const std::string& aCacheScope);
-
-  /// Prompt tokens that a worker would have to read, as far as known.
-  std::int64_t UncachedTokens(const WorkerState& aWorker,
-                              const Question& aQuestion) const;
+              const std::string& aAccount);
 
 private:
   static bool HasRoom(const WorkerState& aWorker,
@@ -63,20 +68,20 @@
                       std::int64_t aOthersHold);
 
   /// Parts that a worker has read, and when.
-  using Known = std::unordered_map<std::string, TimePoint>;
+  using Known = std::unordered_map<std::uint64_t, TimePoint>;
+  /// The keys of a prompt's parts under each weight version.
+  using Keys = std::map<std::int64_t, std::vector<std::uint64_t>>;
 
-  void Sweep(TimePoint aNow);
-
-  std::int64_t Cost(const WorkerState& aWorker,
-                    const Question& aQuestion,
-                    std::uint64_t aItem,
-                    const WorkerState* aHome) const;
+  std::int64_t UnreadTokens(const WorkerState& aWorker,
+                            const Question& aQuestion,
+                            Keys& aKeys) const;
+  std::int64_t LoadCost(const WorkerState& aWorker,
+                        const Question& aQuestion,
+                        std::uint64_t aItem) const;
   std::int64_t AgeCost(const WorkerTable& aWorkers,
                        const WorkerState& aWorker,
                        const Question& aQuestion) const;
-  static std::string PartKey(const std::string& aPart,
-                             const std::string& aCacheScope,
-                             std::int64_t aVersion);
+  void Sweep(TimePoint aNow);
 
   std::unordered_map<std::string, Known> m_known; ///< by worker
   TimePoint m_nextSweep;
--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -88,7 +88,7 @@
     RouteRule m_rule;
     std::string m_route;
     std::string m_account;
-    std::string m_cacheScope;
+    std::string m_cacheAccount; ///< whose cache is isolated; empty: shared
     std::int64_t m_rank = 0;
     TimePoint m_arrived;
     TimePoint m_due;
@@ -118,9 +118,9 @@
   const PoolShare& ChoosePool(const Relayed& aRelayed) const;
   void Place(Relayed& aRelayed);
   Placement::Question QuestionOf(const Relayed& aRelayed) const;
-  /// Puts a request that no worker has room for into its pool's queue; false
-  /// when there is nothing to wait for.
-  bool Wait(Relayed& aRelayed);
+  /// Puts a request that no worker has room for into its pool's queue, or
+  /// refuses it when its turn would come too late.
+  void Wait(Relayed& aRelayed, std::int64_t aTokens);
   std::int64_t OthersHold(const PoolId& aPool) const;
   void AverageHeld();
   /// Sends what has room now.
--- a/src/include/fulmarquay/serve/RelayRequest.h
+++ b/src/include/fulmarquay/serve/RelayRequest.h
@@ -62,10 +62,9 @@
 struct RelayHead
 {
   int m_status = 0;
-  bool m_isNotRun = false;     ///< the worker states that it did not run it
-  bool m_isProven = false;     ///< it carries the worker's proof of origin
-  bool m_isStream = false;     ///< its body is a row of events
-  std::int64_t m_weights = -1; ///< version that it runs under; -1: not told
+  bool m_isNotRun = false; ///< the worker states that it did not run it
+  bool m_isProven = false; ///< it carries the worker's proof of origin
+  bool m_isStream = false; ///< its body is a row of events
 };
 
 /// An answer of the system's own.
--- a/src/include/fulmarquay/serve/WorkerTable.h
+++ b/src/include/fulmarquay/serve/WorkerTable.h
@@ -40,9 +40,8 @@
   /// Workers of a pool that may get new requests, leaving ones excluded.
   std::vector<WorkerState*> Usable(TimePoint aNow, const PoolId& aPool);
 
-  /// Places of a pool's usable workers, and how many of them own requests
-  /// hold.
-  std::size_t PoolSize(const PoolId& aPool) const;
+  /// Memory that own requests hold at a pool's workers, in tokens.
+  std::int64_t HeldTokens(const PoolId& aPool) const;
 
   WorkerState* Find(const WorkerId& aWorker);
 
--- a/src/include/fulmarquay/wire/HttpServer.h
+++ b/src/include/fulmarquay/wire/HttpServer.h
@@ -70,9 +70,6 @@
   /// Requests read and not yet answered.
   std::size_t Running() const;
 
-  /// Open connections, idle ones included.
-  std::size_t Connections() const;
-
 private:
   class Impl;
   std::shared_ptr<Impl> m_impl;
--- a/src/libserve/PartMap.cpp
+++ b/src/libserve/PartMap.cpp
@@ -25,6 +25,17 @@
 
 } // namespace
 
+std::vector<std::uint64_t>
+PartKeys(const std::string& aScope, const std::vector<PromptPart>& aParts)
+{
+  std::vector<std::uint64_t> keys;
+  keys.reserve(aParts.size());
+  for (const PromptPart& part : aParts) {
+    keys.push_back(PartKey(aScope, part.m_id));
+  }
+  return keys;
+}
+
 bool
 PartMap::Apply(const StorePush& aPush)
 {
@@ -119,21 +130,21 @@
 
 PartMap::Stored
 PartMap::StoredTokens(TimePoint aNow,
-                      const RelayRequest& aRequest,
-                      const std::string& aScope,
+                      const std::vector<PromptPart>& aParts,
+                      const std::vector<std::uint64_t>& aKeys,
                       const DataCentreId& aDataCentre) const
 {
   Stored stored;
   if (!IsUsable(aNow)) {
     return stored;
   }
-  for (const PromptPart& part : aRequest.m_parts) {
-    const Copy* copy = Find(PartKey(aScope, part.m_id), aDataCentre);
+  for (std::size_t i = 0; i < aParts.size(); ++i) {
+    const Copy* copy = Find(aKeys[i], aDataCentre);
     if (copy == nullptr) {
       break;
     }
     const bool isNear = m_stores[copy->m_store].m_dataCentre == aDataCentre;
-    (isNear ? stored.m_near : stored.m_far) += part.m_tokens;
+    (isNear ? stored.m_near : stored.m_far) += aParts[i].m_tokens;
   }
   return stored;
 }
--- a/src/libserve/Placement.cpp
+++ b/src/libserve/Placement.cpp
@@ -1,5 +1,6 @@
 #include "fulmarquay/serve/Placement.h"
 
+#include "fulmarquay/cache/Rendezvous.h"
 #include "fulmarquay/core/Digest.h"
 
 #include <algorithm>
@@ -36,13 +37,6 @@
 constexpr std::int64_t kServiceCost = 1'000;
 constexpr std::int64_t kExcluded = std::numeric_limits<std::int64_t>::max();
 
-std::int64_t
-VersionOf(const WorkerState& aWorker, const std::string& aModel)
-{
-  const auto place = aWorker.m_info.m_weights.find(aModel);
-  return place == aWorker.m_info.m_weights.end() ? -1 : place->second;
-}
-
 /// What entries agree on: the last part that a prompt shares with others.
 std::uint64_t
 AffinityItem(const Placement::Question& aQuestion)
@@ -52,19 +46,11 @@
     return Checksum64(aQuestion.m_request->m_id);
   }
   const std::size_t last = parts.size() < 2 ? 0 : parts.size() - 2;
-  return Checksum64(parts[last].m_id, Checksum64(aQuestion.m_cacheScope));
+  return Checksum64(parts[last].m_id, Checksum64(aQuestion.m_account));
 }
 
 } // namespace
 
-std::string
-Placement::PartKey(const std::string& aPart,
-                   const std::string& aCacheScope,
-                   std::int64_t aVersion)
-{
-  return aPart + "/" + std::to_string(aVersion) + "/" + aCacheScope;
-}
-
 bool
 Placement::HasRoom(const WorkerState& aWorker,
                    const Question& aQuestion,
@@ -79,33 +65,34 @@
 }
 
 std::int64_t
-Placement::UncachedTokens(const WorkerState& aWorker,
-                          const Question& aQuestion) const
+Placement::UnreadTokens(const WorkerState& aWorker,
+                        const Question& aQuestion,
+                        Keys& aKeys) const
 {
   const RelayRequest& request = *aQuestion.m_request;
+  const std::int64_t version = aWorker.m_info.VersionOf(request.m_model);
+  const auto [keys, isNew] = aKeys.try_emplace(version);
+  if (isNew) {
+    keys->second =
+      PartKeys(MakeCacheScope(version, aQuestion.m_account), request.m_parts);
+  }
   std::int64_t cached = 0;
   const auto known = m_known.find(aWorker.m_info.m_id.Value());
-  const std::int64_t version = VersionOf(aWorker, request.m_model);
-  for (const PromptPart& part : request.m_parts) {
-    if (known == m_known.end()) {
-      break;
-    }
-    const auto read =
-      known->second.find(PartKey(part.m_id, aQuestion.m_cacheScope, version));
-    const bool isKept =
-      read != known->second.end() && aQuestion.m_now < read->second + kPartLife;
-    if (!isKept) {
+  for (std::size_t i = 0; known != m_known.end() && i < keys->second.size();
+       ++i) {
+    const auto read = known->second.find(keys->second[i]);
+    if (read == known->second.end() ||
+        aQuestion.m_now >= read->second + kPartLife) {
       break;
     }
-    cached += part.m_tokens;
+    cached += request.m_parts[i].m_tokens;
   }
   PartMap::Stored stored;
   if (aQuestion.m_parts != nullptr && version >= 0) {
-    stored = aQuestion.m_parts->StoredTokens(
-      aQuestion.m_now,
-      request,
-      MakeCacheScope(version, aQuestion.m_cacheScope),
-      aWorker.m_info.m_dataCentre);
+    stored = aQuestion.m_parts->StoredTokens(aQuestion.m_now,
+                                             request.m_parts,
+                                             keys->second,
+                                             aWorker.m_info.m_dataCentre);
   }
   // What the worker keeps itself is not fetched.
   const std::int64_t kept = std::min(cached, stored.m_near + stored.m_far);
@@ -118,24 +105,19 @@
 }
 
 std::int64_t
-Placement::Cost(const WorkerState& aWorker,
-                const Question& aQuestion,
-                std::uint64_t aItem,
-                const WorkerState* aHome) const
+Placement::LoadCost(const WorkerState& aWorker,
+                    const Question& aQuestion,
+                    std::uint64_t aItem) const
 {
-  // The others' load is like the own one: callers are spread by a hash.
-  const std::int64_t entries = aQuestion.m_entries;
   if (!aQuestion.m_hasPrompt) {
     const auto spread = static_cast<std::int64_t>(
-      Checksum64(aWorker.m_info.m_id.Value(), aItem) % kServiceCost);
+      RendezvousWeight(aWorker.m_info.m_id.Value(), aItem) % kServiceCost);
     return aWorker.m_running * kServiceCost + spread;
   }
-  std::int64_t own = UncachedTokens(aWorker, aQuestion);
-  if (&aWorker == aHome) {
-    own = std::min(own, aQuestion.m_request->m_promptTokens / kHomeDivisor);
-  }
-  return own + (aWorker.m_waitingTokens + aWorker.m_running * kRunningTokens) *
-                 entries;
+  // The others' load is like the own one: callers are spread by a hash.
+  const std::int64_t entries = aQuestion.m_entries;
+  return (aWorker.m_waitingTokens + aWorker.m_running * kRunningTokens) *
+         entries;
 }
 
 std::int64_t
@@ -145,7 +127,7 @@
 {
   const std::string& model = aQuestion.m_request->m_model;
   const std::int64_t named = aWorkers.NamedVersion(model);
-  const std::int64_t version = VersionOf(aWorker, model);
+  const std::int64_t version = aWorker.m_info.VersionOf(model);
   if (version < 0 || version >= named) {
     return 0;
   }
@@ -156,8 +138,8 @@
   return age < kOldWeightsFree ? kOldWeightsTokens : kLateWeightsTokens;
 }
 
-WorkerState*
-Placement::Choose(WorkerTable& aWorkers, const Question& aQuestion)
+Placement::Choice
+Placement::Choose(WorkerTable& aWorkers, const Question& aQuestion) const
 {
   std::vector<WorkerState*> usable =
     aWorkers.Usable(aQuestion.m_now, aQuestion.m_pool);
@@ -169,41 +151,52 @@
     aQuestion.m_othersHold /
     std::max<std::int64_t>(1, static_cast<std::int64_t>(usable.size()));
   const std::uint64_t item = AffinityItem(aQuestion);
-  const WorkerState* home = nullptr;
-  std::uint64_t homeWeight = 0;
-  for (const WorkerState* worker : usable) {
-    const std::uint64_t weight = Checksum64(worker->m_info.m_id.Value(), item);
-    if (home == nullptr || weight > homeWeight) {
-      home = worker;
-      homeWeight = weight;
-    }
-  }
-  WorkerState* best = nullptr;
+  const auto weightOf = [&](const WorkerState* aWorker) {
+    return RendezvousWeight(aWorker->m_info.m_id.Value(), item);
+  };
+  const auto home = std::max_element(
+    usable.begin(), usable.end(), [&](const auto* aLeft, const auto* aRight) {
+      return weightOf(aLeft) < weightOf(aRight);
+    });
+  Choice choice;
+  Keys keys;
   std::int64_t bestCost = kExcluded;
   for (WorkerState* worker : usable) {
     const std::int64_t age = AgeCost(aWorkers, *worker, aQuestion);
-    if (age == kExcluded || !HasRoom(*worker, aQuestion, others)) {
+    if (age == kExcluded) {
+      continue;
+    }
+    if (!HasRoom(*worker, aQuestion, others)) {
+      choice.m_isFull = true;
       continue;
     }
-    const std::int64_t cost = Cost(*worker, aQuestion, item, home) + age;
+    const std::int64_t unread =
+      aQuestion.m_hasPrompt ? UnreadTokens(*worker, aQuestion, keys) : 0;
+    const std::int64_t own =
+      worker == *home
+        ? std::min(unread, aQuestion.m_request->m_promptTokens / kHomeDivisor)
+        : unread;
+    const std::int64_t cost = own + LoadCost(*worker, aQuestion, item) + age;
     if (cost < bestCost) {
-      best = worker;
+      choice.m_worker = worker;
+      choice.m_unread = unread;
       bestCost = cost;
     }
   }
-  return best;
+  return choice;
 }
 
 void
 Placement::OnRead(TimePoint aNow,
                   const WorkerState& aWorker,
                   const RelayRequest& aRequest,
-                  const std::string& aCacheScope)
+                  const std::string& aAccount)
 {
   Known& known = m_known[aWorker.m_info.m_id.Value()];
-  const std::int64_t version = VersionOf(aWorker, aRequest.m_model);
-  for (const PromptPart& part : aRequest.m_parts) {
-    known[PartKey(part.m_id, aCacheScope, version)] = aNow;
+  const std::string scope =
+    MakeCacheScope(aWorker.m_info.VersionOf(aRequest.m_model), aAccount);
+  for (const std::uint64_t key : PartKeys(scope, aRequest.m_parts)) {
+    known[key] = aNow;
   }
   Sweep(aNow);
 }
--- a/src/libserve/RelayAnswers.cpp
+++ b/src/libserve/RelayAnswers.cpp
@@ -120,7 +120,7 @@
     std::max<std::int64_t>(0, worker->m_waitingTokens - aRelayed.m_counted);
   aRelayed.m_counted = 0;
   m_placement.OnRead(
-    m_context.Now(), *worker, aRelayed.m_request, aRelayed.m_cacheScope);
+    m_context.Now(), *worker, aRelayed.m_request, aRelayed.m_cacheAccount);
   m_context.Counters().Observe("first_event_seconds",
                                static_cast<double>(Age(aRelayed).count()) / 1e6,
                                "route=\"" + aRelayed.m_route + "\"");
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -194,7 +194,7 @@
     return true;
   }
   aRelayed.m_account = std::string(account.m_name);
-  aRelayed.m_cacheScope =
+  aRelayed.m_cacheAccount =
     account.m_rule->m_isIsolated ? aRelayed.m_account : "";
   if (account.m_rule->m_rank >= 0) {
     aRelayed.m_rank = account.m_rule->m_rank;
--- a/src/libserve/RelayPlacing.cpp
+++ b/src/libserve/RelayPlacing.cpp
@@ -30,7 +30,7 @@
   question.m_pool = aRelayed.m_pool;
   question.m_request = &aRelayed.m_request;
   question.m_hasPrompt = aRelayed.m_rule.m_hasPrompt;
-  question.m_cacheScope = aRelayed.m_cacheScope;
+  question.m_account = aRelayed.m_cacheAccount;
   question.m_tried = aRelayed.m_tried;
   question.m_entries = m_entries;
   question.m_parts = &m_parts;
@@ -54,21 +54,23 @@
   const bool isBehind = question.m_hasPrompt && !aRelayed.m_isQueued &&
                         !aRelayed.m_isStreaming &&
                         m_queues[aRelayed.m_pool].Size() > 0;
-  WorkerState* worker =
-    isLate || isBehind ? nullptr : m_placement.Choose(m_workers, question);
-  if (worker != nullptr) {
+  const Placement::Choice choice =
+    isLate ? Placement::Choice() : m_placement.Choose(m_workers, question);
+  if (choice.m_worker != nullptr && !isBehind) {
     LeaveQueue(aRelayed);
-    aRelayed.m_counted = aRelayed.m_rule.m_hasPrompt
-                           ? m_placement.UncachedTokens(*worker, question)
-                           : 0;
+    aRelayed.m_counted = choice.m_unread;
     aRelayed.m_held = question.m_needed;
     if (question.m_hasPrompt) {
       m_queues[aRelayed.m_pool].OnSent(question.m_now, question.m_needed);
     }
-    Send(aRelayed, *worker);
+    Send(aRelayed, *choice.m_worker);
     return;
   }
-  if (!isLate && Wait(aRelayed)) {
+  const bool mayWait = question.m_hasPrompt && !aRelayed.m_isStreaming &&
+                       !aRelayed.m_mayHaveRun &&
+                       (choice.m_isFull || choice.m_worker != nullptr);
+  if (mayWait) {
+    Wait(aRelayed, question.m_needed);
     return;
   }
   const std::string reason = isLate ? "no time left" : "no worker";
@@ -79,31 +81,25 @@
   }
 }
 
-bool
-RelayFlow::Wait(Relayed& aRelayed)
+void
+RelayFlow::Wait(Relayed& aRelayed, std::int64_t aTokens)
 {
-  Placement::Question anyRoom = QuestionOf(aRelayed);
-  anyRoom.m_memory = 0;
-  const bool isHopeless = aRelayed.m_isStreaming || aRelayed.m_mayHaveRun ||
-                          !anyRoom.m_hasPrompt ||
-                          m_placement.Choose(m_workers, anyRoom) == nullptr;
-  if (aRelayed.m_isQueued || isHopeless) {
-    return aRelayed.m_isQueued && !isHopeless;
+  if (aRelayed.m_isQueued) {
+    return;
   }
   AdmissionQueue::Item item;
   item.m_caller = aRelayed.m_caller;
   item.m_rank = aRelayed.m_rank;
   item.m_wanted = aRelayed.m_arrived + Duration(aRelayed.m_rule.m_targetUs);
   item.m_due = aRelayed.m_due;
-  item.m_tokens = anyRoom.m_needed;
+  item.m_tokens = aTokens;
   const std::optional<Duration> refused =
     m_queues[aRelayed.m_pool].Push(m_context.Now(), item);
   if (refused) {
     Refuse(aRelayed, kStatusUnavailable, "queue too long", *refused);
-    return true;
+    return;
   }
   aRelayed.m_isQueued = true;
-  return true;
 }
 
 void
@@ -118,10 +114,6 @@
 std::int64_t
 RelayFlow::OthersHold(const PoolId& aPool) const
 {
-  std::int64_t own = 0;
-  for (const auto& [id, worker] : m_workers.All()) {
-    own += worker.m_info.m_pool == aPool ? worker.m_heldTokens : 0;
-  }
   // What is told of the others is some seconds old; all entries would follow
   // it at the same time. Their load rises and falls with the own one, in the
   // proportion that is told.
@@ -133,7 +125,8 @@
       static_cast<double>(others->second) / std::max(1.0, average->second);
     ratio = std::clamp(told, ratio / kMostUneven, ratio * kMostUneven);
   }
-  return static_cast<std::int64_t>(static_cast<double>(own) * ratio);
+  const auto own = static_cast<double>(m_workers.HeldTokens(aPool));
+  return static_cast<std::int64_t>(own * ratio);
 }
 
 void
@@ -143,14 +136,10 @@
   const auto passed = static_cast<double>((now - m_averagedAt).count());
   const double weight = 1 - std::exp(-passed / kHeldMicros);
   m_averagedAt = now;
-  std::map<std::string, double> held;
-  for (const auto& [id, worker] : m_workers.All()) {
-    held[worker.m_info.m_pool.Value()] +=
-      static_cast<double>(worker.m_heldTokens);
-  }
-  for (const auto& [pool, tokens] : held) {
+  for (const auto& [pool, rule] : m_routes.Document().m_pools) {
+    const auto held = static_cast<double>(m_workers.HeldTokens(PoolId(pool)));
     double& average = m_heldAverage[pool];
-    average += weight * (tokens - average);
+    average += weight * (held - average);
   }
 }
 
@@ -173,8 +162,7 @@
     while (const auto next = queue.Next(m_context.Now())) {
       Relayed& relayed = *m_byCaller.at(next->m_caller);
       Place(relayed);
-      const auto after = queue.Next(m_context.Now());
-      if (after && after->m_caller == next->m_caller) {
+      if (queue.Contains(next->m_caller)) {
         break;
       }
     }
@@ -186,11 +174,9 @@
 {
   // KV cache of another weight version must never be found: workers and
   // stores keep parts beyond a change of weights.
-  const auto weights =
-    aWorker.m_info.m_weights.find(aRelayed.m_request.m_model);
   const std::int64_t version =
-    weights == aWorker.m_info.m_weights.end() ? 0 : weights->second;
-  return MakeCacheScope(version, aRelayed.m_cacheScope);
+    aWorker.m_info.VersionOf(aRelayed.m_request.m_model);
+  return MakeCacheScope(version, aRelayed.m_cacheAccount);
 }
 
 PartMap::Reader
@@ -222,11 +208,7 @@
   if (aRelayed.m_rule.m_hasPrompt) {
     order.m_rank = aRelayed.m_rank;
     order.m_cacheScope = ScopeFor(aRelayed, aWorker);
-    const auto weights =
-      aWorker.m_info.m_weights.find(aRelayed.m_request.m_model);
-    if (weights != aWorker.m_info.m_weights.end()) {
-      order.m_weights = weights->second;
-    }
+    order.m_weights = aWorker.m_info.VersionOf(aRelayed.m_request.m_model);
     m_parts.Plan(ReaderAt(aRelayed, aWorker), aRelayed.m_request, order);
     for (const PartSource& source : order.m_fetches) {
       if (!source.m_address.empty()) {
--- a/src/libserve/WorkerTable.cpp
+++ b/src/libserve/WorkerTable.cpp
@@ -57,13 +57,14 @@
   return usable;
 }
 
-std::size_t
-WorkerTable::PoolSize(const PoolId& aPool) const
+std::int64_t
+WorkerTable::HeldTokens(const PoolId& aPool) const
 {
-  return static_cast<std::size_t>(
-    std::count_if(m_workers.begin(), m_workers.end(), [&](const auto& aEach) {
-      return aEach.second.m_info.m_pool == aPool;
-    }));
+  std::int64_t held = 0;
+  for (const auto& [id, worker] : m_workers) {
+    held += worker.m_info.m_pool == aPool ? worker.m_heldTokens : 0;
+  }
+  return held;
 }
 
 WorkerState*
--- a/src/libwire/HttpServer.cpp
+++ b/src/libwire/HttpServer.cpp
@@ -413,12 +413,6 @@
   m_impl->m_isClosing = true;
 }
 
-std::size_t
-HttpServer::Connections() const
-{
-  return m_impl->m_sessions.size();
-}
-
 void
 HttpServer::StopAccepting()
 {
