One copy of what both daemons do: reload, metrics text, log lines

Cause: reading the change as a newcomer found twins: the SIGHUP re-read, the metrics listener and the log line stood in both servers, HTTP status codes in five places, and an entry ignored the control addresses of re-read settings. Ruled out: a common base class of both servers; they share parts, not a life. Change: SettingsReload, ServeText, LogLine with one WriteLog, wire/HttpStatus.h, ToMillis; an entry tries the replicas that changed settings name. Before: a wrong file at SIGHUP was logged by the control program as the end of its process, and an entry logged a reload that it had not done.

--- a/src/include/fulmarquay/control/ControlNode.h
+++ b/src/include/fulmarquay/control/ControlNode.h
@@ -74,13 +74,6 @@
   HttpCall m_call;
 };
 
-/// Write a log event.
-struct LogLine
-{
-  LogEvent m_event;
-  std::vector<std::pair<std::string, std::string>> m_fields;
-};
-
 /// Answer a call of the operators' HTTP interface.
 struct AnswerOperator
 {
--- a/src/include/fulmarquay/core/LogEvent.h
+++ b/src/include/fulmarquay/core/LogEvent.h
@@ -3,6 +3,7 @@
 
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace fulmarquay {
@@ -16,6 +17,7 @@
   ListenFailed = 1004,
   SettingsReloaded = 1005,
   LogLinesLeftOut = 1006,
+  SettingsRefused = 1007,
   PeerConnected = 1101,
   PeerLost = 1102,
   BadFrame = 1103,
@@ -101,6 +103,17 @@
 void
 WriteLog(LogEvent aEvent, const std::vector<LogField>& aFields = {});
 
+/// A line that a reducer asks for, as one of its effects.
+struct LogLine
+{
+  LogEvent m_event;
+  std::vector<std::pair<std::string, std::string>> m_fields;
+};
+
+/// Writes it. Thread-safe.
+void
+WriteLog(const LogLine& aLine);
+
 } // namespace fulmarquay
 
 #endif
--- a/src/include/fulmarquay/core/Units.h
+++ b/src/include/fulmarquay/core/Units.h
@@ -10,6 +10,13 @@
 /// A length of time. Every timer and rate of the system counts microseconds.
 using Duration = std::chrono::microseconds;
 
+/// Whole milliseconds of a length of time, as wires and logs count them.
+constexpr std::int64_t
+ToMillis(Duration aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+}
+
 /// A point on a VM's monotonic clock, suspended time included. Comparable only
 /// within a process.
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
--- a/src/include/fulmarquay/daemon/AnswerServer.h
+++ b/src/include/fulmarquay/daemon/AnswerServer.h
@@ -4,6 +4,9 @@
 #include "fulmarquay/wire/HttpServer.h"
 
 #include <functional>
+#include <memory>
+#include <string>
+#include <vector>
 
 namespace fulmarquay {
 
@@ -27,6 +30,13 @@
   HttpServer m_server;
 };
 
+/// Serves a text at the first of some listeners, such as metrics; null when
+/// there is none. Throws Error when its port can't be had.
+std::unique_ptr<AnswerServer>
+ServeText(boost::asio::io_context& aContext,
+          const std::vector<Endpoint>& aListeners,
+          std::function<std::string()> aRender);
+
 } // namespace fulmarquay
 
 #endif
--- a/src/include/fulmarquay/daemon/ControlServer.h
+++ b/src/include/fulmarquay/daemon/ControlServer.h
@@ -4,6 +4,7 @@
 #include "fulmarquay/daemon/DiskWriter.h"
 #include "fulmarquay/daemon/PeerLinks.h"
 #include "fulmarquay/daemon/AnswerServer.h"
+#include "fulmarquay/daemon/SettingsReload.h"
 #include "fulmarquay/control/ControlNode.h"
 #include "fulmarquay/control/OperatorProtocol.h"
 #include "fulmarquay/core/Metrics.h"
@@ -48,7 +49,6 @@
                 std::unique_ptr<FleetProtocol> aProtocol,
                 std::unique_ptr<PartStoreProtocol> aStores);
   void ListenForOperators(const Settings& aSettings);
-  void AwaitReload();
   void Carry(const AnswerOperator& aEffect);
   std::string RenderMetrics();
   void OpenDisk(const Settings& aSettings);
@@ -69,7 +69,6 @@
   boost::asio::steady_timer m_ticker;
   boost::asio::steady_timer m_stopper;
   boost::asio::signal_set m_signals;
-  boost::asio::signal_set m_reload;
   std::unique_ptr<DiskFolder> m_folder;
   std::unique_ptr<LogStore> m_store;
   std::unique_ptr<ControlNode> m_node;
@@ -80,7 +79,7 @@
   std::unique_ptr<DiskWriter> m_disk;
   Membership m_known;
   int m_ticks = 0;
-  std::string m_settingsFile;
+  SettingsReload m_reload;
   std::unique_ptr<OperatorProtocol> m_operators;
   std::unique_ptr<HttpServer> m_operatorHttp;
   std::map<CallerId, HttpRequest> m_operatorCalls; ///< not yet answered
--- a/src/include/fulmarquay/daemon/EntryServer.h
+++ b/src/include/fulmarquay/daemon/EntryServer.h
@@ -3,6 +3,7 @@
 
 #include "fulmarquay/core/Settings.h"
 #include "fulmarquay/daemon/AnswerServer.h"
+#include "fulmarquay/daemon/SettingsReload.h"
 #include "fulmarquay/serve/EntryNode.h"
 #include "fulmarquay/wire/FrameHub.h"
 #include "fulmarquay/wire/HttpClient.h"
@@ -43,7 +44,6 @@
 private:
   explicit EntryServer(const Builder& aBuilder);
   void ListenForPlatform(const Settings& aSettings);
-  void AwaitReload();
   void FollowLimits();
 
   struct ControlLink
@@ -64,7 +64,7 @@
   void Carry(const AddControlLink& aEffect);
   void Carry(const SendToPeer& aEffect);
   void Carry(const ReplyToPeer& aEffect);
-  void Carry(const EntryLogLine& aEffect);
+  void Carry(const LogLine& aEffect);
   void Carry(EntryStopped aEffect);
   void Tick();
   void ConnectControl();
@@ -73,7 +73,6 @@
   boost::asio::io_context m_context;
   boost::asio::steady_timer m_ticker;
   boost::asio::signal_set m_signals;
-  boost::asio::signal_set m_reload;
   EntryNode m_node;
   FrameHub m_hub;
   HttpServer m_server;
@@ -81,7 +80,7 @@
   std::vector<ControlLink> m_control;
   std::map<Endpoint, ConnectionId> m_peers;
   int m_ticks = 0;
-  std::string m_settingsFile;
+  SettingsReload m_reload;
   HttpServerLimits m_limits; ///< of the settings
   Revision m_limitsRevision;
   std::unique_ptr<AnswerServer> m_readyHttp;
--- a/src/include/fulmarquay/serve/ControlSession.h
+++ b/src/include/fulmarquay/serve/ControlSession.h
@@ -42,6 +42,9 @@
                  Duration aSteadyInterval,
                  bool aLearnsReplicas);
 
+  /// Takes further replicas into account.
+  void AddReplicas(const std::vector<Endpoint>& aReplicas);
+
   void OnTick();
   void OnLink(const ControlLinkChanged& aEvent);
   void OnMessage(const ControlReply& aEvent);
@@ -95,6 +98,7 @@
   /// The link of a replica, made when it is new and new ones may be learned;
   /// else the number of links.
   std::size_t LinkOf(const std::string& aReplica);
+  std::size_t AddReplica(const Endpoint& aReplica);
   void ExpireAsked();
 
   EntryContext& m_context;
--- a/src/include/fulmarquay/serve/EntryEvents.h
+++ b/src/include/fulmarquay/serve/EntryEvents.h
@@ -79,6 +79,12 @@
 struct DrainOrder
 {};
 
+/// The settings were read again; they name these control replicas.
+struct ReplicasNamed
+{
+  std::vector<Endpoint> m_replicas;
+};
+
 using EntryEvent = std::variant<EntryTick,
                                 CallerRequest,
                                 CallerGone,
@@ -88,6 +94,7 @@
                                 ControlLinkChanged,
                                 ControlReply,
                                 PeerMessage,
+                                ReplicasNamed,
                                 DrainOrder>;
 
 /// Answer a caller.
@@ -158,13 +165,6 @@
   CacheMessage m_message;
 };
 
-/// Write a log event.
-struct EntryLogLine
-{
-  LogEvent m_event;
-  std::vector<std::pair<std::string, std::string>> m_fields;
-};
-
 /// The drain is over: the process may end.
 struct EntryStopped
 {};
@@ -179,7 +179,7 @@
                                  AddControlLink,
                                  SendToPeer,
                                  ReplyToPeer,
-                                 EntryLogLine,
+                                 LogLine,
                                  EntryStopped>;
 using EntryEffects = std::vector<EntryEffect>;
 
--- a/src/include/fulmarquay/serve/EntryNode.h
+++ b/src/include/fulmarquay/serve/EntryNode.h
@@ -84,6 +84,7 @@
   void On(const ControlLinkChanged& aEvent);
   void On(const ControlReply& aEvent);
   void On(const PeerMessage& aEvent);
+  void On(const ReplicasNamed& aEvent);
   void On(const DrainOrder&);
 
   void NoticeConfiguration();
--- a/src/libcontrol/ControlNodeDuties.cpp
+++ b/src/libcontrol/ControlNodeDuties.cpp
@@ -3,6 +3,7 @@
 #include "fulmarquay/control/ControlNode.h"
 
 #include "fulmarquay/core/Settings.h"
+#include "fulmarquay/wire/HttpStatus.h"
 
 #include <set>
 #include <utility>
@@ -17,7 +18,6 @@
 constexpr Duration kProbeAge(3'000'000);
 constexpr std::size_t kMostProbes = 64;
 constexpr const char* kLoadOrder = "load";
-constexpr int kStatusConflict = 409;
 constexpr Duration kDefaultRetention(72LL * 3'600'000'000);
 
 } // namespace
--- a/src/libcontrol/FleetDesk.cpp
+++ b/src/libcontrol/FleetDesk.cpp
@@ -3,6 +3,7 @@
 #include "fulmarquay/control/ControlNode.h"
 #include "fulmarquay/control/EntryRegistry.h"
 #include "fulmarquay/core/Error.h"
+#include "fulmarquay/wire/HttpStatus.h"
 
 namespace fulmarquay {
 
@@ -19,7 +20,6 @@
 constexpr std::size_t kKeptDeltas = 32;
 /// Room for the changes of the worker list in one term.
 constexpr unsigned kTermShift = 24;
-constexpr int kStatusOk = 200;
 
 std::string
 Join(const std::vector<std::string>& aLines)
--- a/src/libcontrol/StoreDesk.cpp
+++ b/src/libcontrol/StoreDesk.cpp
@@ -4,6 +4,7 @@
 #include "fulmarquay/control/EntryRegistry.h"
 #include "fulmarquay/control/FleetDesk.h"
 #include "fulmarquay/core/Error.h"
+#include "fulmarquay/wire/HttpStatus.h"
 
 #include <algorithm>
 
@@ -36,8 +37,6 @@
 constexpr int kClosedPercent = 97;
 constexpr int kEmptiedPercent = 90;
 constexpr unsigned kTermShift = 32;
-constexpr int kStatusOk = 200;
-constexpr std::int64_t kMicrosPerMilli = 1'000;
 
 } // namespace
 
@@ -258,7 +257,7 @@
   if (m_clockMs == 0) {
     return 0;
   }
-  return m_clockMs + (m_owner.Now() - m_clockAt).count() / kMicrosPerMilli;
+  return m_clockMs + ToMillis(m_owner.Now() - m_clockAt);
 }
 
 void
@@ -445,13 +444,11 @@
   }
   store.m_isFreeing = true;
   store.m_mayListFrom = now + kFreeValid + kFreeMargin;
-  Start(
-    CallKind::Free,
-    aStore,
-    m_protocol->Free(parts,
-                     store.m_epoch,
-                     WorkersClockMs() + kFreeValid.count() / kMicrosPerMilli),
-    kCallTimeout);
+  Start(CallKind::Free,
+        aStore,
+        m_protocol->Free(
+          parts, store.m_epoch, WorkersClockMs() + ToMillis(kFreeValid)),
+        kCallTimeout);
 }
 
 void
--- a/src/libcontrol/rollout_test.cpp
+++ b/src/libcontrol/rollout_test.cpp
@@ -185,61 +185,67 @@
                std::size_t{ 6 } * RolloutOptions().m_mostFailures);
 }
 
+namespace {
+
+/// One engine with version 1, which is to get version 2.
+struct OneEngine
+{
+  OneEngine()
+  {
+    m_engine.m_id = EngineId("e");
+    m_engine.m_model = "m";
+    m_engine.m_listedWeights = "1";
+    m_goal.m_models["m"] = { "m", "2", "2", "" };
+    m_goal.m_engines[m_engine.m_id] = m_engine;
+    m_options.m_takeoverWait = Duration(1);
+  }
+
+  EngineConfig m_engine;
+  Configuration m_goal;
+  RolloutOptions m_options;
+};
+
+} // namespace
+
 Test(rollout, an_accepted_order_is_over_when_it_is_seen)
 {
-  Configuration goal;
-  goal.m_models["m"] = { "m", "2", "2", "" };
-  EngineConfig engine;
-  engine.m_id = EngineId("e");
-  engine.m_model = "m";
-  engine.m_listedWeights = "1";
-  goal.m_engines[engine.m_id] = engine;
-  RolloutOptions options;
-  options.m_takeoverWait = Duration(1);
-  Rollout rollout(options);
+  const OneEngine one;
+  Rollout rollout(one.m_options);
   rollout.Start(At(0), Duration(0));
   const auto step = [&](std::int64_t aNow) {
-    return rollout.Step(At(aNow), goal);
+    return rollout.Step(At(aNow), one.m_goal);
   };
   // Nothing is ordered before the engine has told its number of orders.
   cr_assert(std::holds_alternative<ObserveEngine>(step(10).at(0)));
-  rollout.OnObserved(At(20), engine.m_id, { "1", false, 4 });
+  rollout.OnObserved(At(20), one.m_engine.m_id, { "1", false, 4 });
   cr_assert(std::holds_alternative<RequestOrder>(step(30).at(0)));
-  const auto send = rollout.OnNumber(At(40), engine.m_id, "2", 9);
+  const auto send = rollout.OnNumber(At(40), one.m_engine.m_id, "2", 9);
   cr_assert_eq(std::get<SendOrder>(send.at(0)).m_sequence, 4);
-  rollout.OnOrderEnded(At(50), engine.m_id, OrderEnd::Accepted);
+  rollout.OnOrderEnded(At(50), one.m_engine.m_id, OrderEnd::Accepted);
   cr_assert(step(60).empty(), "one order at a time");
-  rollout.OnObserved(At(250), engine.m_id, { "1", true, 5 });
-  rollout.OnObserved(At(400), engine.m_id, { "1", false, 5 });
+  rollout.OnObserved(At(250), one.m_engine.m_id, { "1", true, 5 });
+  rollout.OnObserved(At(400), one.m_engine.m_id, { "1", false, 5 });
   cr_assert(std::holds_alternative<ObserveEngine>(step(410).at(0)),
             "reports lag: it may be loading still");
-  rollout.OnObserved(At(600), engine.m_id, { "2", false, 5 });
+  rollout.OnObserved(At(600), one.m_engine.m_id, { "2", false, 5 });
   cr_assert(step(610).empty(), "settled");
 }
 
 Test(rollout, a_lost_answer_is_observed_before_another_order)
 {
-  Configuration goal;
-  goal.m_models["m"] = { "m", "2", "2", "" };
-  EngineConfig engine;
-  engine.m_id = EngineId("e");
-  engine.m_model = "m";
-  engine.m_listedWeights = "1";
-  goal.m_engines[engine.m_id] = engine;
-  RolloutOptions options;
-  options.m_takeoverWait = Duration(1);
-  Rollout rollout(options);
+  const OneEngine one;
+  Rollout rollout(one.m_options);
   rollout.Start(At(0), Duration(0));
-  rollout.Step(At(10), goal);
-  rollout.OnObserved(At(20), engine.m_id, { "1", false, 4 });
-  rollout.Step(At(30), goal);
-  rollout.OnNumber(At(40), engine.m_id, "2", 9);
-  rollout.OnOrderEnded(At(50), engine.m_id, OrderEnd::Failed);
-  cr_assert(rollout.Step(At(100), goal).empty());
-  const auto actions = rollout.Step(At(500), goal);
+  rollout.Step(At(10), one.m_goal);
+  rollout.OnObserved(At(20), one.m_engine.m_id, { "1", false, 4 });
+  rollout.Step(At(30), one.m_goal);
+  rollout.OnNumber(At(40), one.m_engine.m_id, "2", 9);
+  rollout.OnOrderEnded(At(50), one.m_engine.m_id, OrderEnd::Failed);
+  cr_assert(rollout.Step(At(100), one.m_goal).empty());
+  const auto actions = rollout.Step(At(500), one.m_goal);
   cr_assert_eq(actions.size(), 1U);
   cr_assert(std::holds_alternative<ObserveEngine>(actions.at(0)));
-  rollout.OnObserved(At(510), engine.m_id, { "1", false, 4 });
-  cr_assert(
-    std::holds_alternative<RequestOrder>(rollout.Step(At(520), goal).at(0)));
+  rollout.OnObserved(At(510), one.m_engine.m_id, { "1", false, 4 });
+  cr_assert(std::holds_alternative<RequestOrder>(
+    rollout.Step(At(520), one.m_goal).at(0)));
 }
--- a/src/libcore/LogEvent.cpp
+++ b/src/libcore/LogEvent.cpp
@@ -248,6 +248,11 @@
       "info",
       "SIGHUP arrived and the settings file was read again.",
       "None." },
+    { LogEvent::SettingsRefused,
+      "SettingsRefused",
+      "warning",
+      "SIGHUP arrived and the settings file is wrong; the old ones stay.",
+      "Check the file with --check-settings." },
     { LogEvent::LogLinesLeftOut,
       "LogLinesLeftOut",
       "warning",
@@ -414,4 +419,14 @@
   }
 }
 
+void
+WriteLog(const LogLine& aLine)
+{
+  std::vector<LogField> fields;
+  for (const auto& [name, value] : aLine.m_fields) {
+    fields.push_back({ name, value });
+  }
+  WriteLog(aLine.m_event, fields);
+}
+
 } // namespace fulmarquay
--- a/src/libdaemon/AnswerServer.cpp
+++ b/src/libdaemon/AnswerServer.cpp
@@ -25,4 +25,23 @@
   // Every answer was given within OnRequest.
 }
 
+std::unique_ptr<AnswerServer>
+ServeText(boost::asio::io_context& aContext,
+          const std::vector<Endpoint>& aListeners,
+          std::function<std::string()> aRender)
+{
+  if (aListeners.empty()) {
+    return nullptr;
+  }
+  return std::make_unique<AnswerServer>(
+    aContext,
+    aListeners.front(),
+    [render = std::move(aRender)](const HttpRequest&) {
+      HttpResponse response;
+      response.m_headers = { { "Content-Type", "text/plain" } };
+      response.m_body = render();
+      return response;
+    });
+}
+
 } // namespace fulmarquay
--- a/src/libdaemon/ControlServer.cpp
+++ b/src/libdaemon/ControlServer.cpp
@@ -107,13 +107,17 @@
   : m_ticker(m_context)
   , m_stopper(m_context)
   , m_signals(m_context, SIGTERM, SIGINT)
-  , m_reload(m_context, SIGHUP)
   , m_hub(m_context, *this)
   , m_client(m_context, *this)
   , m_peers(m_hub,
             aBuilder.m_settings.Text("control", "vm"),
             ReplicaAddresses(aBuilder.m_settings))
-  , m_settingsFile(aBuilder.m_settingsFile)
+  , m_reload(m_context,
+             aBuilder.m_settingsFile,
+             ControlSettings(),
+             [this](const Settings& aSettings) {
+               m_peers.Configure(ReplicaAddresses(aSettings));
+             })
   , m_operators(std::move(aBuilder.m_operators))
 {
   const Settings& settings = aBuilder.m_settings;
@@ -163,16 +167,9 @@
     m_operatorHttp = std::make_unique<HttpServer>(m_context, *this, limits);
     m_operatorHttp->Listen(operators.front());
   }
-  const auto metrics = aSettings.Addresses("control", "metrics_http");
-  if (!metrics.empty()) {
-    m_metricsHttp = std::make_unique<AnswerServer>(
-      m_context, metrics.front(), [this](const HttpRequest&) {
-        HttpResponse response;
-        response.m_headers = { { "Content-Type", "text/plain" } };
-        response.m_body = RenderMetrics();
-        return response;
-      });
-  }
+  m_metricsHttp = ServeText(m_context,
+                            aSettings.Addresses("control", "metrics_http"),
+                            [this] { return RenderMetrics(); });
 }
 
 std::string
@@ -248,7 +245,6 @@
       Stop();
     }
   });
-  AwaitReload();
   m_peers.Learn(m_node->Consensus().Members());
   m_peers.Reconnect();
   BufferLog();
@@ -258,26 +254,6 @@
   FlushLog();
 }
 
-void
-ControlServer::AwaitReload()
-{
-  m_reload.async_wait([this](const boost::system::error_code& aError, int) {
-    if (aError) {
-      return;
-    }
-    try {
-      const Settings settings =
-        Settings::Load(m_settingsFile, ControlSettings());
-      m_peers.Configure(ReplicaAddresses(settings));
-      WriteLog(LogEvent::SettingsReloaded);
-    } catch (const Error& e) {
-      WriteLog(LogEvent::ProcessFailed,
-               { { "step", e.Step() }, { "reason", e.Reason() } });
-    }
-    AwaitReload();
-  });
-}
-
 void
 ControlServer::Tick()
 {
@@ -415,11 +391,7 @@
 void
 ControlServer::Carry(const LogLine& aEffect)
 {
-  std::vector<LogField> fields;
-  for (const auto& [name, value] : aEffect.m_fields) {
-    fields.push_back({ name, value });
-  }
-  WriteLog(aEffect.m_event, fields);
+  WriteLog(aEffect);
 }
 
 void
--- a/src/libdaemon/EntryServer.cpp
+++ b/src/libdaemon/EntryServer.cpp
@@ -2,6 +2,7 @@
 
 #include "fulmarquay/daemon/EntryServer.h"
 
+#include "fulmarquay/control/ProgramSettings.h"
 #include "fulmarquay/core/Clock.h"
 #include "fulmarquay/core/Settings.h"
 
@@ -104,12 +105,16 @@
 EntryServer::EntryServer(const Builder& aBuilder)
   : m_ticker(m_context)
   , m_signals(m_context, SIGTERM, SIGINT)
-  , m_reload(m_context, SIGHUP)
   , m_node(MakeOptions(aBuilder.m_settings, aBuilder.m_relay))
   , m_hub(m_context, *this)
   , m_server(m_context, *this, MakeLimits(aBuilder.m_settings))
   , m_client(m_context, *this)
-  , m_settingsFile(aBuilder.m_settingsFile)
+  , m_reload(m_context,
+             aBuilder.m_settingsFile,
+             EntrySettings(),
+             [this](const Settings& aSettings) {
+               Feed(ReplicasNamed{ ControlReplicas(aSettings) });
+             })
   , m_limits(MakeLimits(aBuilder.m_settings))
 {
   const Settings& settings = aBuilder.m_settings;
@@ -133,29 +138,9 @@
         return response;
       });
   }
-  const auto metrics = aSettings.Addresses("entry", "metrics_http");
-  if (!metrics.empty()) {
-    m_metricsHttp = std::make_unique<AnswerServer>(
-      m_context, metrics.front(), [this](const HttpRequest&) {
-        HttpResponse response;
-        response.m_headers = { { "Content-Type", "text/plain" } };
-        response.m_body = m_node.RenderMetrics();
-        return response;
-      });
-  }
-}
-
-void
-EntryServer::AwaitReload()
-{
-  m_reload.async_wait([this](const boost::system::error_code& aError, int) {
-    if (aError) {
-      return;
-    }
-    // Addresses of this VM stay as they are; the leader tells of replicas.
-    WriteLog(LogEvent::SettingsReloaded);
-    AwaitReload();
-  });
+  m_metricsHttp = ServeText(m_context,
+                            aSettings.Addresses("entry", "metrics_http"),
+                            [this] { return m_node.RenderMetrics(); });
 }
 
 void
@@ -179,7 +164,6 @@
 {
   WriteLog(LogEvent::ProcessStarted);
   AwaitSignal();
-  AwaitReload();
   ConnectControl();
   BufferLog();
   Tick();
@@ -307,13 +291,9 @@
 }
 
 void
-EntryServer::Carry(const EntryLogLine& aEffect)
+EntryServer::Carry(const LogLine& aEffect)
 {
-  std::vector<LogField> fields;
-  for (const auto& [name, value] : aEffect.m_fields) {
-    fields.push_back({ name, value });
-  }
-  WriteLog(aEffect.m_event, fields);
+  WriteLog(aEffect);
 }
 
 void
--- a/src/libserve/ChatFlow.cpp
+++ b/src/libserve/ChatFlow.cpp
@@ -2,6 +2,7 @@
 
 #include "fulmarquay/core/Digest.h"
 #include "fulmarquay/core/Error.h"
+#include "fulmarquay/wire/HttpStatus.h"
 
 #include <algorithm>
 #include <utility>
@@ -12,7 +13,6 @@
 
 constexpr Duration kTokenTimeout(15'000'000);
 constexpr Duration kAskAgain(1'000'000);
-constexpr int kStatusOk = 200;
 constexpr double kMicrosPerSecond = 1e6;
 
 double
--- a/src/libserve/ControlSession.cpp
+++ b/src/libserve/ControlSession.cpp
@@ -91,18 +91,34 @@
 {
   const Endpoint address = Endpoint::Parse(aReplica);
   const auto place = std::find(m_replicas.begin(), m_replicas.end(), address);
-  if (place != m_replicas.end()) {
-    return static_cast<std::size_t>(place - m_replicas.begin());
+  if (place == m_replicas.end() && m_learnsReplicas) {
+    return AddReplica(address);
   }
-  if (!m_learnsReplicas) {
-    return m_replicas.size();
-  }
-  m_replicas.push_back(address);
+  return static_cast<std::size_t>(place - m_replicas.begin());
+}
+
+std::size_t
+ControlSession::AddReplica(const Endpoint& aReplica)
+{
+  m_replicas.push_back(aReplica);
   m_isOpen.push_back(false);
-  m_context.Emit(AddControlLink{ address });
+  m_context.Emit(AddControlLink{ aReplica });
   return m_replicas.size() - 1;
 }
 
+void
+ControlSession::AddReplicas(const std::vector<Endpoint>& aReplicas)
+{
+  for (const Endpoint& replica : aReplicas) {
+    const bool isKnown =
+      std::find(m_replicas.begin(), m_replicas.end(), replica) !=
+      m_replicas.end();
+    if (!isKnown) {
+      AddReplica(replica);
+    }
+  }
+}
+
 void
 ControlSession::OnReply(const RoutePush& aPush)
 {
--- a/src/libserve/EntryContext.cpp
+++ b/src/libserve/EntryContext.cpp
@@ -42,7 +42,7 @@
 EntryContext::Log(LogEvent aEvent,
                   std::vector<std::pair<std::string, std::string>> aFields)
 {
-  Emit(EntryLogLine{ aEvent, std::move(aFields) });
+  Emit(LogLine{ aEvent, std::move(aFields) });
 }
 
 std::uint64_t
--- a/src/libserve/EntryNode.cpp
+++ b/src/libserve/EntryNode.cpp
@@ -414,6 +414,12 @@
   m_control.OnMessage(aEvent);
 }
 
+void
+EntryNode::On(const ReplicasNamed& aEvent)
+{
+  m_control.AddReplicas(aEvent.m_replicas);
+}
+
 void
 EntryNode::On(const PeerMessage& aEvent)
 {
--- a/src/libserve/PartMap.cpp
+++ b/src/libserve/PartMap.cpp
@@ -21,7 +21,6 @@
 constexpr double kMicrosPerSecond = 1e6;
 constexpr Duration kSweepInterval(1'000'000);
 constexpr std::size_t kMostUsed = 400;
-constexpr std::int64_t kMicrosPerMilli = 1'000;
 
 } // namespace
 
@@ -208,7 +207,7 @@
       aOrder.m_fetches[i] = { store.m_address, copy->m_tokens };
     }
   }
-  aOrder.m_fetchUntilMs = aReader.m_clockMs + m_fetch.count() / kMicrosPerMilli;
+  aOrder.m_fetchUntilMs = aReader.m_clockMs + ToMillis(m_fetch);
 }
 
 void
--- a/src/libserve/RelayConstants.h
+++ b/src/libserve/RelayConstants.h
@@ -2,6 +2,7 @@
 #define FULMARQUAY_LIBSERVE_RELAYCONSTANTS_H
 
 #include "fulmarquay/core/Units.h"
+#include "fulmarquay/wire/HttpStatus.h"
 
 #include <string>
 
@@ -18,21 +19,11 @@
 /// end in that time.
 constexpr Duration kRetryBusy(150'000);
 
-constexpr int kStatusOk = 200;
-constexpr int kStatusRedirect = 300;
-constexpr int kStatusUnauthorized = 401;
-constexpr int kStatusNotFound = 404;
-constexpr int kStatusBadRequest = 400;
-constexpr int kStatusServerError = 500;
-constexpr int kStatusBadGateway = 502;
-constexpr int kStatusUnavailable = 503;
-constexpr int kStatusGatewayTimeout = 504;
-
 /// A time in whole milliseconds, for log lines.
 inline std::string
 Millis(Duration aTime)
 {
-  return std::to_string(aTime.count() / 1'000);
+  return std::to_string(ToMillis(aTime));
 }
 
 } // namespace fulmarquay
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -83,8 +83,7 @@
 {
   return m_workersClockMs == 0
            ? 0
-           : m_workersClockMs +
-               (m_context.Now() - m_workersClockAt).count() / 1'000;
+           : m_workersClockMs + ToMillis(m_context.Now() - m_workersClockAt);
 }
 
 bool
--- a/src/libserve/serve_test.cpp
+++ b/src/libserve/serve_test.cpp
@@ -764,7 +764,7 @@
   PlayAttempt(entry, calls.at(0), 200, "broken\n", CallEnd::Broken);
   std::string all = entry.Node().Dump(FrameTraffic());
   for (const EntryEffect& effect : entry.Effects()) {
-    if (const auto* line = std::get_if<EntryLogLine>(&effect)) {
+    if (const auto* line = std::get_if<LogLine>(&effect)) {
       for (const auto& [name, value] : line->m_fields) {
         all += value;
       }
@@ -773,3 +773,23 @@
   cr_assert_eq(all.find("secret-prompt"), std::string::npos);
   cr_assert_eq(all.find(Sha256Hex("key")), std::string::npos);
 }
+
+Test(control_links, replicas_of_changed_settings_are_tried_too)
+{
+  EntryOptions options;
+  options.m_control = { Endpoint("10.0.0.1", 1), Endpoint("10.0.0.2", 1) };
+  EntryNode node(options);
+  const TimePoint now(Duration(1'000'000'000));
+  const ReplicasNamed named{ { Endpoint("10.0.0.2", 1),
+                               Endpoint("10.0.0.3", 1) } };
+  for (const std::size_t expected : { 1U, 0U }) {
+    std::size_t added = 0;
+    for (const EntryEffect& effect : node.Reduce(now, named)) {
+      if (const auto* link = std::get_if<AddControlLink>(&effect)) {
+        cr_assert_eq(link->m_address.Ip(), "10.0.0.3");
+        ++added;
+      }
+    }
+    cr_assert_eq(added, expected);
+  }
+}
