Entries tell each other of their load at workers

Cause: an entry saw only its own requests and took the others' load at a worker to be like its own. Change: LoadExchange.

--- a/src/include/fulmarquay/cache/CacheMessages.h
+++ b/src/include/fulmarquay/cache/CacheMessages.h
@@ -166,7 +166,25 @@
   MSGPACK_DEFINE(m_loads)
 };
 
-/// The protocol of Channel::Cache, between the entries of a data centre.
+/// What one entry's requests take of a worker.
+struct WorkerLoad
+{
+  std::string m_worker;
+  std::int64_t m_running = 0;
+  std::int64_t m_waitingTokens = 0; ///< of prompts without a first event
+  std::int64_t m_heldTokens = 0;    ///< of memory
+  MSGPACK_DEFINE(m_worker, m_running, m_waitingTokens, m_heldTokens)
+};
+
+/// All of one entry's load, for its partners.
+struct WorkerLoads
+{
+  VmId m_vm;
+  std::vector<WorkerLoad> m_loads;
+  MSGPACK_DEFINE(m_vm, m_loads)
+};
+
+/// The protocol of Channel::Cache, between entries.
 using CacheMessage = std::variant<ChainLookup,
                                   ChainReply,
                                   ChainDone,
@@ -179,7 +197,8 @@
                                   ConfigHeld,
                                   ConfigAsk,
                                   ConfigGive,
-                                  EngineLoads>;
+                                  EngineLoads,
+                                  WorkerLoads>;
 
 } // namespace fulmarquay
 
--- a/src/include/fulmarquay/control/ControlMessages.h
+++ b/src/include/fulmarquay/control/ControlMessages.h
@@ -23,10 +23,11 @@
   std::string m_address; ///< of its framed listener, for other entries
   Revision m_held;
   Revision m_inForce;
-  std::uint64_t m_peersSeen = 0; ///< version of the peer list it has
-  Revision m_routes;             ///< route document in force
-  std::uint64_t m_workers = 0;   ///< number of the worker list it has
-  std::uint64_t m_stores = 0;    ///< state of the stores that it has
+  std::uint64_t m_peersSeen = 0;    ///< version of the peer list it has
+  Revision m_routes;                ///< route document in force
+  std::uint64_t m_workers = 0;      ///< number of the worker list it has
+  std::uint64_t m_stores = 0;       ///< state of the stores that it has
+  std::uint64_t m_partnersSeen = 0; ///< version of the partners it has
   /// Tokens of engines' memory that its requests hold of late, by pool.
   std::map<std::string, std::int64_t> m_heldTokens;
   /// Keys of stored parts that it read since its last heartbeat.
@@ -42,10 +43,11 @@
                  m_workers,
                  m_stores,
                  m_usedParts,
-                 m_heldTokens)
+                 m_heldTokens,
+                 m_partnersSeen)
 };
 
-/// Another entry of the same data centre.
+/// Another entry.
 struct EntryPeer
 {
   VmId m_vm;
@@ -74,6 +76,10 @@
   std::int64_t m_fetchUs = 0;
   /// What the other live entries' requests hold, by pool.
   std::map<std::string, std::int64_t> m_othersHold;
+  std::uint64_t m_partnersVersion = 0;
+  /// Live entries that tell each other of their load; empty when it has this
+  /// version.
+  std::vector<EntryPeer> m_partners;
   MSGPACK_DEFINE(m_revision,
                  m_leaseUs,
                  m_liveEntries,
@@ -84,7 +90,9 @@
                  m_workersClockMs,
                  m_storesUs,
                  m_fetchUs,
-                 m_othersHold)
+                 m_othersHold,
+                 m_partnersVersion,
+                 m_partners)
 };
 
 /// The leader brings an entry to the accepted configuration.
--- a/src/include/fulmarquay/control/EntryRegistry.h
+++ b/src/include/fulmarquay/control/EntryRegistry.h
@@ -61,12 +61,17 @@
   };
 
   PeerList& ListOf(const DataCentreId& aDataCentre);
+  /// All entries while they are few, else those of the data centre.
+  PeerList& PartnersOf(const DataCentreId& aDataCentre);
+  template<typename Filter>
+  void Renew(PeerList& aList, Filter aFilter) const;
   /// Adds or takes away what a listed entry holds.
   void CountHeld(const EntrySession& aSession, std::int64_t aSign);
 
   Duration m_lease;
   std::map<VmId, EntrySession> m_sessions;
   std::map<DataCentreId, PeerList> m_lists;
+  PeerList m_all;
   std::uint32_t m_listed = 0;
   std::map<std::string, std::int64_t> m_heldTokens; ///< of all, by pool
 };
--- a/src/include/fulmarquay/serve/EntryNode.h
+++ b/src/include/fulmarquay/serve/EntryNode.h
@@ -113,6 +113,7 @@
   AccountLimits m_limits;
   Revision m_noticed;
   std::uint64_t m_peersSeen = 0;
+  std::uint64_t m_partnersSeen = 0;
   bool m_isDraining = false;
   bool m_isStopped = false;
   TimePoint m_drainSince;
--- a/src/include/fulmarquay/serve/Placement.h
+++ b/src/include/fulmarquay/serve/Placement.h
@@ -1,6 +1,7 @@
 #ifndef FULMARQUAY_SERVE_PLACEMENT_H
 #define FULMARQUAY_SERVE_PLACEMENT_H
 
+#include "fulmarquay/serve/LoadExchange.h"
 #include "fulmarquay/serve/PartMap.h"
 #include "fulmarquay/serve/RelayRequest.h"
 #include "fulmarquay/serve/WorkerTable.h"
@@ -41,7 +42,9 @@
     /// entries; 0: memory is no bound.
     std::int64_t m_needed = 0;
     std::int64_t m_memory = 0;
-    /// Memory that the other entries' requests hold at all workers together.
+    /// What the other entries told of their load; null: nothing of late.
+    const LoadExchange* m_others = nullptr;
+    /// Else, memory that their requests hold at all workers together.
     std::int64_t m_othersHold = 0;
   };
 
@@ -65,7 +68,12 @@
 private:
   static bool HasRoom(const WorkerState& aWorker,
                       const Question& aQuestion,
-                      std::int64_t aOthersHold);
+                      const WorkerLoad& aOthers);
+  /// What the others have at a worker of some that they share, by what they
+  /// told or else by the own load.
+  static WorkerLoad OthersAt(const WorkerState& aWorker,
+                             const Question& aQuestion,
+                             std::size_t aWorkers);
 
   /// Parts that a worker has read, and when.
   using Known = std::unordered_map<std::uint64_t, TimePoint>;
@@ -77,6 +85,7 @@
                             Keys& aKeys) const;
   std::int64_t LoadCost(const WorkerState& aWorker,
                         const Question& aQuestion,
+                        const WorkerLoad& aOthers,
                         std::uint64_t aItem) const;
   std::int64_t AgeCost(const WorkerTable& aWorkers,
                        const WorkerState& aWorker,
--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -6,6 +6,7 @@
 #include "fulmarquay/route/RouteTable.h"
 #include "fulmarquay/serve/EntryContext.h"
 #include "fulmarquay/serve/EventBorders.h"
+#include "fulmarquay/serve/LoadExchange.h"
 #include "fulmarquay/serve/PartMap.h"
 #include "fulmarquay/serve/Placement.h"
 #include "fulmarquay/serve/RelayProtocol.h"
@@ -73,6 +74,14 @@
   {
     m_othersHold = std::move(aOthersHold);
   }
+  void OnPartners(const std::vector<EntryPeer>& aPartners)
+  {
+    m_exchange.SetPartners(aPartners);
+  }
+  void OnLoads(const WorkerLoads& aLoads)
+  {
+    m_exchange.OnLoads(m_context.Now(), aLoads);
+  }
   std::vector<std::uint64_t> TakeUsedParts() { return m_parts.TakeUsed(); }
   bool HasKeys() const { return m_context.Now() < m_keysUntil; }
   /// Whether it knows routes and workers and may honour keys.
@@ -126,6 +135,7 @@
   void Wait(Relayed& aRelayed, std::int64_t aTokens);
   std::int64_t OthersHold(const PoolId& aPool) const;
   void AverageHeld();
+  void ShareLoads();
   /// Sends what has room now.
   void Dispatch();
   void LeaveQueue(Relayed& aRelayed);
@@ -169,6 +179,7 @@
   RelayOptions m_options;
   RouteTable m_routes;
   WorkerTable m_workers;
+  LoadExchange m_exchange;
   Placement m_placement;
   PartMap m_parts;
   std::int64_t m_workersClockMs = 0; ///< at m_workersClockAt; 0: unknown
--- a/src/libcontrol/EntryRegistry.cpp
+++ b/src/libcontrol/EntryRegistry.cpp
@@ -4,6 +4,14 @@
 
 namespace fulmarquay {
 
+namespace {
+
+/// So many entries tell each other of their load across data centres: each
+/// one's messages grow with them.
+constexpr std::uint32_t kMostPartners = 24;
+
+} // namespace
+
 EntryRegistry::EntryRegistry(Duration aLease)
   : m_lease(aLease)
 {
@@ -23,6 +31,7 @@
   if (!isSame) {
     m_lists[last.m_dataCentre].m_isStale = true;
     m_lists[aHeartbeat.m_dataCentre].m_isStale = true;
+    m_all.m_isStale = true;
     m_listed += session.m_isListed ? 0 : 1;
     session.m_isListed = true;
   }
@@ -58,29 +67,49 @@
       session.m_isListed = false;
       --m_listed;
       m_lists[session.m_last.m_dataCentre].m_isStale = true;
+      m_all.m_isStale = true;
     }
   }
 }
 
-EntryRegistry::PeerList&
-EntryRegistry::ListOf(const DataCentreId& aDataCentre)
+template<typename Filter>
+void
+EntryRegistry::Renew(PeerList& aList, Filter aFilter) const
 {
-  PeerList& list = m_lists[aDataCentre];
-  if (!list.m_isStale) {
-    return list;
+  if (!aList.m_isStale) {
+    return;
   }
-  list.m_isStale = false;
-  list.m_peers.clear();
+  aList.m_isStale = false;
+  aList.m_peers.clear();
   for (const auto& [vm, session] : m_sessions) {
     const EntryHeartbeat& entry = session.m_last;
-    if (session.m_isListed && entry.m_dataCentre == aDataCentre) {
-      list.m_peers.push_back({ vm, entry.m_boot, entry.m_address });
+    if (session.m_isListed && aFilter(entry)) {
+      aList.m_peers.push_back({ vm, entry.m_boot, entry.m_address });
     }
   }
-  list.m_version = Checksum64(Pack(list.m_peers));
+  aList.m_version = Checksum64(Pack(aList.m_peers));
+}
+
+EntryRegistry::PeerList&
+EntryRegistry::ListOf(const DataCentreId& aDataCentre)
+{
+  PeerList& list = m_lists[aDataCentre];
+  Renew(list, [&](const EntryHeartbeat& aEntry) {
+    return aEntry.m_dataCentre == aDataCentre;
+  });
   return list;
 }
 
+EntryRegistry::PeerList&
+EntryRegistry::PartnersOf(const DataCentreId& aDataCentre)
+{
+  if (m_listed > kMostPartners) {
+    return ListOf(aDataCentre);
+  }
+  Renew(m_all, [](const EntryHeartbeat&) { return true; });
+  return m_all;
+}
+
 HeartbeatReply
 EntryRegistry::MakeReply(const EntryHeartbeat& aHeartbeat)
 {
@@ -92,6 +121,11 @@
   if (list.m_version != aHeartbeat.m_peersSeen) {
     reply.m_peers = list.m_peers;
   }
+  const PeerList& partners = PartnersOf(aHeartbeat.m_dataCentre);
+  reply.m_partnersVersion = partners.m_version;
+  if (partners.m_version != aHeartbeat.m_partnersSeen) {
+    reply.m_partners = partners.m_peers;
+  }
   reply.m_othersHold = m_heldTokens;
   for (const auto& [pool, tokens] : aHeartbeat.m_heldTokens) {
     reply.m_othersHold[pool] -= tokens;
@@ -128,6 +162,7 @@
 {
   m_sessions.clear();
   m_lists.clear();
+  m_all = PeerList();
   m_listed = 0;
   m_heldTokens.clear();
 }
--- a/src/libcontrol/fleet_test.cpp
+++ b/src/libcontrol/fleet_test.cpp
@@ -557,3 +557,27 @@
   entries.Clear();
   cr_assert_eq(beat("a", 10), 0);
 }
+
+Test(entries, load_partners_are_all_while_they_are_few)
+{
+  EntryRegistry entries(Duration(5'000'000));
+  const TimePoint now(Duration(1'000'000'000));
+  const auto beat = [&](int aEntry, std::uint64_t aSeen) {
+    EntryHeartbeat heartbeat;
+    heartbeat.m_vm = VmId("e" + std::to_string(aEntry));
+    heartbeat.m_dataCentre = DataCentreId(aEntry % 4 == 0 ? "d0" : "d1");
+    heartbeat.m_partnersSeen = aSeen;
+    entries.OnHeartbeat(now, ConnectionId(1), heartbeat);
+    return entries.MakeReply(heartbeat);
+  };
+  for (int i = 0; i < 8; ++i) {
+    beat(i, 0);
+  }
+  const HeartbeatReply all = beat(0, 0);
+  cr_assert_eq(all.m_partners.size(), 8U);
+  cr_assert(beat(0, all.m_partnersVersion).m_partners.empty(), "it has them");
+  for (int i = 8; i < 40; ++i) {
+    beat(i, 0);
+  }
+  cr_assert_eq(beat(0, 0).m_partners.size(), 10U, "its data centre's");
+}
--- a/src/libserve/EntryNode.cpp
+++ b/src/libserve/EntryNode.cpp
@@ -85,6 +85,7 @@
   heartbeat.m_held = m_config.Held();
   heartbeat.m_inForce = m_config.InForce();
   heartbeat.m_peersSeen = m_peersSeen;
+  heartbeat.m_partnersSeen = m_partnersSeen;
   if (m_relay) {
     heartbeat.m_routes = m_relay->Routes().Document().m_revision;
     heartbeat.m_workers = m_relay->Workers().Number();
@@ -99,6 +100,7 @@
 EntryNode::OnHeartbeatReply(const HeartbeatReply& aReply)
 {
   m_peersSeen = aReply.m_peersVersion;
+  m_partnersSeen = aReply.m_partnersVersion;
   m_limits.SetLiveEntries(aReply.m_liveEntries);
   m_config.OnConfirmed(aReply.m_revision, aReply.m_peers);
   // A key that was taken away before this heartbeat was sent is unknown here
@@ -111,6 +113,9 @@
   }
   if (m_relay) {
     m_relay->OnOthersHold(aReply.m_othersHold);
+    if (!aReply.m_partners.empty()) {
+      m_relay->OnPartners(aReply.m_partners);
+    }
     m_relay->OnStoresConfirmed(m_control.LastConfirmed() +
                                  Duration(aReply.m_storesUs),
                                Duration(aReply.m_fetchUs),
@@ -432,6 +437,10 @@
     m_config.OnGive(*give);
   } else if (const auto* loads = std::get_if<EngineLoads>(&message)) {
     m_engines.OnLoads(*loads);
+  } else if (const auto* load = std::get_if<WorkerLoads>(&message)) {
+    if (m_relay) {
+      m_relay->OnLoads(*load);
+    }
   } else {
     m_cache.OnMessage(aEvent.m_connection, message);
   }
--- a/src/libserve/Placement.cpp
+++ b/src/libserve/Placement.cpp
@@ -54,16 +54,39 @@
 bool
 Placement::HasRoom(const WorkerState& aWorker,
                    const Question& aQuestion,
-                   std::int64_t aOthersHold)
+                   const WorkerLoad& aOthers)
 {
-  if (aQuestion.m_memory <= 0 || aWorker.m_heldTokens == 0) {
+  // What is not told may be wrong: an own request must not wait for it alone.
+  const bool isEmpty =
+    aWorker.m_heldTokens == 0 &&
+    (aQuestion.m_others == nullptr || aOthers.m_running == 0);
+  if (aQuestion.m_memory <= 0 || isEmpty) {
     return true;
   }
   const std::int64_t held =
-    aWorker.m_heldTokens + aOthersHold + aQuestion.m_needed;
+    aWorker.m_heldTokens + aOthers.m_heldTokens + aQuestion.m_needed;
   return held * 100 <= aQuestion.m_memory * kMemoryPercent;
 }
 
+WorkerLoad
+Placement::OthersAt(const WorkerState& aWorker,
+                    const Question& aQuestion,
+                    std::size_t aWorkers)
+{
+  if (aQuestion.m_others != nullptr) {
+    return aQuestion.m_others->OthersAt(aWorker.m_info.m_id);
+  }
+  // Callers are spread by a hash: the others' load is like the own one. On
+  // which workers they hold memory is not known; each counts alike.
+  const std::int64_t others = aQuestion.m_entries - 1;
+  const auto workers =
+    static_cast<std::int64_t>(std::max<std::size_t>(1, aWorkers));
+  return { aWorker.m_info.m_id.Value(),
+           aWorker.m_running * others,
+           aWorker.m_waitingTokens * others,
+           aQuestion.m_othersHold / workers };
+}
+
 std::int64_t
 Placement::UnreadTokens(const WorkerState& aWorker,
                         const Question& aQuestion,
@@ -107,17 +130,17 @@
 std::int64_t
 Placement::LoadCost(const WorkerState& aWorker,
                     const Question& aQuestion,
+                    const WorkerLoad& aOthers,
                     std::uint64_t aItem) const
 {
+  const std::int64_t running = aWorker.m_running + aOthers.m_running;
   if (!aQuestion.m_hasPrompt) {
     const auto spread = static_cast<std::int64_t>(
       RendezvousWeight(aWorker.m_info.m_id.Value(), aItem) % kServiceCost);
-    return aWorker.m_running * kServiceCost + spread;
+    return running * kServiceCost + spread;
   }
-  // The others' load is like the own one: callers are spread by a hash.
-  const std::int64_t entries = aQuestion.m_entries;
-  return (aWorker.m_waitingTokens + aWorker.m_running * kRunningTokens) *
-         entries;
+  return aWorker.m_waitingTokens + aOthers.m_waitingTokens +
+         running * kRunningTokens;
 }
 
 std::int64_t
@@ -146,10 +169,6 @@
   std::erase_if(usable, [&](const WorkerState* aEach) {
     return aQuestion.m_tried.count(aEach->m_info.m_id) != 0;
   });
-  // On which workers the others' requests run is not known: each counts alike.
-  const std::int64_t others =
-    aQuestion.m_othersHold /
-    std::max<std::int64_t>(1, static_cast<std::int64_t>(usable.size()));
   const std::uint64_t item = AffinityItem(aQuestion);
   const auto weightOf = [&](const WorkerState* aWorker) {
     return RendezvousWeight(aWorker->m_info.m_id.Value(), item);
@@ -166,6 +185,7 @@
     if (age == kExcluded) {
       continue;
     }
+    const WorkerLoad others = OthersAt(*worker, aQuestion, usable.size());
     if (!HasRoom(*worker, aQuestion, others)) {
       choice.m_isFull = true;
       continue;
@@ -176,7 +196,8 @@
       worker == *home
         ? std::min(unread, aQuestion.m_request->m_promptTokens / kHomeDivisor)
         : unread;
-    const std::int64_t cost = own + LoadCost(*worker, aQuestion, item) + age;
+    const std::int64_t cost =
+      own + LoadCost(*worker, aQuestion, others, item) + age;
     if (cost < bestCost) {
       choice.m_worker = worker;
       choice.m_unread = unread;
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -26,6 +26,7 @@
   : m_context(aContext)
   , m_protocol(aProtocol)
   , m_options(aOptions)
+  , m_exchange(aContext.Self().m_vm)
 {
 }
 
@@ -54,6 +55,7 @@
 {
   m_keysUntil = std::max(m_keysUntil, aKeysUntil);
   m_entries = std::max<std::uint32_t>(1, aEntries);
+  m_exchange.SetEntries(m_entries);
   for (auto& [pool, budget] : m_budgets) {
     budget.SetMost(m_options.m_retrySlack / m_entries);
   }
@@ -260,7 +262,9 @@
   }
   ProbeSilent();
   AverageHeld();
+  m_exchange.OnTick(now);
   Dispatch();
+  ShareLoads();
   if (m_hadKeys != HasKeys()) {
     m_hadKeys = HasKeys();
     m_context.Log(m_hadKeys ? LogEvent::KeyLeaseRegained
--- a/src/libserve/RelayPlacing.cpp
+++ b/src/libserve/RelayPlacing.cpp
@@ -44,6 +44,7 @@
   question.m_account = aRelayed.m_cacheAccount;
   question.m_tried = aRelayed.m_tried;
   question.m_entries = m_entries;
+  question.m_others = m_exchange.IsKnown() ? &m_exchange : nullptr;
   question.m_parts = &m_parts;
   question.m_oldWeightsLimit = m_options.m_oldWeightsLimit;
   const PoolRule* pool = m_routes.FindPool(aRelayed.m_pool);
@@ -140,6 +141,18 @@
   return static_cast<std::int64_t>(own * ratio);
 }
 
+void
+RelayFlow::ShareLoads()
+{
+  const auto share = m_exchange.TakeShare(m_context.Now(), m_workers);
+  if (!share) {
+    return;
+  }
+  for (const Endpoint& partner : m_exchange.Partners()) {
+    m_context.Emit(SendToPeer{ partner, *share });
+  }
+}
+
 void
 RelayFlow::AverageHeld()
 {
