Suspected and replaced workers draw no requests

Ruled out: the callers' time at the queue as the reason of these refusals (ages of 2 to 5 ms). Change: after a suspicion a worker must take a connection before it gets requests; one that answers as another incarnation or with other weights gets nothing until the list tells of it, or should have. RequestRefused logs the worker and its status. Two tests of relay/* that failed first.

--- a/src/include/fulmarquay/serve/RelayRequest.h
+++ b/src/include/fulmarquay/serve/RelayRequest.h
@@ -63,6 +63,8 @@
 {
   int m_status = 0;
   bool m_isNotRun = false; ///< the worker states that it did not run it
+  /// Another incarnation or other weights than the one that was meant.
+  bool m_isMisdirected = false;
   bool m_isProven = false; ///< it carries the worker's proof of origin
   bool m_isStream = false; ///< its body is a row of events
 };
--- a/src/include/fulmarquay/serve/WorkerTable.h
+++ b/src/include/fulmarquay/serve/WorkerTable.h
@@ -23,6 +23,7 @@
   std::int64_t m_waitingTokens = 0; ///< own prompts without a first event
   TimePoint m_suspectUntil;         ///< gets nothing new before
   int m_failures = 0;               ///< in a row
+  bool m_needsProbe = false;        ///< before it gets anything new
   TimePoint m_heard;       ///< last byte, or the first request after a pause
   bool m_isProbed = false; ///< a connection is being tried
 };
@@ -45,9 +46,14 @@
 
   WorkerState* Find(const WorkerId& aWorker);
 
-  /// A worker failed before a request could run there.
+  /// A worker failed before a request could run there. It gets nothing new
+  /// for a while, and then only after it has taken a connection.
   void OnFailure(TimePoint aNow, const WorkerId& aWorker);
   void OnSuccess(const WorkerId& aWorker);
+  /// A worker is no longer the one that was listed: it gets nothing new until
+  /// it is listed anew, or a list should have shown it.
+  void OnMisdirected(TimePoint aNow, const WorkerId& aWorker);
+  void OnReachable(const WorkerId& aWorker);
 
   /// The newest version of a model and since when; -1: none was named.
   std::int64_t NamedVersion(const std::string& aModel) const;
--- a/src/libserve/RelayAnswers.cpp
+++ b/src/libserve/RelayAnswers.cpp
@@ -43,9 +43,10 @@
   }
   m_nextProbe = now + kProbeInterval;
   for (const auto& [id, known] : m_workers.All()) {
-    const bool isSilent = known.m_running > 0 && !known.m_isProbed &&
-                          now >= known.m_heard + kSilence;
-    if (!isSilent) {
+    const bool isSilent =
+      known.m_running > 0 && now >= known.m_heard + kSilence;
+    const bool mayBeBack = known.m_needsProbe && now >= known.m_suspectUntil;
+    if (known.m_isProbed || !(isSilent || mayBeBack)) {
       continue;
     }
     HttpCall call;
@@ -66,6 +67,7 @@
     worker->m_heard = m_context.Now();
   }
   if (aEnd == CallEnd::Whole) {
+    m_workers.OnReachable(aWorker);
     return;
   }
   m_workers.OnFailure(m_context.Now(), aWorker);
@@ -226,6 +228,13 @@
 void
 RelayFlow::OnNotRun(Relayed& aRelayed)
 {
+  if (aRelayed.m_facts.m_isMisdirected) {
+    m_workers.OnMisdirected(m_context.Now(), aRelayed.m_worker);
+    m_context.Log(LogEvent::WorkerSuspected,
+                  { { "worker", aRelayed.m_worker.Value() },
+                    { "id", aRelayed.m_request.m_id },
+                    { "why", "another incarnation or other weights" } });
+  }
   if (TakeRepeat(aRelayed)) {
     Place(aRelayed);
     return;
@@ -309,6 +318,8 @@
       { "status", std::to_string(aStatus) },
       { "reason", aReason },
       { "route", aRelayed.m_route },
+      { "worker", aRelayed.m_worker.Value() },
+      { "worker_status", std::to_string(aRelayed.m_facts.m_status) },
       { "revision", std::to_string(m_routes.Document().m_revision.Value()) },
       { "keys", HasKeys() ? "confirmed" : "unconfirmed" },
       { "age_ms", Millis(Age(aRelayed)) } });
--- a/src/libserve/WorkerTable.cpp
+++ b/src/libserve/WorkerTable.cpp
@@ -13,6 +13,9 @@
 constexpr Duration kFirstSuspicion(300'000);
 constexpr Duration kLongestSuspicion(2'400'000);
 constexpr int kMostDoublings = 3;
+/// A list is some seconds old at most: by then it shows the successor of a
+/// worker, or what it serves.
+constexpr Duration kListAge(3'000'000);
 
 } // namespace
 
@@ -27,6 +30,9 @@
     if (known != m_workers.end() &&
         known->second.m_info.m_bornMs == info.m_bornMs) {
       state = known->second;
+      if (state.m_info.m_weights != info.m_weights) {
+        state.m_suspectUntil = std::min(state.m_suspectUntil, aNow);
+      }
     }
     state.m_info = info;
     state.m_address = Endpoint::Parse(info.m_address);
@@ -48,7 +54,7 @@
   std::vector<WorkerState*> usable;
   for (auto& [id, worker] : m_workers) {
     const bool isFit = worker.m_info.m_pool == aPool &&
-                       !worker.m_info.m_isLeaving &&
+                       !worker.m_info.m_isLeaving && !worker.m_needsProbe &&
                        aNow >= worker.m_suspectUntil;
     if (isFit) {
       usable.push_back(&worker);
@@ -83,6 +89,8 @@
   }
   const int doublings = std::min(worker->m_failures, kMostDoublings);
   ++worker->m_failures;
+  // Without load it would draw all requests until the first one fails.
+  worker->m_needsProbe = true;
   worker->m_suspectUntil =
     aNow + std::min(kFirstSuspicion * (1 << doublings), kLongestSuspicion);
 }
@@ -93,6 +101,25 @@
   WorkerState* worker = Find(aWorker);
   if (worker != nullptr) {
     worker->m_failures = 0;
+    worker->m_needsProbe = false;
+  }
+}
+
+void
+WorkerTable::OnMisdirected(TimePoint aNow, const WorkerId& aWorker)
+{
+  WorkerState* worker = Find(aWorker);
+  if (worker != nullptr) {
+    worker->m_suspectUntil = aNow + kListAge;
+  }
+}
+
+void
+WorkerTable::OnReachable(const WorkerId& aWorker)
+{
+  WorkerState* worker = Find(aWorker);
+  if (worker != nullptr) {
+    worker->m_needsProbe = false;
   }
 }
 
--- a/src/libserve/placement_test.cpp
+++ b/src/libserve/placement_test.cpp
@@ -139,7 +139,8 @@
     question.m_request = &request;
     question.m_hasPrompt = true;
     question.m_entries = kEntries;
-    question.m_others = entry.m_exchange.IsKnown() ? &entry.m_exchange : nullptr;
+    question.m_others =
+      entry.m_exchange.IsKnown() ? &entry.m_exchange : nullptr;
     const Placement::Choice choice =
       entry.m_placement.Choose(entry.m_workers, question);
     const WorkerId worker = choice.m_worker->m_info.m_id;
--- a/src/libserve/relay_test.cpp
+++ b/src/libserve/relay_test.cpp
@@ -18,7 +18,8 @@
 constexpr Duration kMillisecond(1'000);
 constexpr std::int64_t kTimeoutMs = 2'000;
 
-/// Facts of an answer travel as `status/flags`: p proven, s stream, n not run.
+/// Facts of an answer travel as `status/flags`: p proven, s stream, n not run,
+/// m misdirected.
 class FakeProtocol : public RelayProtocol
 {
 public:
@@ -54,7 +55,9 @@
     head.m_status = aHead.m_status;
     head.m_isProven = flags.find('p') != std::string::npos;
     head.m_isStream = flags.find('s') != std::string::npos;
-    head.m_isNotRun = flags.find('n') != std::string::npos;
+    head.m_isMisdirected = flags.find('m') != std::string::npos;
+    head.m_isNotRun =
+      head.m_isMisdirected || flags.find('n') != std::string::npos;
     return head;
   }
   HttpResponse CallerHead(HttpResponse aHead) const override { return aHead; }
@@ -455,6 +458,68 @@
   }
 }
 
+Test(relay, a_suspected_worker_takes_a_connection_before_requests)
+{
+  Entry entry;
+  entry.SetWorkers({ Worker("w1", 1), Worker("w2", 1) });
+  entry.Ask("/idempotent/x");
+  const std::string dark = entry.m_protocol.m_orders.back().m_worker;
+  NotSent(entry);
+  const auto serve = [&] {
+    entry.Head(200, "p");
+    entry.End(CallEnd::Whole);
+  };
+  serve();
+  entry.Pass(1'000);
+  // The suspicion is over; its load of nothing must not draw requests.
+  for (int i = 0; i < 4; ++i) {
+    entry.Ask("/idempotent/x");
+    cr_assert_neq(entry.m_protocol.m_orders.back().m_worker, dark);
+    serve();
+  }
+  cr_assert_eq(entry.m_probes.size(), 1U, "one is under way");
+  const auto probed = [&](CallEnd aEnd) {
+    entry.Begin(1);
+    entry.m_flow.OnEnd(entry.m_probes.back().m_call, aEnd, "");
+    entry.Take();
+  };
+  probed(CallEnd::NotSent);
+  entry.Pass(400);
+  cr_assert_eq(entry.m_probes.size(), 1U, "the suspicion is longer now");
+  entry.Pass(1'000);
+  cr_assert_eq(entry.m_probes.size(), 2U);
+  probed(CallEnd::Whole);
+  entry.Ask("/idempotent/x");
+  cr_assert_eq(entry.m_protocol.m_orders.back().m_worker, dark);
+}
+
+Test(relay, a_worker_that_is_another_one_gets_nothing_until_it_is_listed)
+{
+  Entry entry;
+  entry.SetWorkers({ Worker("w1", 1), Worker("w2", 1) });
+  entry.Ask("/once/x");
+  const std::string old = entry.m_protocol.m_orders.back().m_worker;
+  entry.Head(421, "m");
+  entry.End(CallEnd::Whole);
+  const auto serve = [&] {
+    entry.Head(200, "p");
+    entry.End(CallEnd::Whole);
+  };
+  serve();
+  for (int i = 0; i < 10; ++i) {
+    entry.Pass(100);
+    entry.Ask("/idempotent/x");
+    cr_assert_neq(entry.m_protocol.m_orders.back().m_worker, old);
+    serve();
+  }
+  // The list tells of the weights that it has now.
+  entry.SetWorkers({ Worker("w1", 2), Worker("w2", 2) }, 2);
+  entry.Ask("/idempotent/x");
+  entry.Ask("/idempotent/x");
+  const auto& orders = entry.m_protocol.m_orders;
+  cr_assert_neq(orders.back().m_worker, orders[orders.size() - 2].m_worker);
+}
+
 Test(relay, nothing_goes_to_leaving_or_outdated_workers)
 {
   Entry entry;
