Requests wait for an entry that has just started; stores are listed sooner

Then all prompts were read anew, because a new leader listed the stores only 1.5 s after its election. Change: an entry that was never ready lets requests wait for at most 2 s after its start, and up to 0.6 s after that until all stores and the others' loads are known; then they are admitted in order. Orders to free act within 0.3 s instead of 1 s, so that a new leader lists 0.4 s after its election; parts that were not freed are listed again. Six tests of relay/* and stores/* that failed before.

--- a/src/include/fulmarquay/control/StoreDesk.h
+++ b/src/include/fulmarquay/control/StoreDesk.h
@@ -120,6 +120,7 @@
                HttpRequest aRequest,
                Duration aTimeout);
   void OnNews(std::size_t aStore, const StoreNews& aNews, bool aIsList);
+  void OnFreeAnswer(Store& aStore, const EngineAnswered& aAnswer);
   void OnFillAnswer(std::size_t aStore, const EngineAnswered& aAnswer);
   void OnFill(std::size_t aStore, const StoreFill& aFill);
   static std::int64_t Held(const Store& aStore)
--- a/src/include/fulmarquay/serve/PartMap.h
+++ b/src/include/fulmarquay/serve/PartMap.h
@@ -70,6 +70,9 @@
   /// Keys of parts that were read since the last call, at most some hundred.
   std::vector<std::uint64_t> TakeUsed();
 
+  /// Whether all stores were heard of and are up.
+  bool HasAllStores() const;
+
   std::uint64_t State() const { return m_state; }
   std::size_t Size() const { return m_parts.size(); }
 
--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -126,6 +126,14 @@
   using RelayedPtr = std::unique_ptr<Relayed>;
 
   void Admit(Relayed& aRelayed);
+  /// Whether a request may wait until a process that has just started is
+  /// ready.
+  bool MayAwaitStart() const;
+  /// Admits those that waited when it is ready, and refuses them when that
+  /// takes too long.
+  void ReviewStart();
+  /// Whether it knows what the stores hold and how busy the workers are.
+  bool HasSettled() const;
   bool Identify(Relayed& aRelayed, const RouteRule& aRule);
   const PoolShare& ChoosePool(const Relayed& aRelayed) const;
   void Place(Relayed& aRelayed);
@@ -187,6 +195,10 @@
   TimePoint m_keysUntil;
   bool m_hadKeys = false;
   bool m_isLeaving = false;
+  TimePoint m_startedAt;
+  TimePoint m_readySince;
+  bool m_wasReady = false;            ///< and had settled
+  std::vector<CallerId> m_awaitStart; ///< in the order of their arrival
   std::uint32_t m_entries = 1;
   std::unordered_map<CallerId, RelayedPtr> m_byCaller;
   std::unordered_map<CallId, Relayed*> m_byCall;
--- a/src/libcontrol/StoreDesk.cpp
+++ b/src/libcontrol/StoreDesk.cpp
@@ -26,8 +26,11 @@
 constexpr Duration kPushRepeat(1'500'000);
 /// Slack for clocks that differ and for messages under way.
 constexpr Duration kFreeMargin(500'000);
-/// A late order to free must not meet a part that was saved again.
-constexpr Duration kFreeValid(1'000'000);
+/// A late order to free must not meet a part that was saved or listed again.
+/// Its end is told by the stores' clock as it was last heard, which is behind.
+constexpr Duration kFreeValid(300'000);
+/// From the end of such an order to a list: clocks run apart by less.
+constexpr Duration kListMargin(100'000);
 constexpr std::size_t kMostFreed = 256; ///< parts of one call
 // When all stores hold the first share of their capacity, each is emptied to
 // the second one, the parts that were used longest ago first. Entries save
@@ -99,7 +102,7 @@
   m_changes.clear();
   m_state = m_owner.CurrentTerm() << kTermShift;
   m_flushed = 0;
-  m_mayListFrom = m_owner.Now() + kFreeValid + kFreeMargin;
+  m_mayListFrom = m_owner.Now() + kFreeValid + kListMargin;
   m_mayFreeFrom = m_owner.Now() + m_lease.m_map + m_lease.m_fetch + kFreeMargin;
 }
 
@@ -170,8 +173,7 @@
   m_calls.erase(place);
   Store& store = m_stores[call.m_store];
   if (call.m_kind == CallKind::Free) {
-    // Whether it was carried out or not: the events tell.
-    store.m_isFreeing = false;
+    OnFreeAnswer(store, aAnswer);
     return true;
   }
   if (call.m_kind == CallKind::Fill) {
@@ -197,6 +199,22 @@
   return true;
 }
 
+void
+StoreDesk::OnFreeAnswer(Store& aStore, const EngineAnswered& aAnswer)
+{
+  aStore.m_isFreeing = false;
+  const bool isGood =
+    aAnswer.m_end == CallEnd::Whole && aAnswer.m_status == kStatusOk;
+  if (!isGood) {
+    // What it still holds is in no map and would keep its room for good.
+    aStore.m_needsList = true;
+    m_owner.Log(LogEvent::UpstreamFailed,
+                { { "store", aStore.m_brief.m_name },
+                  { "why", "parts were not freed" },
+                  { "status", std::to_string(aAnswer.m_status) } });
+  }
+}
+
 void
 StoreDesk::OnFillAnswer(std::size_t aStore, const EngineAnswered& aAnswer)
 {
@@ -443,7 +461,7 @@
     return;
   }
   store.m_isFreeing = true;
-  store.m_mayListFrom = now + kFreeValid + kFreeMargin;
+  store.m_mayListFrom = now + kFreeValid + kListMargin;
   Start(CallKind::Free,
         aStore,
         m_protocol->Free(
--- a/src/libcontrol/fleet_test.cpp
+++ b/src/libcontrol/fleet_test.cpp
@@ -356,7 +356,9 @@
         if (call.m_request.m_target == "free") {
           m_freed += call.m_request.m_body;
         }
-        m_desk.OnAnswered({ call.m_call, CallEnd::Whole, 200, "" });
+        const int status =
+          call.m_request.m_target == "free" ? m_freeStatus : 200;
+        m_desk.OnAnswered({ call.m_call, CallEnd::Whole, status, "" });
         if (call.m_request.m_target == "events") {
           m_protocol->m_news.m_events.clear();
         }
@@ -377,6 +379,7 @@
   StoreDesk m_desk;
   std::size_t m_answered = 0;
   std::string m_freed;
+  int m_freeStatus = 200;
 };
 
 } // namespace
@@ -410,6 +413,37 @@
   cr_assert(stores.m_freed.empty());
 }
 
+Test(stores, a_new_leader_lists_soon)
+{
+  Stores stores;
+  stores.Tell("a", 100);
+  stores.Run(100);
+  RouteDocument document;
+  document.m_pools["s"].m_storeAddress = "10.0.0.9:1";
+  document.m_pools["s"].m_storeTokens = 1'000;
+  stores.m_desk.OnLeadership();
+  stores.m_desk.Configure(document);
+  stores.Run(200);
+  cr_assert_eq(stores.m_desk.Parts(), 0U, "an order to free may come late");
+  stores.Tell("a", 100);
+  stores.Run(400);
+  cr_assert_eq(stores.m_desk.Parts(), 1U);
+}
+
+Test(stores, what_was_not_freed_is_known_again)
+{
+  Stores stores;
+  stores.Tell("a", 100);
+  stores.Run(8'000);
+  stores.m_desk.OnWeights({ { "m", 2 } });
+  stores.m_freeStatus = 409;
+  stores.Run(7'900);
+  cr_assert_eq(stores.m_freed, "a ");
+  stores.Tell("a", 100);
+  stores.Run(600);
+  cr_assert_eq(stores.m_desk.Parts(), 1U);
+}
+
 Test(stores, a_full_store_loses_what_was_used_longest_ago)
 {
   Stores stores(1'000);
--- a/src/libserve/PartMap.cpp
+++ b/src/libserve/PartMap.cpp
@@ -74,6 +74,15 @@
   return true;
 }
 
+bool
+PartMap::HasAllStores() const
+{
+  return !m_stores.empty() &&
+         std::all_of(m_stores.begin(),
+                     m_stores.end(),
+                     [](const StoreBrief& aEach) { return aEach.m_isUp; });
+}
+
 void
 PartMap::OnConfirmed(TimePoint aUntil, Duration aFetch)
 {
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -12,9 +12,18 @@
 
 namespace {
 
-/// Callers come back this much later: an entry that starts or finds its
-/// leader again, a worker with a full queue.
-constexpr Duration kRetryStart(500'000);
+/// Callers come back this much later to an entry that starts or finds its
+/// leader again: most of an election.
+constexpr Duration kRetryStart(1'000'000);
+/// A process that has just started is ready within this long, an election
+/// included; until then requests wait instead of being refused.
+constexpr Duration kStartPatience(2'000'000);
+/// After that it hears of the stores and of the other entries' load; without
+/// them those who waited would all read their prompts anew at once.
+constexpr Duration kSettleTime(600'000);
+/// So many requests wait then: some hundred ms of a busy entry's load, and
+/// with bodies of some KB little memory.
+constexpr std::size_t kMostAwaiting = 400;
 /// Another entry takes the request at once.
 constexpr Duration kRetrySoon(10'000);
 
@@ -129,9 +138,65 @@
     Refuse(added, kStatusBadRequest, e.Reason(), Duration(0));
     return;
   }
+  if (MayAwaitStart()) {
+    m_awaitStart.push_back(aCaller);
+    return;
+  }
   Admit(added);
 }
 
+bool
+RelayFlow::MayAwaitStart() const
+{
+  const bool isStarting = m_startedAt == TimePoint() ||
+                          m_context.Now() < m_startedAt + kStartPatience;
+  return isStarting && !m_wasReady && !m_isLeaving &&
+         m_awaitStart.size() < kMostAwaiting;
+}
+
+bool
+RelayFlow::HasSettled() const
+{
+  const auto& pools = m_routes.Document().m_pools;
+  const bool hasStores =
+    std::any_of(pools.begin(), pools.end(), [](const auto& aEach) {
+      return !aEach.second.m_storeAddress.empty();
+    });
+  return m_exchange.IsKnown() && (!hasStores || m_parts.HasAllStores());
+}
+
+void
+RelayFlow::ReviewStart()
+{
+  const TimePoint now = m_context.Now();
+  if (m_startedAt == TimePoint()) {
+    m_startedAt = now;
+  }
+  if (m_readySince == TimePoint() && IsReady()) {
+    m_readySince = now;
+  }
+  const bool isReady = m_readySince != TimePoint();
+  m_wasReady = m_wasReady ||
+               (isReady && (HasSettled() || now >= m_readySince + kSettleTime));
+  const bool isOver = m_wasReady || m_isLeaving ||
+                      (!isReady && now >= m_startedAt + kStartPatience);
+  for (const CallerId caller : std::exchange(m_awaitStart, {})) {
+    const auto place = m_byCaller.find(caller);
+    if (place == m_byCaller.end()) {
+      continue;
+    }
+    Relayed& relayed = *place->second;
+    const Duration deadline = relayed.m_request.m_deadline;
+    const bool isLate =
+      deadline > Duration(0) && Age(relayed) >= deadline - kLeastLeft;
+    if (isOver || isLate) {
+      Admit(relayed);
+    } else {
+      m_awaitStart.push_back(caller);
+    }
+  }
+}
+
 void
 RelayFlow::Admit(Relayed& aRelayed)
 {
@@ -252,6 +317,7 @@
 RelayFlow::OnTick()
 {
   const TimePoint now = m_context.Now();
+  ReviewStart();
   while (!m_due.empty() && m_due.begin()->first <= now) {
     const CallerId caller = m_due.begin()->second;
     m_due.erase(m_due.begin());
--- a/src/libserve/relay_test.cpp
+++ b/src/libserve/relay_test.cpp
@@ -101,9 +101,25 @@
 class Entry
 {
 public:
-  Entry()
+  /// What an entry knows from the start on.
+  enum class Knows
+  {
+    Nothing,
+    All
+  };
+
+  explicit Entry(Knows aKnows = Knows::All)
     : m_context({}, 1)
     , m_flow(m_context, m_protocol, RelayOptions())
+  {
+    Begin(0);
+    if (aKnows == Knows::All) {
+      Learn();
+    }
+  }
+
+  /// Routes, workers and keys.
+  void Learn(std::uint32_t aEntries = 1)
   {
     RouteDocument document;
     document.m_revision = Revision(3);
@@ -120,10 +136,11 @@
     Add(document, "/open/", open);
     document.m_accounts["acc"].m_keyHashes = { Sha256Hex("key") };
     document.m_needsKeys = true;
-    Begin(0);
     m_flow.OnRoutes(MakeDelta(RouteDocument(), document));
     SetWorkers({ Worker("w1", 1), Worker("w2", 1), Worker("w3", 1) });
-    Confirm();
+    Confirm(aEntries);
+    m_flow.OnTick();
+    Take();
   }
 
   void SetWorkers(std::vector<WorkerInfo> aWorkers, std::int64_t aNamed = -1)
@@ -137,7 +154,10 @@
     m_flow.OnWorkers(list);
   }
 
-  void Confirm() { m_flow.OnConfirmed(m_now + 4'000 * kMillisecond, 1); }
+  void Confirm(std::uint32_t aEntries = 1)
+  {
+    m_flow.OnConfirmed(m_now + 4'000 * kMillisecond, aEntries);
+  }
 
   void Begin(std::int64_t aMillis)
   {
@@ -520,6 +540,60 @@
   cr_assert_neq(orders.back().m_worker, orders[orders.size() - 2].m_worker);
 }
 
+Test(relay, requests_wait_for_a_process_that_has_just_started)
+{
+  Entry entry(Entry::Knows::Nothing);
+  entry.Pass(100);
+  entry.Ask("/once/x");
+  entry.Ask("/once/x", "unknown");
+  entry.Pass(900);
+  cr_assert_eq(entry.m_answers, 0);
+  entry.Learn();
+  entry.Pass(20);
+  cr_assert_eq(entry.m_calls.size(), 1U);
+  cr_assert_eq(entry.m_status, 401);
+}
+
+Test(relay, those_who_waited_start_when_the_others_loads_are_known)
+{
+  for (const bool isTold : { true, false }) {
+    Entry entry(Entry::Knows::Nothing);
+    entry.Pass(100);
+    entry.Ask("/once/x");
+    entry.Learn(2);
+    entry.Pass(300);
+    cr_assert(entry.m_calls.empty());
+    if (isTold) {
+      entry.m_flow.OnLoads({ VmId("other"), {} });
+      entry.Pass(20);
+    } else {
+      entry.Pass(400); // the other entry may be gone
+    }
+    cr_assert_eq(entry.m_calls.size(), 1U);
+  }
+}
+
+Test(relay, nobody_waits_for_long_for_a_start_that_does_not_come)
+{
+  Entry entry(Entry::Knows::Nothing);
+  entry.Pass(100);
+  entry.Ask("/once/x");
+  entry.Pass(1'800);
+  cr_assert_eq(entry.m_answers, 0);
+  entry.Pass(200);
+  cr_assert_eq(entry.m_status, 503);
+  entry.Ask("/once/x");
+  cr_assert_eq(entry.m_answers, 2, "refused at once from then on");
+}
+
+Test(relay, an_entry_that_was_ready_refuses_at_once_without_its_keys)
+{
+  Entry entry;
+  entry.Pass(4'100);
+  entry.Ask("/once/x");
+  cr_assert_eq(entry.m_status, 503);
+}
+
 Test(relay, nothing_goes_to_leaving_or_outdated_workers)
 {
   Entry entry;
