First events tell the pace of stores; load is told apart from a slow store

StorePace was to notice that, but nothing ever called OnFirstEvent outside of its test. Ruled out: a slow link of a worker (all nine were hit alike; of the stores one, whose readers' best tenth took 142 ms against 25 to 33). Change: RelayFlow tells it. RequestSent names the stores.

--- a/src/include/fulmarquay/serve/StorePace.h
+++ b/src/include/fulmarquay/serve/StorePace.h
@@ -45,7 +45,8 @@
   struct Pace
   {
     double m_speed = 1;
-    double m_lateness = 0; ///< moving share of late first events
+    double m_lateness = 0;       ///< moving share of late first events
+    double m_othersLateness = 0; ///< of requests without this store
     double m_backlogUs = 0;
     TimePoint m_counted;
   };
--- a/src/libserve/RelayAnswers.cpp
+++ b/src/libserve/RelayAnswers.cpp
@@ -121,6 +121,7 @@
   worker->m_waitingTokens =
     std::max<std::int64_t>(0, worker->m_waitingTokens - aRelayed.m_counted);
   aRelayed.m_counted = 0;
+  m_parts.OnFirstEvent(m_context.Now() - aRelayed.m_sent, aRelayed.m_stores);
   m_placement.OnRead(
     m_context.Now(), *worker, aRelayed.m_request, aRelayed.m_cacheAccount);
   m_context.Counters().Observe("first_event_seconds",
--- a/src/libserve/RelayPlacing.cpp
+++ b/src/libserve/RelayPlacing.cpp
@@ -31,6 +31,16 @@
   return tokens;
 }
 
+std::string
+Joined(const std::set<std::string>& aNames)
+{
+  std::string joined;
+  for (const std::string& name : aNames) {
+    joined += joined.empty() ? name : "," + name;
+  }
+  return joined;
+}
+
 } // namespace
 
 Placement::Question
@@ -269,6 +279,7 @@
       { "send", std::to_string(aRelayed.m_sends) },
       { "uncached", std::to_string(aRelayed.m_counted) },
       { "fetch", std::to_string(FetchTokens(order)) },
+      { "stores", Joined(aRelayed.m_stores) },
       { "running", std::to_string(aWorker.m_running) },
       { "held", std::to_string(aWorker.m_heldTokens) },
       { "age_ms", Millis(Age(aRelayed)) },
--- a/src/libserve/StorePace.cpp
+++ b/src/libserve/StorePace.cpp
@@ -14,6 +14,10 @@
 constexpr std::size_t kBestPart = 4;
 /// Weight of a new event in the share of late ones: some four events count.
 constexpr double kWeight = 0.25;
+/// The same for requests that did not fetch from a store; there are more.
+constexpr double kOthersWeight = 0.1;
+/// Where so many times fewer of those are late, it is the store's doing.
+constexpr double kMostAboveOthers = 2;
 // The trusted speed shrinks while most events are late, and grows back while
 // few are. The least speed keeps events coming in.
 constexpr double kMostLate = 0.5;
@@ -48,12 +52,20 @@
   const auto time = static_cast<double>(aTime.count());
   const bool isLate =
     time > usual * kLateFactor && time > usual + kLateMicroseconds;
+  const double event = isLate ? 1 : 0;
+  for (auto& [store, pace] : m_paces) {
+    if (aStores.count(store) == 0) {
+      pace.m_othersLateness += kOthersWeight * (event - pace.m_othersLateness);
+    }
+  }
   for (const std::string& store : aStores) {
     Pace& pace = m_paces[store];
-    pace.m_lateness += kWeight * ((isLate ? 1 : 0) - pace.m_lateness);
-    if (pace.m_lateness > kMostLate) {
+    pace.m_lateness += kWeight * (event - pace.m_lateness);
+    const double most =
+      std::max(kMostLate, kMostAboveOthers * pace.m_othersLateness);
+    if (pace.m_lateness > most) {
       pace.m_speed = std::max(kLeastSpeed, pace.m_speed * kShrink);
-    } else if (pace.m_lateness < kFewLate) {
+    } else if (pace.m_lateness < std::max(kFewLate, pace.m_othersLateness)) {
       pace.m_speed = std::min(1.0, pace.m_speed * kGrow);
     }
   }
--- a/src/libserve/relay_test.cpp
+++ b/src/libserve/relay_test.cpp
@@ -123,7 +123,7 @@
   {
     RouteDocument document;
     document.m_revision = Revision(3);
-    document.m_pools["p"];
+    document.m_pools["p"].m_engines.m_tokenBytes = 1'000;
     Add(document, "/idempotent/", Rule(Repetition::Idempotent, 2));
     Add(document, "/once/", Rule(Repetition::Once, 2));
     RouteRule stream = Rule(Repetition::Stream, 2);
@@ -726,6 +726,39 @@
   cr_assert_not(isFetched(now, 50'000), "the store is down");
 }
 
+Test(relay, first_events_tell_how_fast_a_store_is)
+{
+  Entry entry;
+  StorePush push = Push(0, 1, { { 0, PartKey("w1", "shared"), 80 } });
+  // A fetch takes 0.1 s of the store's link.
+  push.m_stores[0].m_linkBitsPerSecond = 6'400'000;
+  cr_assert(entry.m_flow.OnStores(push));
+  const auto ask = [&](std::int64_t aFirstMs) {
+    entry.Confirm();
+    entry.m_flow.OnStoresConfirmed(
+      entry.m_now + 4'000 * kMillisecond, 3'000 * kMillisecond, 50'000);
+    entry.Ask("/resumable/x");
+    const auto& fetches = entry.m_protocol.m_orders.back().m_fetches;
+    const bool isFetched = !fetches.empty() && !fetches[0].m_address.empty();
+    entry.Head(200, "ps");
+    entry.Begin(aFirstMs);
+    entry.Data("id: 1\ndata: x\n\n");
+    entry.End(CallEnd::Whole);
+    return isFetched;
+  };
+  const auto fetched = [&](std::int64_t aFirstMs) {
+    int count = 0;
+    for (int i = 0; i < 8; ++i) {
+      count += ask(aFirstMs) ? 1 : 0;
+      entry.Pass(100);
+    }
+    return count;
+  };
+  cr_assert_eq(fetched(20), 8);
+  fetched(900);
+  cr_assert_leq(fetched(20), 3, "it is slow");
+}
+
 Test(part_map, a_stores_link_carries_more_than_one_workers_link)
 {
   PartMap map;
@@ -769,6 +802,14 @@
   cr_assert_float_eq(pace.SpeedOf("b"), 1, 1e-9);
   serve(100, 80);
   cr_assert_gt(pace.SpeedOf("a"), 0.5, "it recovers");
+  // Half of all first events are late, whatever they fetch.
+  serve(100, 80);
+  for (int i = 0; i < 60; ++i) {
+    const std::int64_t time = i % 2 == 0 ? 100 : 900;
+    pace.OnFirstEvent(time * kMillisecond, { "a" });
+    pace.OnFirstEvent(time * kMillisecond, { "b" });
+  }
+  cr_assert_gt(pace.SpeedOf("a"), 0.9, "load is not its doing");
 }
 
 Test(store_pace, a_link_carries_no_more_than_its_time)
