Load shares carry what changed, to at most 20 partners

Cause: a whole picture of an entry's load each 30 ms is some 50 KB/s to six partners, and at the target's 82 entries of a data centre more than a MB/s, against 15 KB/s. Change: shares are numbered and carry changed workers; all of it each 400 ms, which mends a missed one. An entry tells 20 partners at most, chosen by rendezvous hashing, and at most 200 shares leave it in a second.

--- a/src/include/fulmarquay/cache/CacheMessages.h
+++ b/src/include/fulmarquay/cache/CacheMessages.h
@@ -174,14 +174,17 @@
   std::int64_t m_waitingTokens = 0; ///< of prompts without a first event
   std::int64_t m_heldTokens = 0;    ///< of memory
   MSGPACK_DEFINE(m_worker, m_running, m_waitingTokens, m_heldTokens)
+  bool operator==(const WorkerLoad&) const = default;
 };
 
-/// All of one entry's load, for its partners.
+/// One entry's load, for its partners.
 struct WorkerLoads
 {
   VmId m_vm;
+  std::uint64_t m_number = 0; ///< one more than the share before
+  bool m_isWhole = false;     ///< else what changed since the share before
   std::vector<WorkerLoad> m_loads;
-  MSGPACK_DEFINE(m_vm, m_loads)
+  MSGPACK_DEFINE(m_vm, m_number, m_isWhole, m_loads)
 };
 
 /// The protocol of Channel::Cache, between entries.
--- a/src/include/fulmarquay/serve/LoadExchange.h
+++ b/src/include/fulmarquay/serve/LoadExchange.h
@@ -19,25 +19,26 @@
 ///
 /// The load that it answers: long prompts that several entries place on the
 /// same worker within a second, because each sees only its own. Every entry
-/// sends its partners a whole picture of its load many times a second, so
-/// that a lost message does no lasting harm; one that is silent for long no
-/// longer counts. Where an entry has partners for a part of the other entries
-/// only, the rest is taken to be like them. Pure; not thread-safe.
+/// tells its partners many times a second what changed of its load, and now
+/// and then all of it; one that is silent for long no longer counts. Where an
+/// entry hears a part of the others only, the rest is taken to be like them.
+/// Pure; not thread-safe.
 class LoadExchange
 {
 public:
   explicit LoadExchange(VmId aSelf);
 
-  /// The entries that loads go to and come from.
+  /// The entries that loads go to: of many, as many as the traffic allows.
   void SetPartners(const std::vector<EntryPeer>& aPartners);
 
   /// How many entries there are in all.
   void SetEntries(std::uint32_t aEntries) { m_entries = aEntries; }
 
-  /// Takes another entry's load.
+  /// Takes another entry's load. A change that does not follow on the share
+  /// before is left; the next whole one mends it.
   void OnLoads(TimePoint aNow, const WorkerLoads& aLoads);
 
-  /// The own load, when the partners are to hear of it now.
+  /// What the partners are to hear of the own load now, if anything.
   std::optional<WorkerLoads> TakeShare(TimePoint aNow,
                                        const WorkerTable& aWorkers);
   const std::vector<Endpoint>& Partners() const { return m_partners; }
@@ -52,22 +53,28 @@
   WorkerLoad OthersAt(const WorkerId& aWorker) const;
 
 private:
+  using Loads = std::map<std::string, WorkerLoad>; ///< by worker
+
   struct Told
   {
     TimePoint m_at;
-    std::vector<WorkerLoad> m_loads;
+    std::uint64_t m_number = 0;
+    Loads m_loads;
   };
 
-  void Count(const std::vector<WorkerLoad>& aLoads, std::int64_t aSign);
+  void Count(const WorkerLoad& aLoad, std::int64_t aSign);
+  void Forget(Told& aTold);
+  static Loads OwnLoads(const WorkerTable& aWorkers);
 
   VmId m_self;
   std::uint32_t m_entries = 1;
   std::vector<Endpoint> m_partners;
   std::map<VmId, Told> m_told;
   std::unordered_map<std::string, WorkerLoad> m_sums; ///< by worker
+  std::uint64_t m_number = 0;                         ///< of the last share
+  Loads m_shared; ///< as the partners know it
   TimePoint m_nextShare;
-  TimePoint m_nextIdleShare;
-  bool m_wasIdle = false; ///< the last share told of no load
+  TimePoint m_nextWhole;
 };
 
 } // namespace fulmarquay
--- a/src/libcontrol/EntryRegistry.cpp
+++ b/src/libcontrol/EntryRegistry.cpp
@@ -8,7 +8,7 @@
 
 /// So many entries tell each other of their load across data centres: each
 /// one's messages grow with them.
-constexpr std::uint32_t kMostPartners = 24;
+constexpr std::uint32_t kMostPartners = 20;
 
 } // namespace
 
--- a/src/libserve/LoadExchange.cpp
+++ b/src/libserve/LoadExchange.cpp
@@ -1,5 +1,8 @@
 #include "fulmarquay/serve/LoadExchange.h"
 
+#include "fulmarquay/cache/Rendezvous.h"
+#include "fulmarquay/core/Digest.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -10,14 +13,15 @@
 /// Between two shares: short against the time that a long prompt takes to
 /// read, about as long as a few requests take to arrive.
 constexpr Duration kShareInterval(30'000);
-/// With more partners shares are fewer, so that an entry gets some hundred
-/// messages a second at most.
-constexpr Duration kIntervalOfPartner(3'000);
-/// An idle entry says so again only this often.
-constexpr Duration kIdleInterval(200'000);
-/// An entry's load is believed for this long: some shares may be lost, a
+/// With more partners shares are fewer: an entry gets some 200 messages a
+/// second at most, by which it stays within 15 KB/s.
+constexpr Duration kIntervalOfPartner(5'000);
+constexpr std::size_t kMostPartners = 20;
+/// A partner that has missed a share waits no longer for a whole one.
+constexpr Duration kWholeInterval(400'000);
+/// An entry's load is believed for this long: a whole share may be lost, a
 /// process that died holds nothing for much longer.
-constexpr Duration kLoadLife(700'000);
+constexpr Duration kLoadLife(1'000'000);
 
 } // namespace
 
@@ -29,26 +33,43 @@
 void
 LoadExchange::SetPartners(const std::vector<EntryPeer>& aPartners)
 {
-  m_partners.clear();
+  std::vector<std::pair<std::uint64_t, Endpoint>> partners;
   for (const EntryPeer& partner : aPartners) {
     if (partner.m_vm != m_self) {
-      m_partners.push_back(Endpoint::Parse(partner.m_address));
+      partners.emplace_back(
+        RendezvousWeight(partner.m_vm.Value(), Checksum64(m_self.Value())),
+        Endpoint::Parse(partner.m_address));
     }
   }
+  // Every entry is heard by about as many.
+  std::sort(partners.begin(), partners.end());
+  partners.resize(std::min(partners.size(), kMostPartners));
+  m_partners.clear();
+  for (const auto& [weight, address] : partners) {
+    m_partners.push_back(address);
+  }
+  m_nextWhole = TimePoint();
 }
 
 void
-LoadExchange::Count(const std::vector<WorkerLoad>& aLoads, std::int64_t aSign)
+LoadExchange::Count(const WorkerLoad& aLoad, std::int64_t aSign)
 {
-  for (const WorkerLoad& load : aLoads) {
-    WorkerLoad& sum = m_sums[load.m_worker];
-    sum.m_running += aSign * load.m_running;
-    sum.m_waitingTokens += aSign * load.m_waitingTokens;
-    sum.m_heldTokens += aSign * load.m_heldTokens;
-    if (sum.m_running == 0 && sum.m_heldTokens == 0) {
-      m_sums.erase(load.m_worker);
-    }
+  WorkerLoad& sum = m_sums[aLoad.m_worker];
+  sum.m_running += aSign * aLoad.m_running;
+  sum.m_waitingTokens += aSign * aLoad.m_waitingTokens;
+  sum.m_heldTokens += aSign * aLoad.m_heldTokens;
+  if (sum.m_running == 0 && sum.m_heldTokens == 0) {
+    m_sums.erase(aLoad.m_worker);
+  }
+}
+
+void
+LoadExchange::Forget(Told& aTold)
+{
+  for (const auto& [worker, load] : aTold.m_loads) {
+    Count(load, -1);
   }
+  aTold.m_loads.clear();
 }
 
 void
@@ -57,10 +78,44 @@
   if (aLoads.m_vm == m_self) {
     return;
   }
+  const auto place = m_told.find(aLoads.m_vm);
+  const bool isNext =
+    place != m_told.end() && aLoads.m_number == place->second.m_number + 1;
+  if (!aLoads.m_isWhole && !isNext) {
+    return;
+  }
   Told& told = m_told[aLoads.m_vm];
-  Count(told.m_loads, -1);
-  told = { aNow, aLoads.m_loads };
-  Count(told.m_loads, 1);
+  if (aLoads.m_isWhole) {
+    Forget(told);
+  }
+  told.m_at = aNow;
+  told.m_number = aLoads.m_number;
+  for (const WorkerLoad& load : aLoads.m_loads) {
+    const auto known = told.m_loads.find(load.m_worker);
+    if (known != told.m_loads.end()) {
+      Count(known->second, -1);
+      told.m_loads.erase(known);
+    }
+    if (load.m_running > 0) {
+      Count(load, 1);
+      told.m_loads.emplace(load.m_worker, load);
+    }
+  }
+}
+
+LoadExchange::Loads
+LoadExchange::OwnLoads(const WorkerTable& aWorkers)
+{
+  Loads loads;
+  for (const auto& [id, worker] : aWorkers.All()) {
+    if (worker.m_running > 0) {
+      loads[id.Value()] = { id.Value(),
+                            worker.m_running,
+                            worker.m_waitingTokens,
+                            worker.m_heldTokens };
+    }
+  }
+  return loads;
 }
 
 std::optional<WorkerLoads>
@@ -69,23 +124,32 @@
   if (aNow < m_nextShare || m_partners.empty()) {
     return std::nullopt;
   }
+  Loads loads = OwnLoads(aWorkers);
   WorkerLoads share;
   share.m_vm = m_self;
-  for (const auto& [id, worker] : aWorkers.All()) {
-    if (worker.m_running > 0) {
-      share.m_loads.push_back({ id.Value(),
-                                worker.m_running,
-                                worker.m_waitingTokens,
-                                worker.m_heldTokens });
+  share.m_isWhole = aNow >= m_nextWhole;
+  for (const auto& [worker, load] : loads) {
+    const auto known = m_shared.find(worker);
+    const bool isNew = known == m_shared.end() || known->second != load;
+    if (share.m_isWhole || isNew) {
+      share.m_loads.push_back(load);
     }
   }
-  if (share.m_loads.empty() && m_wasIdle && aNow < m_nextIdleShare) {
+  for (const auto& [worker, load] : m_shared) {
+    if (!share.m_isWhole && loads.count(worker) == 0) {
+      share.m_loads.push_back({ worker, 0, 0, 0 });
+    }
+  }
+  if (!share.m_isWhole && share.m_loads.empty()) {
     return std::nullopt;
   }
-  m_wasIdle = share.m_loads.empty();
+  m_shared = std::move(loads);
+  share.m_number = ++m_number;
   const auto partners = static_cast<std::int64_t>(m_partners.size());
   m_nextShare = aNow + std::max(kShareInterval, kIntervalOfPartner * partners);
-  m_nextIdleShare = aNow + kIdleInterval;
+  if (share.m_isWhole) {
+    m_nextWhole = aNow + kWholeInterval;
+  }
   return share;
 }
 
@@ -97,7 +161,7 @@
       ++each;
       continue;
     }
-    Count(each->second.m_loads, -1);
+    Forget(each->second);
     each = m_told.erase(each);
   }
 }
