--- a/src/libserve/placement_test.cpp
+++ b/src/libserve/placement_test.cpp
@@ -48,6 +48,7 @@
     : m_tell(aTell)
   {
     std::vector<EntryPeer> peers;
+    peers.reserve(kEntries);
     for (int i = 0; i < kEntries; ++i) {
       peers.push_back({ VmId("e" + std::to_string(i)),
                         BootId(1),
@@ -270,6 +271,7 @@
   };
   cr_assert_eq(sharesInSecond(), 0, "nobody to tell");
   std::vector<EntryPeer> partners;
+  partners.reserve(40);
   for (int i = 0; i < 40; ++i) {
     partners.push_back(
       { VmId("e" + std::to_string(i)), BootId(1), "10.0.1.1:1" });
