When a started entry takes requests is a decision of its own

Cause: reading the change: the state of a start stood among RelayFlow's; calls of plain services waited for stores, which they don't use; and requests that came 2 s after a start passed those that still waited. Change: StartGate, tested without a network.

--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -10,6 +10,7 @@
 #include "fulmarquay/serve/PartMap.h"
 #include "fulmarquay/serve/Placement.h"
 #include "fulmarquay/serve/RelayProtocol.h"
+#include "fulmarquay/serve/StartGate.h"
 #include "fulmarquay/serve/WorkerTable.h"
 
 #include <map>
@@ -126,9 +127,8 @@
   using RelayedPtr = std::unique_ptr<Relayed>;
 
   void Admit(Relayed& aRelayed);
-  /// Whether a request may wait until a process that has just started is
-  /// ready.
-  bool MayAwaitStart() const;
+  /// Whether a request is to wait because this process has just started.
+  bool MustAwaitStart(const Relayed& aRelayed) const;
   /// Admits those that waited when it is ready, and refuses them when that
   /// takes too long.
   void ReviewStart();
@@ -195,9 +195,7 @@
   TimePoint m_keysUntil;
   bool m_hadKeys = false;
   bool m_isLeaving = false;
-  TimePoint m_startedAt;
-  TimePoint m_readySince;
-  bool m_wasReady = false;            ///< and had settled
+  StartGate m_start;
   std::vector<CallerId> m_awaitStart; ///< in the order of their arrival
   std::uint32_t m_entries = 1;
   std::unordered_map<CallerId, RelayedPtr> m_byCaller;
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -15,14 +15,8 @@
 /// Callers come back this much later to an entry that starts or finds its
 /// leader again: most of an election.
 constexpr Duration kRetryStart(1'000'000);
-/// A process that has just started is ready within this long, an election
-/// included; until then requests wait instead of being refused.
-constexpr Duration kStartPatience(2'000'000);
-/// After that it hears of the stores and of the other entries' load; without
-/// them those who waited would all read their prompts anew at once.
-constexpr Duration kSettleTime(600'000);
-/// So many requests wait then: some hundred ms of a busy entry's load, and
-/// with bodies of some KB little memory.
+/// So many requests wait for a start: some hundred ms of a busy entry's load,
+/// and with bodies of some KB little memory.
 constexpr std::size_t kMostAwaiting = 400;
 /// Another entry takes the request at once.
 constexpr Duration kRetrySoon(10'000);
@@ -138,7 +132,7 @@
     Refuse(added, kStatusBadRequest, e.Reason(), Duration(0));
     return;
   }
-  if (MayAwaitStart()) {
+  if (MustAwaitStart(added) && m_awaitStart.size() < kMostAwaiting) {
     m_awaitStart.push_back(aCaller);
     return;
   }
@@ -146,12 +140,9 @@
 }
 
 bool
-RelayFlow::MayAwaitStart() const
+RelayFlow::MustAwaitStart(const Relayed& aRelayed) const
 {
-  const bool isStarting = m_startedAt == TimePoint() ||
-                          m_context.Now() < m_startedAt + kStartPatience;
-  return isStarting && !m_wasReady && !m_isLeaving &&
-         m_awaitStart.size() < kMostAwaiting;
+  return !m_isLeaving && m_start.MustWait(!aRelayed.m_request.m_parts.empty());
 }
 
 bool
@@ -168,18 +159,7 @@
 void
 RelayFlow::ReviewStart()
 {
-  const TimePoint now = m_context.Now();
-  if (m_startedAt == TimePoint()) {
-    m_startedAt = now;
-  }
-  if (m_readySince == TimePoint() && IsReady()) {
-    m_readySince = now;
-  }
-  const bool isReady = m_readySince != TimePoint();
-  m_wasReady = m_wasReady ||
-               (isReady && (HasSettled() || now >= m_readySince + kSettleTime));
-  const bool isOver = m_wasReady || m_isLeaving ||
-                      (!isReady && now >= m_startedAt + kStartPatience);
+  m_start.Review(m_context.Now(), { IsReady(), HasSettled() });
   for (const CallerId caller : std::exchange(m_awaitStart, {})) {
     const auto place = m_byCaller.find(caller);
     if (place == m_byCaller.end()) {
@@ -189,7 +169,7 @@
     const Duration deadline = relayed.m_request.m_deadline;
     const bool isLate =
       deadline > Duration(0) && Age(relayed) >= deadline - kLeastLeft;
-    if (isOver || isLate) {
+    if (isLate || !MustAwaitStart(relayed)) {
       Admit(relayed);
     } else {
       m_awaitStart.push_back(caller);
--- a/src/libserve/relay_test.cpp
+++ b/src/libserve/relay_test.cpp
@@ -573,6 +573,26 @@
   }
 }
 
+Test(start_gate, only_prompts_wait_for_stores_and_loads)
+{
+  StartGate gate;
+  TimePoint now(Duration(1'000'000'000));
+  gate.Review(now, { false, false });
+  cr_assert(gate.MustWait(false));
+  now += 1'900 * kMillisecond;
+  gate.Review(now, { true, false });
+  cr_assert_not(gate.MustWait(false));
+  cr_assert(gate.MustWait(true));
+  now += 500 * kMillisecond;
+  gate.Review(now, { true, false });
+  cr_assert(gate.MustWait(true), "later than the patience, in the same order");
+  now += 200 * kMillisecond;
+  gate.Review(now, { true, false });
+  cr_assert_not(gate.MustWait(true));
+  gate.Review(now, { false, false });
+  cr_assert_not(gate.MustWait(true), "a start comes once");
+}
+
 Test(relay, nobody_waits_for_long_for_a_start_that_does_not_come)
 {
   Entry entry(Entry::Knows::Nothing);
