Tests of libserve in files by decision

Cause: relay_test.cpp had grown to 957 lines that mixed the way of a request with stores, queue and start. Ruled out: a further test program (one for each library).

--- a/src/libserve/relay_test.cpp
+++ b/src/libserve/relay_test.cpp
@@ -573,26 +573,6 @@
   }
 }
 
-Test(start_gate, only_prompts_wait_for_stores_and_loads)
-{
-  StartGate gate;
-  TimePoint now(Duration(1'000'000'000));
-  gate.Review(now, { false, false });
-  cr_assert(gate.MustWait(false));
-  now += 1'900 * kMillisecond;
-  gate.Review(now, { true, false });
-  cr_assert_not(gate.MustWait(false));
-  cr_assert(gate.MustWait(true));
-  now += 500 * kMillisecond;
-  gate.Review(now, { true, false });
-  cr_assert(gate.MustWait(true), "later than the patience, in the same order");
-  now += 200 * kMillisecond;
-  gate.Review(now, { true, false });
-  cr_assert_not(gate.MustWait(true));
-  gate.Review(now, { false, false });
-  cr_assert_not(gate.MustWait(true), "a start comes once");
-}
-
 Test(relay, nobody_waits_for_long_for_a_start_that_does_not_come)
 {
   Entry entry(Entry::Knows::Nothing);
@@ -652,106 +632,17 @@
   cr_assert_gt(repeats, 20U);
 }
 
-namespace {
-
-StorePush
-Push(std::uint64_t aFrom, std::uint64_t aTo, std::vector<PartChange> aChanges)
-{
-  StorePush push;
-  push.m_from = aFrom;
-  push.m_to = aTo;
-  push.m_changes = std::move(aChanges);
-  if (aFrom == 0) {
-    push.m_hasStores = true;
-    push.m_stores = {
-      { "a", "10.0.0.8:1", DataCentreId("d1"), 10'000, 1'000, true, false },
-      { "b", "10.0.0.9:1", DataCentreId("d2"), 10'000, 1'000, true, false },
-    };
-  }
-  return push;
-}
-
-PartMap::Reader
-ReaderAt(TimePoint aNow, std::int64_t aClockMs)
-{
-  PartMap::Reader reader;
-  reader.m_now = aNow;
-  reader.m_clockMs = aClockMs;
-  reader.m_dataCentre = DataCentreId("d1");
-  return reader;
-}
-
-RelayRequest
-Prompt()
-{
-  RelayRequest request;
-  request.m_parts = { { "x", 500 }, { "y", 300 }, { "own", 50 } };
-  return request;
-}
-
-} // namespace
-
-Test(part_map, a_part_is_saved_once_and_fetched_then)
-{
-  PartMap map;
-  const TimePoint now(Duration(1'000'000'000));
-  map.OnConfirmed(now + 4'000 * kMillisecond, 3'000 * kMillisecond);
-  cr_assert(map.Apply(Push(0, 1, {})));
-  RelayOrder order;
-  order.m_cacheScope = "w1";
-  map.Plan(ReaderAt(now, 50'000), Prompt(), order);
-  cr_assert_not(order.m_saves.at(0).empty());
-  cr_assert(order.m_saves.at(2).empty(), "the last part is its request's own");
-  cr_assert_eq(order.m_fetchUntilMs, 53'000);
-  RelayOrder again;
-  again.m_cacheScope = "w1";
-  map.Plan(ReaderAt(now, 50'000), Prompt(), again);
-  cr_assert(again.m_saves.at(0).empty(), "a save is under way");
-  cr_assert(map.Apply(Push(1, 2, { { 1, PartKey("w1", "x"), 500 } })));
-  RelayOrder fetch;
-  fetch.m_cacheScope = "w1";
-  map.Plan(ReaderAt(now, 50'000), Prompt(), fetch);
-  cr_assert_eq(fetch.m_fetches.at(0).m_address, "10.0.0.9:1");
-  cr_assert_eq(fetch.m_fetches.at(0).m_tokens, 500);
-  cr_assert(fetch.m_fetches.at(1).m_address.empty());
-  RelayOrder other;
-  other.m_cacheScope = "w2";
-  map.Plan(ReaderAt(now, 50'000), Prompt(), other);
-  cr_assert(other.m_fetches.at(0).m_address.empty(), "another scope");
-}
-
-Test(part_map, nothing_is_read_beyond_the_lease_or_from_what_is_gone)
-{
-  PartMap map;
-  const TimePoint now(Duration(1'000'000'000));
-  map.OnConfirmed(now + 4'000 * kMillisecond, 3'000 * kMillisecond);
-  map.Apply(Push(0, 1, { { 0, PartKey("w1", "x"), 500 } }));
-  const auto isFetched = [&](TimePoint aNow, std::int64_t aClock) {
-    RelayOrder order;
-    order.m_cacheScope = "w1";
-    map.Plan(ReaderAt(aNow, aClock), Prompt(), order);
-    return !order.m_fetches.empty() && !order.m_fetches[0].m_address.empty();
-  };
-  cr_assert(isFetched(now, 50'000));
-  cr_assert_not(isFetched(now + 4'000 * kMillisecond, 50'000), "lease over");
-  cr_assert_not(isFetched(now, 0), "no end could be named");
-  cr_assert_not(map.Apply(Push(7, 8, {})), "a change for another state");
-  map.Apply(Push(1, 2, { { 0, PartKey("w1", "x"), 0 } }));
-  cr_assert_not(isFetched(now, 50'000));
-  StorePush down = Push(2, 3, { { 0, PartKey("w1", "x"), 500 } });
-  down.m_hasStores = true;
-  down.m_stores = Push(0, 0, {}).m_stores;
-  down.m_stores[0].m_isUp = false;
-  map.Apply(down);
-  cr_assert_not(isFetched(now, 50'000), "the store is down");
-}
-
 Test(relay, first_events_tell_how_fast_a_store_is)
 {
   Entry entry;
-  StorePush push = Push(0, 1, { { 0, PartKey("w1", "shared"), 80 } });
+  StorePush push;
+  push.m_to = 1;
+  push.m_changes = { { 0, PartKey("w1", "shared"), 80 } };
+  push.m_hasStores = true;
   // A fetch takes 0.1 s of the store's link.
-  push.m_stores[0].m_linkBitsPerSecond = 6'400'000;
+  push.m_stores = {
+    { "a", "10.0.0.8:1", DataCentreId("d1"), 10'000, 6'400'000, true, false }
+  };
   cr_assert(entry.m_flow.OnStores(push));
   const auto ask = [&](std::int64_t aFirstMs) {
     entry.Confirm();
@@ -779,163 +670,7 @@
   cr_assert_leq(fetched(20), 3, "it is slow");
 }
 
-Test(part_map, saves_under_way_take_room)
-{
-  PartMap map;
-  const TimePoint now(Duration(1'000'000'000));
-  map.OnConfirmed(now + 4'000 * kMillisecond, 3'000 * kMillisecond);
-  StorePush push = Push(0, 1, {});
-  push.m_stores.resize(1);
-  push.m_stores[0].m_capacity = 1'000;
-  map.Apply(push);
-  PartMap::Reader reader = ReaderAt(now, 50'000);
-  reader.m_entries = 2;
-  const auto isSaved = [&](const std::string& aId) {
-    RelayRequest request;
-    request.m_parts = { { aId, 400 }, { "own", 50 } };
-    RelayOrder order;
-    order.m_cacheScope = "w1";
-    map.Plan(reader, request, order);
-    return !order.m_saves.at(0).empty();
-  };
-  cr_assert(isSaved("x"));
-  cr_assert_not(isSaved("y"), "the other entry saves as much");
-  map.Apply(Push(1, 2, { { 0, PartKey("w1", "x"), 400 } }));
-  cr_assert(isSaved("y"), "the first one shows in the map");
-}
-
-Test(part_map, a_stores_link_carries_more_than_one_workers_link)
-{
-  PartMap map;
-  const TimePoint now(Duration(1'000'000'000));
-  map.OnConfirmed(now + 4'000 * kMillisecond, 3'000 * kMillisecond);
-  StorePush push = Push(0, 1, { { 0, PartKey("w1", "x"), 500 } });
-  // A part takes 0.4 s of the store's link.
-  push.m_stores[0].m_linkBitsPerSecond = 1'000'000;
-  map.Apply(push);
-  PartMap::Reader reader = ReaderAt(now, 50'000);
-  reader.m_tokenBytes = 100;
-  const auto isFetched = [&] {
-    RelayOrder order;
-    order.m_cacheScope = "w1";
-    map.Plan(reader, Prompt(), order);
-    return !order.m_fetches.empty() && !order.m_fetches[0].m_address.empty();
-  };
-  cr_assert(isFetched());
-  cr_assert(isFetched(), "a second one waits for less than a second");
-  cr_assert_not(isFetched(), "a third one waits for too long");
-}
-
-Test(store_pace, a_slow_store_gets_less_and_load_alone_changes_nothing)
-{
-  StorePace pace;
-  const auto serve = [&](std::int64_t aSlowMs, std::int64_t aOtherMs) {
-    for (int i = 0; i < 30; ++i) {
-      pace.OnFirstEvent(aSlowMs * kMillisecond, { "a" });
-      pace.OnFirstEvent(aOtherMs * kMillisecond, { "b" });
-      pace.OnFirstEvent(aOtherMs * kMillisecond, {});
-    }
-  };
-  serve(100, 80);
-  cr_assert_float_eq(pace.SpeedOf("a"), 1, 1e-9);
-  serve(1'500, 1'400);
-  serve(1'500, 1'400);
-  cr_assert_float_eq(pace.SpeedOf("a"), 1, 1e-9, "all are late alike");
-  serve(100, 80);
-  serve(1'500, 100);
-  cr_assert_lt(pace.SpeedOf("a"), 0.2);
-  cr_assert_float_eq(pace.SpeedOf("b"), 1, 1e-9);
-  serve(100, 80);
-  cr_assert_gt(pace.SpeedOf("a"), 0.5, "it recovers");
-  // Half of all first events are late, whatever they fetch.
-  serve(100, 80);
-  for (int i = 0; i < 60; ++i) {
-    const std::int64_t time = i % 2 == 0 ? 100 : 900;
-    pace.OnFirstEvent(time * kMillisecond, { "a" });
-    pace.OnFirstEvent(time * kMillisecond, { "b" });
-  }
-  cr_assert_gt(pace.SpeedOf("a"), 0.9, "load is not its doing");
-}
-
-Test(store_pace, a_link_carries_no_more_than_its_time)
-{
-  // Transfers of 40 ms, five times as many as one link carries in ten
-  // seconds, asked for by two entries that share it.
-  StorePace pace;
-  TimePoint now(Duration(1'000'000'000));
-  int taken = 0;
-  for (int i = 0; i < 625; ++i) {
-    now += 16 * kMillisecond;
-    taken += pace.Take(now, "a", 40 * kMillisecond, 2) ? 1 : 0;
-  }
-  // At most a second of waiting is ordered ahead.
-  cr_assert_leq(taken, 125 + 13);
-  cr_assert_geq(taken, 120);
-  cr_assert(pace.Take(now, "b", 5'000 * kMillisecond, 2), "an idle link");
-}
-
-namespace {
-
-AdmissionQueue::Item
-Item(std::uint64_t aCaller,
-     std::int64_t aRank,
-     TimePoint aWanted,
-     std::int64_t aTokens = 1'000)
-{
-  return {
-    CallerId(aCaller), aRank, aWanted, aWanted + 5'000 * kMillisecond, aTokens
-  };
-}
-
-} // namespace
-
-Test(admission, who_can_still_be_in_time_goes_first)
-{
-  AdmissionQueue queue;
-  const TimePoint now(Duration(1'000'000'000));
-  queue.Push(now, Item(1, 2, now + 600 * kMillisecond));
-  queue.Push(now, Item(2, 0, now + 400 * kMillisecond));
-  queue.Push(now, Item(3, 0, now + 550 * kMillisecond));
-  cr_assert_eq(queue.Next(now)->m_caller, CallerId(2));
-  queue.Remove(CallerId(2));
-  // A rank counts as some time: the first one is due sooner than that.
-  cr_assert_eq(queue.Next(now)->m_caller, CallerId(3));
-  const TimePoint later = now + 560 * kMillisecond;
-  cr_assert_eq(queue.Next(later)->m_caller, CallerId(1), "3 is late anyhow");
-  queue.Remove(CallerId(1));
-  queue.Remove(CallerId(3));
-  cr_assert_not(queue.Next(later).has_value());
-}
-
-Test(admission, what_can_not_start_in_time_is_refused_at_once)
-{
-  AdmissionQueue queue;
-  TimePoint now(Duration(1'000'000'000));
-  // Ten thousand tokens a second are sent for some seconds.
-  for (int i = 0; i < 500; ++i) {
-    now += 10 * kMillisecond;
-    queue.OnSent(now, 100);
-  }
-  int taken = 0;
-  for (int i = 0; i < 200; ++i) {
-    taken += queue.Push(now, Item(10 + i, 1, now + 300 * kMillisecond)) ? 0 : 1;
-  }
-  // Some 53 thousand tokens can be sent until the last one is due.
-  cr_assert_geq(taken, 45);
-  cr_assert_leq(taken, 65);
-  cr_assert_eq(queue.Size(), static_cast<std::size_t>(taken));
-}
-
-Test(admission, the_start_of_a_load_refuses_nobody)
-{
-  AdmissionQueue queue;
-  const TimePoint now(Duration(1'000'000'000));
-  for (int i = 0; i < 8; ++i) {
-    cr_assert_not(queue.Push(now, Item(1 + i, 1, now)).has_value());
-  }
-}
-
-Test(admission, memory_that_is_held_bounds_what_is_sent)
+Test(relay, memory_that_is_held_bounds_what_is_sent)
 {
   // Prompts of 850 tokens on three workers with room for two each.
   Entry entry;
