Serve: sums derived, one limit of partners, no work after the start

Cause: reading the change whole: PartMap kept sums of the saves under way beside the saves; the limit of load partners stood in two files; the start was reviewed at every tick of a process's life, and what the others hold was estimated for each request although they tell it; two loops joined text. Change: PartMap::SavingTokens, kMostLoadPartners, StartGate::IsOpen, the estimate only without shares, Boost's join, one check for the relay in EntryNode::OnHeartbeatReply.

--- a/src/include/fulmarquay/control/ControlMessages.h
+++ b/src/include/fulmarquay/control/ControlMessages.h
@@ -57,6 +57,10 @@
   bool operator==(const EntryPeer&) const = default;
 };
 
+/// So many entries tell each other of their load, across data centres too:
+/// the messages of each grow with them.
+constexpr std::size_t kMostLoadPartners = 20;
+
 /// The leader answers a heartbeat.
 struct HeartbeatReply
 {
--- a/src/include/fulmarquay/serve/PartMap.h
+++ b/src/include/fulmarquay/serve/PartMap.h
@@ -98,8 +98,8 @@
   std::optional<std::size_t> ChooseForSave(std::uint64_t aKey,
                                            std::int64_t aTokens,
                                            std::uint32_t aEntries) const;
-  void DropLateSaves(TimePoint aNow);
-  void EndSaving(std::uint64_t aKey);
+  /// Tokens of the saves under way, by store.
+  std::vector<std::int64_t> SavingTokens() const;
   void PlanSave(const Reader& aReader,
                 std::uint64_t aKey,
                 std::int64_t aTokens,
@@ -114,7 +114,6 @@
   std::vector<std::int64_t> m_usedTokens; ///< by store
   std::unordered_map<std::uint64_t, std::vector<Copy>> m_parts;
   std::unordered_map<std::uint64_t, Saving> m_saving;
-  std::vector<std::int64_t> m_savingTokens; ///< by store
   TimePoint m_nextSweep;
   TimePoint m_until;
   Duration m_fetch{};
--- a/src/include/fulmarquay/serve/StartGate.h
+++ b/src/include/fulmarquay/serve/StartGate.h
@@ -26,6 +26,9 @@
   /// Notes the progress; the first call is the start.
   void Review(TimePoint aNow, const Progress& aProgress);
 
+  /// Whether the start is over, for good.
+  bool IsOpen() const { return m_isOpen; }
+
   /// Whether a request is to wait. One without a prompt needs no stores.
   bool MustWait(bool aHasPrompt) const;
 
--- a/src/libcontrol/EntryRegistry.cpp
+++ b/src/libcontrol/EntryRegistry.cpp
@@ -4,14 +4,6 @@
 
 namespace fulmarquay {
 
-namespace {
-
-/// So many entries tell each other of their load across data centres: each
-/// one's messages grow with them.
-constexpr std::uint32_t kMostPartners = 20;
-
-} // namespace
-
 EntryRegistry::EntryRegistry(Duration aLease)
   : m_lease(aLease)
 {
@@ -103,7 +95,7 @@
 EntryRegistry::PeerList&
 EntryRegistry::PartnersOf(const DataCentreId& aDataCentre)
 {
-  if (m_listed > kMostPartners) {
+  if (m_listed > kMostLoadPartners) {
     return ListOf(aDataCentre);
   }
   Renew(m_all, [](const EntryHeartbeat&) { return true; });
--- a/src/libcontrol/FleetDesk.cpp
+++ b/src/libcontrol/FleetDesk.cpp
@@ -5,6 +5,8 @@
 #include "fulmarquay/core/Error.h"
 #include "fulmarquay/wire/HttpStatus.h"
 
+#include <boost/algorithm/string/join.hpp>
+
 namespace fulmarquay {
 
 namespace {
@@ -21,16 +23,6 @@
 /// Room for the changes of the worker list in one term.
 constexpr unsigned kTermShift = 24;
 
-std::string
-Join(const std::vector<std::string>& aLines)
-{
-  std::string text;
-  for (const std::string& line : aLines) {
-    text += (text.empty() ? "" : "; ") + line;
-  }
-  return text;
-}
-
 } // namespace
 
 FleetDesk::FleetDesk(FleetDeskOwner& aOwner,
@@ -111,7 +103,8 @@
 void
 FleetDesk::On(CallerId aCaller, const WrongRequest& aRequest)
 {
-  const std::string problems = Join(aRequest.m_problems);
+  const std::string problems =
+    boost::algorithm::join(aRequest.m_problems, "; ");
   m_owner.Log(LogEvent::RoutesRefused, { { "problems", problems } });
   m_owner.Answer(aCaller, { OperatorAnswer::Kind::Wrong, problems });
 }
--- a/src/libserve/EntryNode.cpp
+++ b/src/libserve/EntryNode.cpp
@@ -103,24 +103,23 @@
   m_partnersSeen = aReply.m_partnersVersion;
   m_limits.SetLiveEntries(aReply.m_liveEntries);
   m_config.OnConfirmed(aReply.m_revision, aReply.m_peers);
+  if (!m_relay) {
+    return;
+  }
   // A key that was taken away before this heartbeat was sent is unknown here
   // already; one taken away later works no longer than the lease.
-  const bool isCurrent =
-    m_relay && m_relay->Routes().Document().m_revision >= aReply.m_routes;
-  if (isCurrent) {
+  if (m_relay->Routes().Document().m_revision >= aReply.m_routes) {
     m_relay->OnConfirmed(m_control.LastConfirmed() + m_options.m_keyLease,
                          aReply.m_liveEntries);
   }
-  if (m_relay) {
-    m_relay->OnOthersHold(aReply.m_othersHold);
-    if (!aReply.m_partners.empty()) {
-      m_relay->OnPartners(aReply.m_partners);
-    }
-    m_relay->OnStoresConfirmed(m_control.LastConfirmed() +
-                                 Duration(aReply.m_storesUs),
-                               Duration(aReply.m_fetchUs),
-                               aReply.m_workersClockMs);
+  m_relay->OnOthersHold(aReply.m_othersHold);
+  if (!aReply.m_partners.empty()) {
+    m_relay->OnPartners(aReply.m_partners);
   }
+  m_relay->OnStoresConfirmed(m_control.LastConfirmed() +
+                               Duration(aReply.m_storesUs),
+                             Duration(aReply.m_fetchUs),
+                             aReply.m_workersClockMs);
 }
 
 void
--- a/src/libserve/LoadExchange.cpp
+++ b/src/libserve/LoadExchange.cpp
@@ -16,7 +16,6 @@
 /// With more partners shares are fewer: an entry gets some 200 messages a
 /// second at most, by which it stays within 15 KB/s.
 constexpr Duration kIntervalOfPartner(5'000);
-constexpr std::size_t kMostPartners = 20;
 /// A partner that has missed a share waits no longer for a whole one.
 constexpr Duration kWholeInterval(400'000);
 /// An entry's load is believed for this long: a whole share may be lost, a
@@ -43,7 +42,7 @@
   }
   // Every entry is heard by about as many.
   std::sort(partners.begin(), partners.end());
-  partners.resize(std::min(partners.size(), kMostPartners));
+  partners.resize(std::min(partners.size(), kMostLoadPartners));
   m_partners.clear();
   for (const auto& [weight, address] : partners) {
     m_partners.push_back(address);
--- a/src/libserve/PartMap.cpp
+++ b/src/libserve/PartMap.cpp
@@ -46,12 +46,10 @@
     m_stores.clear();
     m_usedTokens.clear();
     m_saving.clear();
-    m_savingTokens.clear();
   }
   if (aPush.m_hasStores) {
     m_stores = aPush.m_stores;
     m_usedTokens.resize(m_stores.size(), 0);
-    m_savingTokens.resize(m_stores.size(), 0);
   }
   for (const PartChange& change : aPush.m_changes) {
     if (change.m_store >= m_stores.size()) {
@@ -68,7 +66,7 @@
     if (change.m_tokens > 0) {
       copies.push_back({ change.m_store, change.m_tokens });
       m_usedTokens[change.m_store] += change.m_tokens;
-      EndSaving(change.m_key);
+      m_saving.erase(change.m_key);
     } else if (copies.empty()) {
       m_parts.erase(change.m_key);
     }
@@ -111,14 +109,14 @@
   return best;
 }
 
-void
-PartMap::EndSaving(std::uint64_t aKey)
+std::vector<std::int64_t>
+PartMap::SavingTokens() const
 {
-  const auto saving = m_saving.find(aKey);
-  if (saving != m_saving.end()) {
-    m_savingTokens[saving->second.m_store] -= saving->second.m_tokens;
-    m_saving.erase(saving);
+  std::vector<std::int64_t> tokens(m_stores.size(), 0);
+  for (const auto& [key, saving] : m_saving) {
+    tokens[saving.m_store] += saving.m_tokens;
   }
+  return tokens;
 }
 
 std::optional<std::size_t>
@@ -129,6 +127,7 @@
   // Rendezvous weighted by the speed of the links, which carry the fetches:
   // all entries choose alike, and what comes first, the most popular parts,
   // goes to the quick stores. One that is down or full moves only its share.
+  const std::vector<std::int64_t> saving = SavingTokens();
   std::optional<std::size_t> best;
   double bestScore = 0;
   for (std::size_t i = 0; i < m_stores.size(); ++i) {
@@ -136,7 +135,7 @@
     // A save that finds no room is lost. The others save as much as this
     // entry, and none of it shows in the map before it is whole.
     const std::int64_t wanted =
-      m_usedTokens[i] + m_savingTokens[i] * aEntries + aTokens;
+      m_usedTokens[i] + saving[i] * aEntries + aTokens;
     const bool isFull = wanted * 100 > store.m_capacity * kSavePercent;
     if (!store.m_isUp || store.m_isFull || isFull) {
       continue;
@@ -205,7 +204,8 @@
   }
   if (now >= m_nextSweep) {
     m_nextSweep = now + kSweepInterval;
-    DropLateSaves(now);
+    std::erase_if(
+      m_saving, [&](const auto& aEach) { return now >= aEach.second.m_until; });
   }
   const std::size_t shared = aRequest.m_parts.size() - 1;
   aOrder.m_fetches.resize(aRequest.m_parts.size());
@@ -236,19 +236,6 @@
   aOrder.m_fetchUntilMs = aReader.m_clockMs + ToMillis(m_fetch);
 }
 
-void
-PartMap::DropLateSaves(TimePoint aNow)
-{
-  for (auto each = m_saving.begin(); each != m_saving.end();) {
-    if (aNow < each->second.m_until) {
-      ++each;
-      continue;
-    }
-    m_savingTokens[each->second.m_store] -= each->second.m_tokens;
-    each = m_saving.erase(each);
-  }
-}
-
 void
 PartMap::PlanSave(const Reader& aReader,
                   std::uint64_t aKey,
@@ -259,11 +246,10 @@
   if (saving != m_saving.end() && aReader.m_now < saving->second.m_until) {
     return;
   }
-  EndSaving(aKey);
+  m_saving.erase(aKey);
   if (const auto store = ChooseForSave(aKey, aTokens, aReader.m_entries)) {
     aAddress = m_stores[*store].m_address;
     m_saving[aKey] = { aReader.m_now + kSavePatience, *store, aTokens };
-    m_savingTokens[*store] += aTokens;
   }
 }
 
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -159,6 +159,9 @@
 void
 RelayFlow::ReviewStart()
 {
+  if (m_start.IsOpen()) {
+    return;
+  }
   m_start.Review(m_context.Now(), { IsReady(), HasSettled() });
   for (const CallerId caller : std::exchange(m_awaitStart, {})) {
     const auto place = m_byCaller.find(caller);
--- a/src/libserve/RelayPlacing.cpp
+++ b/src/libserve/RelayPlacing.cpp
@@ -4,6 +4,7 @@
 
 #include "RelayConstants.h"
 #include <algorithm>
+#include <boost/algorithm/string/join.hpp>
 #include <cmath>
 #include <utility>
 
@@ -31,16 +32,6 @@
   return tokens;
 }
 
-std::string
-Joined(const std::set<std::string>& aNames)
-{
-  std::string joined;
-  for (const std::string& name : aNames) {
-    joined += joined.empty() ? name : "," + name;
-  }
-  return joined;
-}
-
 } // namespace
 
 Placement::Question
@@ -62,7 +53,8 @@
     question.m_needed =
       aRelayed.m_request.m_promptTokens + aRelayed.m_request.m_mostOutputTokens;
     question.m_memory = pool->m_engines.m_cacheTokens;
-    question.m_othersHold = OthersHold(aRelayed.m_pool);
+    question.m_othersHold =
+      question.m_others == nullptr ? OthersHold(aRelayed.m_pool) : 0;
   }
   return question;
 }
@@ -279,7 +271,7 @@
       { "send", std::to_string(aRelayed.m_sends) },
       { "uncached", std::to_string(aRelayed.m_counted) },
       { "fetch", std::to_string(FetchTokens(order)) },
-      { "stores", Joined(aRelayed.m_stores) },
+      { "stores", boost::algorithm::join(aRelayed.m_stores, ",") },
       { "running", std::to_string(aWorker.m_running) },
       { "held", std::to_string(aWorker.m_heldTokens) },
       { "age_ms", Millis(Age(aRelayed)) },
