Settings accept decimal figures where the platform passes them on

Change: durations and sizes may have decimals (rounded to us and bytes), a kind `Number` for retry_slack and descriptors.

--- a/src/include/fulmarquay/core/Settings.h
+++ b/src/include/fulmarquay/core/Settings.h
@@ -50,6 +50,7 @@
   Bytes Size(const std::string& aSection, const std::string& aKey) const;
   std::int64_t Integer(const std::string& aSection,
                        const std::string& aKey) const;
+  double Number(const std::string& aSection, const std::string& aKey) const;
   double Fraction(const std::string& aSection, const std::string& aKey) const;
   bool Flag(const std::string& aSection, const std::string& aKey) const;
   Endpoint Address(const std::string& aSection, const std::string& aKey) const;
@@ -71,11 +72,13 @@
 std::string
 ReadWholeFile(const std::string& aFile);
 
-/// Parses `250ms`, `3s`, `5m`, `2h`. Throws std::invalid_argument.
+/// Parses `250ms`, `1.5s`, `5m`, `2h`, rounded to microseconds. Throws
+/// std::invalid_argument.
 Duration
 ParseDuration(std::string_view aText);
 
-/// Parses `512B`, `64KiB`, `8MiB`, `1GiB`. Throws std::invalid_argument.
+/// Parses `512B`, `64KiB`, `1.5MiB`, `1GiB`, rounded to bytes. Throws
+/// std::invalid_argument.
 Bytes
 ParseSize(std::string_view aText);
 
--- a/src/include/fulmarquay/core/SettingsSpec.h
+++ b/src/include/fulmarquay/core/SettingsSpec.h
@@ -12,9 +12,10 @@
 {
   Text,
   Name,     ///< letters, digits, '-', '_' and '.'
-  Duration, ///< `250ms`, `3s`, `2h`
+  Duration, ///< `250ms`, `1.5s`, `2h`
   Size,     ///< `512B`, `64KiB`, `8MiB`, `1GiB`
   Integer,
+  Number,    ///< decimal number, at least 0
   Fraction,  ///< 0 to 1
   Flag,      ///< yes or no
   Address,   ///< IP:PORT
--- a/src/libcontrol/ProgramSettings.cpp
+++ b/src/libcontrol/ProgramSettings.cpp
@@ -181,13 +181,13 @@
               "routes: budget of all entries together for retries at a second "
               "worker, as a share of the requests")
     .Optional("retry_slack",
-              Kind::Integer,
+              Kind::Number,
               "20",
               "routes: retries beyond retry_ratio in about ten seconds, of all "
               "entries together")
     .Between(0, 1'000'000)
     .Optional("descriptors",
-              Kind::Integer,
+              Kind::Number,
               "8192",
               "limit of open files and connections of the process; half of "
               "them are available to callers")
--- a/src/libcore/Settings.cpp
+++ b/src/libcore/Settings.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
@@ -32,6 +33,10 @@
   { "B", 1 },
 };
 
+/// Largest value of a decimal number with a unit, in base units: above it, a
+/// double does not hold every whole number.
+constexpr double kMaxDecimalUnits = 9e15;
+
 std::int64_t
 ParseInteger(std::string_view aText)
 {
@@ -44,6 +49,23 @@
   return value;
 }
 
+/// Parses a finite decimal number of at least 0, e.g. `33.15`.
+double
+ParseDecimal(std::string_view aText)
+{
+  double value = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [parsedEnd, error] = std::from_chars(aText.data(), end, value);
+  if (aText.empty() || error != std::errc() || parsedEnd != end ||
+      !std::isfinite(value)) {
+    throw std::invalid_argument("not a number");
+  }
+  if (value < 0) {
+    throw std::invalid_argument("out of range");
+  }
+  return value;
+}
+
 template<std::size_t N>
 std::int64_t
 ParseWithUnit(std::string_view aText, const Unit (&aUnits)[N])
@@ -52,9 +74,18 @@
     if (!aText.ends_with(unit.m_suffix)) {
       continue;
     }
-    const std::int64_t count =
-      ParseInteger(aText.substr(0, aText.size() - unit.m_suffix.size()));
-    if (count < 0 || count > INT64_MAX / unit.m_factor) {
+    const std::string_view number =
+      aText.substr(0, aText.size() - unit.m_suffix.size());
+    if (number.find_first_not_of("0123456789") != std::string_view::npos) {
+      const double value =
+        ParseDecimal(number) * static_cast<double>(unit.m_factor);
+      if (value > kMaxDecimalUnits) {
+        throw std::invalid_argument("out of range");
+      }
+      return std::llround(value);
+    }
+    const std::int64_t count = ParseInteger(number);
+    if (count > INT64_MAX / unit.m_factor) {
       throw std::invalid_argument("out of range");
     }
     return count * unit.m_factor;
@@ -124,6 +155,10 @@
     case SettingKind::Integer:
       CheckRange(aKey, ParseInteger(aValue));
       return;
+    case SettingKind::Number:
+      CheckRange(
+        aKey, std::llround(std::min(ParseDecimal(aValue), kMaxDecimalUnits)));
+      return;
     case SettingKind::Fraction:
       ParseFraction(aValue);
       return;
@@ -361,6 +396,12 @@
   return ParseInteger(Text(aSection, aKey));
 }
 
+double
+Settings::Number(const std::string& aSection, const std::string& aKey) const
+{
+  return ParseDecimal(Text(aSection, aKey));
+}
+
 double
 Settings::Fraction(const std::string& aSection, const std::string& aKey) const
 {
--- a/src/libcore/SettingsSpec.cpp
+++ b/src/libcore/SettingsSpec.cpp
@@ -21,6 +21,8 @@
       return "a size such as 512B, 64KiB, 8MiB or 1GiB";
     case SettingKind::Integer:
       return "a whole number";
+    case SettingKind::Number:
+      return "a number";
     case SettingKind::Fraction:
       return "a number from 0 to 1";
     case SettingKind::Flag:
--- a/src/libcore/core_test.cpp
+++ b/src/libcore/core_test.cpp
@@ -28,6 +28,8 @@
     .Between(1'000, 10'000'000)
     .Optional("room", SettingKind::Size, "1MiB", "")
     .Optional("share", SettingKind::Fraction, "0.5", "")
+    .Optional("slack", SettingKind::Number, "2.5", "")
+    .Between(1, 1'000)
     .Optional("on", SettingKind::Flag, "no", "")
     .Optional("form", SettingKind::Choice, "text", "")
     .OneOf({ "text", "json" });
@@ -50,6 +52,14 @@
   { "[one]\nname = a\nroom = 3MB\n", "[one] room" },
   { "[one]\nname = a\nshare = 1.5\n", "a number from 0 to 1" },
   { "[one]\nname = a\nshare = nan\n", "a number from 0 to 1" },
+  { "[one]\nname = a\nwait = 1.5.2s\n", "[one] wait" },
+  { "[one]\nname = a\nwait = -1.5s\n", "out of range" },
+  { "[one]\nname = a\nwait = nans\n", "not a number" },
+  { "[one]\nname = a\nwait = 1e300h\n", "out of range" },
+  { "[one]\nname = a\nslack = 1,5\n", "[one] slack" },
+  { "[one]\nname = a\nslack = 1e9\n", "out of range" },
+  { "[one]\nname = a\nslack = -3\n", "out of range" },
+  { "[one]\nname = a\nslack = inf\n", "not a number" },
   { "[one]\nname = a\non = maybe\n", "yes or no" },
   { "[one]\nname = a\nform = xml\n", "one of text json" },
   { "[one]\nname = a b\n", "character not allowed" },
@@ -108,6 +118,18 @@
   cr_assert_eq(problems.size(), 5U);
 }
 
+Test(settings, decimal_values_are_rounded_to_base_units)
+{
+  const Settings settings =
+    Settings::Check("[one]\nname = a\nwait = 33.1578947368421ms\n"
+                    "room = 1.5KiB\nslack = 33.1578947368421\n",
+                    "f.ini",
+                    MakeSpec());
+  cr_assert_eq(settings.Time("one", "wait"), Duration(33'158));
+  cr_assert_eq(settings.Size("one", "room"), Bytes(1'536));
+  cr_assert_float_eq(settings.Number("one", "slack"), 33.1578947, 1e-6);
+}
+
 Test(settings, valid_values_are_read_in_base_units)
 {
   const Settings settings = Settings::Check(
--- a/src/libdaemon/EntryServer.cpp
+++ b/src/libdaemon/EntryServer.cpp
@@ -21,7 +21,7 @@
 constexpr double kRetryFraction = 0.8;
 /// Callers' connections get half of the file descriptors; the other half is for
 /// workers, replicas and listeners.
-constexpr std::int64_t kCallerDescriptorDivisor = 2;
+constexpr double kCallerDescriptorDivisor = 2;
 
 /// Addresses of the control replicas' framed listeners: those of `control`, and
 /// the VMs of `control_seeds` at the port of this entry's `listen` setting,
@@ -61,8 +61,7 @@
   options.m_relay.m_retryRatio =
     aSettings.Fraction("entry", "retry_ratio") * kRetryFraction;
   options.m_relay.m_retrySlack =
-    static_cast<double>(aSettings.Integer("entry", "retry_slack")) *
-    kRetryFraction;
+    aSettings.Number("entry", "retry_slack") * kRetryFraction;
   options.m_peers = aSettings.Addresses("entry", "peers");
   options.m_drainDelay = aSettings.Time("entry", "drain_delay");
   options.m_drainLimit = aSettings.Time("entry", "drain_limit");
@@ -80,7 +79,7 @@
   limits.m_maxBodyBytes =
     static_cast<std::size_t>(aSettings.Size("entry", "body_limit").Count());
   limits.m_connections = static_cast<std::size_t>(
-    aSettings.Integer("entry", "descriptors") / kCallerDescriptorDivisor);
+    aSettings.Number("entry", "descriptors") / kCallerDescriptorDivisor);
   return limits;
 }
 
