HTTP: responses without end, second copies and stalled callers are bounded

Cause, found by reading the client and server beside the list of faults that operators reported: - a response was bounded by 64 MiB of body only; bytes before the end of a head, chunk extensions and responses to earlier requests had no bound, and a byte now and then renewed the only timeout of calls without an owner's limit; - calls without a correlation header (services of the questionnaire, reports, lists) reused connections, on which a late second copy of an earlier response would have been taken for theirs; a success without the header was accepted; - an interim response (1xx) counted as final; - a process that had drained ended while bytes of its last responses were queued; - a caller that took nothing of its response kept it in memory for good. Change: bytes, unparsed bytes and skipped responses of a call are bounded, calls can have a total timeout; only calls whose response can be identified reuse a connection (header, or event numbers for stores); the server tells whether it is idle, an entry ends after that, and a caller that takes no 64 KiB in the read timeout is disconnected. Measured: tests over real sockets: twelve kinds of endless responses end within the byte limit.

--- a/src/include/fulmarquay/control/PartStoreProtocol.h
+++ b/src/include/fulmarquay/control/PartStoreProtocol.h
@@ -14,6 +14,7 @@
 /// A part was received completely or removed by a store.
 struct StoreEvent
 {
+  std::uint64_t m_number = 0; ///< grows with each event; 0 in lists
   bool m_isAdded = false;
   PartName m_part;
   std::int64_t m_tokens = 0;
@@ -24,7 +25,7 @@
 struct StoreEventBatch
 {
   std::uint64_t m_epoch = 0;  ///< changes when the store restarts
-  std::uint64_t m_next = 0;   ///< number of the first event of the next call
+  std::uint64_t m_next = 0;   ///< the next call asks for events after this one
   bool m_isGap = false;       ///< events before these were lost
   std::int64_t m_clockMs = 0; ///< the workers' clock; 0: not reported
   std::vector<StoreEvent> m_events;
@@ -45,7 +46,7 @@
 public:
   virtual ~PartStoreProtocol() = default;
 
-  /// Requests events from number aSince on; the store waits up to aWait for
+  /// Requests events after number aSince; the store waits up to aWait for
   /// one.
   virtual HttpRequest Events(std::uint64_t aSince, Duration aWait) const = 0;
   virtual StoreEventBatch ParseEvents(const std::string& aBody) const = 0;
--- a/src/include/fulmarquay/control/StoreManager.h
+++ b/src/include/fulmarquay/control/StoreManager.h
@@ -121,6 +121,8 @@
                std::size_t aStore,
                HttpRequest aRequest,
                Duration aTimeout);
+  /// Whether an answer to an events call repeats events that were applied.
+  static bool IsOutdated(const Store& aStore, const StoreEventBatch& aBatch);
   void OnEvents(std::size_t aStore,
                 const StoreEventBatch& aBatch,
                 bool aIsList);
--- a/src/include/fulmarquay/daemon/EntryServer.h
+++ b/src/include/fulmarquay/daemon/EntryServer.h
@@ -68,6 +68,8 @@
   void Execute(const ReplyToPeer& aEffect);
   void Execute(const LogLine& aEffect);
   void Execute(EntryStopped aEffect);
+  /// Ends the process once all responses are sent, or after a time.
+  void StopWhenIdle();
   void Tick();
   void ConnectControl();
   void AwaitSignal();
@@ -82,6 +84,7 @@
   std::vector<ControlLink> m_control;
   std::map<Endpoint, ConnectionId> m_peers;
   int m_ticks = 0;
+  TimePoint m_stopBy; ///< end of the process; not set while it serves
   SettingsReload m_reload;
   HttpServerLimits m_configuredLimits; ///< from the settings
   Revision m_limitsRevision; ///< of the routes whose limits are applied
--- a/src/include/fulmarquay/serve/EventStreamSplitter.h
+++ b/src/include/fulmarquay/serve/EventStreamSplitter.h
@@ -1,6 +1,7 @@
 #ifndef FULMARQUAY_SERVE_EVENTSTREAMSPLITTER_H
 #define FULMARQUAY_SERVE_EVENTSTREAMSPLITTER_H
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -22,6 +23,8 @@
   /// Id of the last complete event; -1 before the first one.
   std::int64_t LastId() const { return m_lastId; }
   bool HasPartial() const { return !m_partial.empty(); }
+  /// Size of the incomplete event that is held.
+  std::size_t PartialBytes() const { return m_partial.size(); }
 
 private:
   void ReadIds(std::string_view aEvents);
--- a/src/include/fulmarquay/wire/HttpClient.h
+++ b/src/include/fulmarquay/wire/HttpClient.h
@@ -18,7 +18,7 @@
   Complete,   ///< the complete response was received
   NotSent,    ///< no byte of the request left this process
   Incomplete, ///< may have been executed; the response is missing or incomplete
-  TimedOut,   ///< like Incomplete, caused by HttpCall::m_idleTimeout
+  TimedOut,   ///< like Incomplete, caused by a time limit of the HttpCall
 };
 
 /// Receives the response of a call. Called on the client's thread.
@@ -43,14 +43,21 @@
   CallId m_call;
   Endpoint m_peer;
   HttpRequest m_request;
-  /// Maximum time without progress; 0 disables it, and the owner of the call
-  /// limits the duration itself.
+  /// Maximum time without a received byte; 0 disables it, and the owner of the
+  /// call limits the duration itself.
   Duration m_idleTimeout = Duration(30'000'000);
+  /// Maximum time of the whole call, which also ends a response that arrives
+  /// byte by byte; 0 disables it.
+  Duration m_totalTimeout{};
+  /// Maximum size of the response with its framing, responses to earlier
+  /// requests included.
+  std::size_t m_maxResponseBytes = 16U << 20U;
   /// Maximum time to open a connection.
   Duration m_connectTimeout = Duration(1'000'000);
-  /// Always opens a new connection. The peer may have closed an idle one, and
-  /// then it is unknown whether the peer has read the request.
-  bool m_useNewConnection = false;
+  /// The owner recognizes a copy of an earlier response by its content. Calls
+  /// with neither this nor a correlation header use a connection of their own,
+  /// because a second copy of an earlier response may arrive on a kept one.
+  bool m_isContentChecked = false;
   /// Checks only whether the peer accepts a connection, without sending the
   /// request. Ends as Complete or NotSent.
   bool m_isProbe = false;
@@ -59,8 +66,8 @@
   Duration m_peerTimeout{};
   /// Header that identifies the response to this request. A response with
   /// another value belongs to an earlier request on the connection and is
-  /// dropped; one without the header is accepted. An empty name disables the
-  /// check.
+  /// dropped. One without the header is accepted, but on a kept connection only
+  /// if it reports an error. An empty name disables the check.
   HttpHeader m_correlationHeader;
 };
 
--- a/src/include/fulmarquay/wire/HttpServer.h
+++ b/src/include/fulmarquay/wire/HttpServer.h
@@ -30,7 +30,9 @@
 {
   std::size_t m_maxHeaderBytes = 16U << 10U;
   std::size_t m_maxBodyBytes = 4U << 20U;
-  /// Maximum time until the next request is complete, idle time included.
+  /// Maximum time until the next request is complete, idle time included. A
+  /// caller that takes no piece of its response for this long is disconnected
+  /// within twice the time.
   Duration m_readTimeout = Duration(10'000'000);
   std::size_t m_connections = 4096; ///< further connections are closed
 };
@@ -71,6 +73,10 @@
   /// closed without the final chunk, which the caller detects as an error.
   void StreamEnd(CallerId aCaller, bool aIsComplete);
 
+  /// Whether no request is being received or answered and all bytes of the
+  /// responses were passed to the system.
+  bool IsIdle() const;
+
   /// The number of received requests whose response has not ended.
   std::size_t Running() const;
 
--- a/src/libcontrol/ControlNodeLeader.cpp
+++ b/src/libcontrol/ControlNodeLeader.cpp
@@ -173,7 +173,7 @@
   call.m_peer = engine->second.m_address;
   call.m_request = std::move(aRequest);
   call.m_idleTimeout = m_rollout.Options().m_orderTimeout;
-  call.m_useNewConnection = aIsOrder;
+  call.m_totalTimeout = call.m_idleTimeout;
   m_engineCalls[call.m_call] = { aEngine, aIsOrder };
   Emit(StartUpstreamCall{ std::move(call) });
 }
--- a/src/libcontrol/FleetManager.cpp
+++ b/src/libcontrol/FleetManager.cpp
@@ -257,8 +257,8 @@
   call.m_peer = aEngine.m_address;
   call.m_request = std::move(aRequest);
   call.m_idleTimeout = aTimeout;
+  call.m_totalTimeout = aTimeout;
   call.m_connectTimeout = aTimeout;
-  call.m_useNewConnection = aKind == CallKind::Order;
   const CallId id = m_context.CallUpstream(std::move(call));
   m_calls[id] = { aKind, aEngine.m_id, aEngine.m_model };
 }
--- a/src/libcontrol/StoreManager.cpp
+++ b/src/libcontrol/StoreManager.cpp
@@ -158,7 +158,10 @@
   call.m_peer = Endpoint::Parse(m_stores[aStore].m_info.m_address);
   call.m_request = std::move(aRequest);
   call.m_idleTimeout = aTimeout;
+  call.m_totalTimeout = aTimeout;
   call.m_connectTimeout = kCallTimeout;
+  // Events are numbered, which identifies a copy of an earlier answer.
+  call.m_isContentChecked = aKind == CallKind::Events;
   const CallId id = m_context.CallUpstream(std::move(call));
   m_calls[id] = { aKind, aStore };
   return id;
@@ -282,12 +285,32 @@
   return m_workersClockMs + ToMillis(m_context.Now() - m_workersClockAt);
 }
 
+bool
+StoreManager::IsOutdated(const Store& aStore, const StoreEventBatch& aBatch)
+{
+  const bool hasOldEvent = std::any_of(
+    aBatch.m_events.begin(), aBatch.m_events.end(), [&](const auto& aEvent) {
+      return aEvent.m_number <= aStore.m_next;
+    });
+  return aBatch.m_epoch == aStore.m_epoch &&
+         (aBatch.m_next < aStore.m_next || hasOldEvent);
+}
+
 void
 StoreManager::OnEvents(std::size_t aStore,
                        const StoreEventBatch& aBatch,
                        bool aIsList)
 {
   Store& store = m_stores[aStore];
+  if (!aIsList && IsOutdated(store, aBatch)) {
+    m_context.Log(LogEvent::UpstreamFailed,
+                  { { "store", store.m_info.m_name },
+                    { "why", "a copy of an earlier answer" },
+                    { "next", std::to_string(aBatch.m_next) },
+                    { "expected_after", std::to_string(store.m_next) } });
+    store.m_nextPoll = m_context.Now();
+    return;
+  }
   UpdateClock(aBatch);
   store.m_nextPoll = m_context.Now();
   const bool isRestarted = store.m_epoch != aBatch.m_epoch;
--- a/src/libcontrol/fleet_test.cpp
+++ b/src/libcontrol/fleet_test.cpp
@@ -384,8 +384,11 @@
                 std::int64_t aTokens,
                 const std::string& aScope = "w1")
   {
-    StoreEvent event{ aTokens > 0, { aScope, aId }, aTokens, "m" };
-    m_protocol->m_batch.m_events.push_back(event);
+    m_protocol->m_batch.m_events.push_back({ ++m_protocol->m_batch.m_next,
+                                             aTokens > 0,
+                                             { aScope, aId },
+                                             aTokens,
+                                             "m" });
   }
 
   FakeFleetContext m_context;
@@ -461,6 +464,26 @@
   cr_assert_eq(fixture.m_manager.PartCount(), 1U);
 }
 
+Test(stores, copy_of_an_earlier_answer_changes_nothing)
+{
+  StoreFixture fixture;
+  fixture.AddEvent("a", 10);
+  const StoreEventBatch earlier = fixture.m_protocol->m_batch;
+  fixture.Advance(20);
+  fixture.AddEvent("a", 0);
+  fixture.Advance(20);
+  cr_assert_eq(fixture.m_manager.PartCount(), 0U);
+  const StoreEventBatch current = fixture.m_protocol->m_batch;
+  fixture.m_protocol->m_batch = earlier;
+  fixture.Advance(20);
+  cr_assert_eq(fixture.m_manager.PartCount(), 0U);
+  // The next answer is applied as usual.
+  fixture.m_protocol->m_batch = current;
+  fixture.AddEvent("b", 20);
+  fixture.Advance(20);
+  cr_assert_eq(fixture.m_manager.PartCount(), 1U);
+}
+
 Test(stores, full_store_evicts_least_recently_used_parts)
 {
   StoreFixture fixture(1'000);
--- a/src/libdaemon/EntryServer.cpp
+++ b/src/libdaemon/EntryServer.cpp
@@ -14,6 +14,9 @@
 
 constexpr std::chrono::milliseconds kTickInterval(10);
 constexpr int kTicksPerReconnect = 20;
+/// Time after the drain for the last bytes of responses to be sent and requests
+/// that were just received to be refused.
+constexpr Duration kStopTimeout(1'000'000);
 // Shares of the platform's limits that this entry uses. The rest allows for the
 // transit time of requests and for clocks that run at different rates.
 constexpr int kKeyLeasePercent = 80;
@@ -200,6 +203,7 @@
     }
     ProcessEvent(EntryTick{});
     ApplyRouteLimits();
+    StopWhenIdle();
     FlushLog();
     Tick();
   });
@@ -302,7 +306,20 @@
 void
 EntryServer::Execute(EntryStopped)
 {
-  m_context.stop();
+  m_server.StopAccepting();
+  m_stopBy = MonotonicNow() + kStopTimeout;
+  StopWhenIdle();
+}
+
+void
+EntryServer::StopWhenIdle()
+{
+  if (m_stopBy == TimePoint()) {
+    return;
+  }
+  if (m_server.IsIdle() || MonotonicNow() >= m_stopBy) {
+    m_context.stop();
+  }
 }
 
 void
--- a/src/libserve/CacheFlow.cpp
+++ b/src/libserve/CacheFlow.cpp
@@ -379,6 +379,7 @@
     call.m_peer = store->second.m_address;
     call.m_request = m_protocol->Free(order.m_key, order.m_generation);
     call.m_idleTimeout = kStoreTimeout;
+    call.m_totalTimeout = kStoreTimeout;
     StoreCall record;
     record.m_store = order.m_store;
     m_calls.emplace(m_context.Call(std::move(call), *this), record);
@@ -444,6 +445,7 @@
   call.m_peer = m_config.Current()->m_stores.at(aStore).m_address;
   call.m_request = m_protocol->List(aAfter);
   call.m_idleTimeout = kStoreTimeout;
+  call.m_totalTimeout = kStoreTimeout;
   StoreCall record;
   record.m_store = aStore;
   record.m_isListing = true;
--- a/src/libserve/EngineMonitor.cpp
+++ b/src/libserve/EngineMonitor.cpp
@@ -83,6 +83,7 @@
   call.m_request =
     m_protocol.Report(aMonitored.m_needsResync ? 0 : aMonitored.m_nextEvent);
   call.m_idleTimeout = kPollTimeout;
+  call.m_totalTimeout = kPollTimeout;
   Poll poll;
   poll.m_engine = aEngine;
   m_polls.emplace(m_context.Call(std::move(call), *this), std::move(poll));
--- a/src/libserve/EventStreamSplitter.cpp
+++ b/src/libserve/EventStreamSplitter.cpp
@@ -14,12 +14,15 @@
 std::string
 EventStreamSplitter::Feed(std::string_view aBytes)
 {
+  // The held bytes contain no event end, but may end within one.
+  const std::size_t begin = m_partial.empty() ? 0 : m_partial.size() - 1;
   m_partial += aBytes;
-  const std::size_t last = m_partial.rfind(kEventEnd);
-  if (last == std::string::npos) {
+  const std::size_t last =
+    std::string_view(m_partial).substr(begin).rfind(kEventEnd);
+  if (last == std::string_view::npos) {
     return "";
   }
-  std::string events = m_partial.substr(0, last + kEventEnd.size());
+  std::string events = m_partial.substr(0, begin + last + kEventEnd.size());
   m_partial.erase(0, events.size());
   ReadIds(events);
   return events;
--- a/src/libserve/ServiceFlow.cpp
+++ b/src/libserve/ServiceFlow.cpp
@@ -12,6 +12,8 @@
 constexpr Duration kRetryAfter(1'000'000);
 /// Larger bodies are left out of the stored answer of a once-only call.
 constexpr std::size_t kMaxStoredBodyBytes = 64U << 10U;
+/// Services answer with small documents, which this process holds completely.
+constexpr std::size_t kMaxResponseBytes = 4U << 20U;
 constexpr const char* kOutcomeHeader = "Fulmarquay-Outcome";
 
 std::string
@@ -202,7 +204,8 @@
   call.m_request.m_headers = ForwardedHeaders(run.m_request);
   call.m_request.m_body = run.m_request.m_body;
   call.m_idleTimeout = run.m_service.m_timeout;
-  call.m_useNewConnection = run.m_isOnce;
+  call.m_totalTimeout = run.m_service.m_timeout;
+  call.m_maxResponseBytes = kMaxResponseBytes;
   run.m_call = m_context.Call(std::move(call), *this);
   m_byCall[run.m_call] = aId;
 }
--- a/src/libserve/serve_test.cpp
+++ b/src/libserve/serve_test.cpp
@@ -683,7 +683,9 @@
   entry.Feed(ControlReply{ 0, granted });
   const auto calls = entry.TakeCalls("/deposit");
   cr_assert_eq(calls.size(), 1U);
-  cr_assert(calls[0].m_call.m_useNewConnection);
+  // Without a correlation header the client opens a new connection.
+  cr_assert(calls[0].m_call.m_correlationHeader.m_name.empty());
+  cr_assert(!calls[0].m_call.m_isContentChecked);
   // A duplicate of the grant does not send the call again.
   entry.Feed(ControlReply{ 0, granted });
   cr_assert(entry.TakeCalls("/deposit").empty());
--- a/src/libwire/HttpClient.cpp
+++ b/src/libwire/HttpClient.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <algorithm>
 #include <array>
 #include <cstdlib>
 #include <list>
@@ -28,7 +29,14 @@
 
 constexpr std::size_t kMaxIdlePerPeer = 64;
 constexpr std::size_t kReadBufferBytes = 16U << 10U;
-constexpr std::uint64_t kMaxResponseBytes = 64U << 20U;
+/// Limit of received bytes that are not parsed yet: a head, or the framing of a
+/// chunk with its extensions. Larger ones are errors.
+constexpr std::size_t kMaxUnparsedBytes = 64U << 10U;
+/// Responses to earlier requests and interim ones that are skipped before the
+/// call fails.
+constexpr int kMaxSkippedResponses = 4;
+constexpr unsigned kFirstFinalStatus = 200; ///< lower ones are interim
+constexpr unsigned kFirstErrorStatus = 400;
 /// An idle connection is reused only for this fraction of the keep-alive
 /// timeout announced by its peer, well before the peer may close it.
 constexpr int kIdleReuseDivisor = 2;
@@ -56,6 +64,7 @@
 {
   explicit Connection(asio::io_context& aContext)
     : m_stream(aContext)
+    , m_buffer(kMaxUnparsedBytes)
   {
   }
   beast::tcp_stream m_stream;
@@ -101,8 +110,19 @@
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::array<char, kReadBufferBytes> m_bodyBuffer{};
     bool m_isSendStarted = false;
-    /// The response being read belongs to an earlier request.
-    bool m_isStaleResponse = false;
+    bool m_isConnectionKept = false; ///< the connection had earlier calls
+    /// The response being read is interim or belongs to an earlier request.
+    bool m_isSkippedResponse = false;
+    int m_skippedResponses = 0;
+    std::size_t m_receivedBytes = 0;
+    TimePoint m_startedAt;
+
+    /// Whether a response to an earlier request would be recognized.
+    bool MayUseKeptConnection() const
+    {
+      return !m_call.m_correlationHeader.m_name.empty() ||
+             m_call.m_isContentChecked;
+    }
   };
   using ActiveCallPtr = std::shared_ptr<ActiveCall>;
 
@@ -116,9 +136,11 @@
   void Fail(const ActiveCallPtr& aActive, const error_code& aError);
   void Finish(const ActiveCallPtr& aActive);
   void Close(Connection& aConnection);
-  void SetIdleTimeout(const ActiveCall& aActive);
+  static void SetTimeout(const ActiveCall& aActive);
+  /// Counts received bytes; returns false above the limit of the call.
+  static bool CountBytes(ActiveCall& aActive, std::size_t aBytes);
   void CloseIdle(const Endpoint& aPeer);
-  static bool IsStaleResponse(const ActiveCall& aActive);
+  static bool IsSkippedResponse(const ActiveCall& aActive);
 
   HttpCallHandler& m_handler;
   std::map<CallId, ActiveCallPtr> m_activeCalls;
@@ -174,8 +196,10 @@
   request.body() = source.m_body;
   request.prepare_payload();
   m_activeCalls[active->m_call.m_call] = active;
-  if (!active->m_call.m_useNewConnection && !active->m_call.m_isProbe) {
+  active->m_startedAt = MonotonicNow();
+  if (active->MayUseKeptConnection() && !active->m_call.m_isProbe) {
     active->m_connection = TakeIdle(active->m_call.m_peer);
+    active->m_isConnectionKept = active->m_connection != nullptr;
   }
   if (active->m_connection) {
     WriteRequest(active);
@@ -185,27 +209,48 @@
 }
 
 void
-HttpClient::Impl::SetIdleTimeout(const ActiveCall& aActive)
+HttpClient::Impl::SetTimeout(const ActiveCall& aActive)
 {
-  if (aActive.m_call.m_idleTimeout > Duration(0)) {
-    aActive.m_connection->m_stream.expires_after(aActive.m_call.m_idleTimeout);
+  const HttpCall& call = aActive.m_call;
+  Duration timeout = call.m_idleTimeout;
+  if (call.m_totalTimeout > Duration(0)) {
+    const Duration left = std::max(
+      aActive.m_startedAt + call.m_totalTimeout - MonotonicNow(), Duration(1));
+    timeout = timeout > Duration(0) ? std::min(timeout, left) : left;
+  }
+  if (timeout > Duration(0)) {
+    aActive.m_connection->m_stream.expires_after(timeout);
   } else {
     aActive.m_connection->m_stream.expires_never();
   }
 }
 
 bool
-HttpClient::Impl::IsStaleResponse(const ActiveCall& aActive)
+HttpClient::Impl::CountBytes(ActiveCall& aActive, std::size_t aBytes)
+{
+  aActive.m_receivedBytes += aBytes;
+  return aActive.m_receivedBytes <= aActive.m_call.m_maxResponseBytes;
+}
+
+bool
+HttpClient::Impl::IsSkippedResponse(const ActiveCall& aActive)
 {
   const HttpHeader& expected = aActive.m_call.m_correlationHeader;
+  const auto& response = aActive.m_parser->get();
+  if (response.result_int() < kFirstFinalStatus) {
+    return true;
+  }
   if (expected.m_name.empty()) {
     return false;
   }
-  const auto& response = aActive.m_parser->get();
   const auto found = response.find(expected.m_name);
-  // A response without the header is accepted: it may be an error that the
-  // peer sent before it read the request headers.
-  return found != response.end() && found->value() != expected.m_value;
+  if (found != response.end()) {
+    return found->value() != expected.m_value;
+  }
+  // A peer may send an error before it has read the request headers. Any other
+  // response without the header may be a copy of an earlier one.
+  const bool isError = response.result_int() >= kFirstErrorStatus;
+  return aActive.m_isConnectionKept && !isError;
 }
 
 void
@@ -246,7 +291,7 @@
 HttpClient::Impl::WriteRequest(const ActiveCallPtr& aActive)
 {
   aActive->m_isSendStarted = true;
-  SetIdleTimeout(*aActive);
+  SetTimeout(*aActive);
   auto self = shared_from_this();
   http::async_write(aActive->m_connection->m_stream,
                     aActive->m_request,
@@ -266,14 +311,14 @@
 HttpClient::Impl::ReadHead(const ActiveCallPtr& aActive)
 {
   aActive->m_parser.emplace();
-  aActive->m_parser->body_limit(kMaxResponseBytes);
-  SetIdleTimeout(*aActive);
+  aActive->m_parser->body_limit(aActive->m_call.m_maxResponseBytes);
+  SetTimeout(*aActive);
   auto self = shared_from_this();
   http::async_read_header(
     aActive->m_connection->m_stream,
     aActive->m_connection->m_buffer,
     *aActive->m_parser,
-    [self, aActive](const error_code& aError, std::size_t) {
+    [self, aActive](const error_code& aError, std::size_t aBytes) {
       if (!self->IsCurrent(aActive)) {
         return;
       }
@@ -281,9 +326,17 @@
         self->Fail(aActive, aError);
         return;
       }
-      aActive->m_isStaleResponse = IsStaleResponse(*aActive);
-      if (aActive->m_isStaleResponse) {
-        self->ReadBody(aActive);
+      if (!CountBytes(*aActive, aBytes)) {
+        self->Fail(aActive, http::error::body_limit);
+        return;
+      }
+      aActive->m_isSkippedResponse = IsSkippedResponse(*aActive);
+      if (aActive->m_isSkippedResponse) {
+        if (++aActive->m_skippedResponses > kMaxSkippedResponses) {
+          self->Fail(aActive, http::error::unexpected_body);
+        } else {
+          self->ReadBody(aActive);
+        }
         return;
       }
       HttpResponse head;
@@ -303,9 +356,9 @@
 HttpClient::Impl::ReadBody(const ActiveCallPtr& aActive)
 {
   if (aActive->m_parser->is_done()) {
-    if (aActive->m_isStaleResponse && aActive->m_parser->keep_alive()) {
+    if (aActive->m_isSkippedResponse && aActive->m_parser->keep_alive()) {
       ReadHead(aActive);
-    } else if (aActive->m_isStaleResponse) {
+    } else if (aActive->m_isSkippedResponse) {
       Fail(aActive, http::error::partial_message);
     } else {
       Finish(aActive);
@@ -315,16 +368,19 @@
   auto& body = aActive->m_parser->get().body();
   body.data = aActive->m_bodyBuffer.data();
   body.size = aActive->m_bodyBuffer.size();
-  SetIdleTimeout(*aActive);
+  SetTimeout(*aActive);
   auto self = shared_from_this();
-  http::async_read_some(aActive->m_connection->m_stream,
-                        aActive->m_connection->m_buffer,
-                        *aActive->m_parser,
-                        [self, aActive](const error_code& aError, std::size_t) {
-                          if (self->IsCurrent(aActive)) {
-                            self->OnBody(aActive, aError);
-                          }
-                        });
+  http::async_read_some(
+    aActive->m_connection->m_stream,
+    aActive->m_connection->m_buffer,
+    *aActive->m_parser,
+    [self, aActive](const error_code& aError, std::size_t aBytes) {
+      if (!self->IsCurrent(aActive)) {
+        return;
+      }
+      const bool isBelowLimit = CountBytes(*aActive, aBytes);
+      self->OnBody(aActive, isBelowLimit ? aError : http::error::body_limit);
+    });
 }
 
 void
@@ -333,7 +389,7 @@
   const bool isBufferFull = aError == http::error::need_buffer;
   const std::size_t size =
     aActive->m_bodyBuffer.size() - aActive->m_parser->get().body().size;
-  if (size > 0 && !aActive->m_isStaleResponse) {
+  if (size > 0 && !aActive->m_isSkippedResponse) {
     m_handler.OnData(aActive->m_call.m_call,
                      std::string(aActive->m_bodyBuffer.data(), size));
   }
@@ -396,7 +452,7 @@
   // Bytes after the response belong to no request.
   const bool isBufferEmpty = connection.m_buffer.size() == 0;
   if (aActive->m_parser->keep_alive() && isBufferEmpty &&
-      idle.size() < kMaxIdlePerPeer) {
+      aActive->MayUseKeptConnection() && idle.size() < kMaxIdlePerPeer) {
     idle.push_back(aActive->m_connection);
   } else {
     Close(*aActive->m_connection);
--- a/src/libwire/HttpServer.cpp
+++ b/src/libwire/HttpServer.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -24,6 +25,9 @@
 using asio::ip::tcp;
 using beast::error_code;
 
+/// Responses are written in pieces of this size; a caller that takes none for
+/// the read timeout counts as stalled.
+constexpr std::size_t kPieceBytes = 64U << 10U;
 /// Above this the connection of a slowly reading caller is closed.
 constexpr std::size_t kMaxQueuedBytes = 8U << 20U;
 
@@ -71,6 +75,7 @@
     , m_handler(aHandler)
     , m_limits(aLimits)
     , m_acceptor(aContext)
+    , m_stallTimer(aContext)
   {
   }
 
@@ -87,14 +92,18 @@
   HttpHandler& m_handler;
   HttpServerLimits m_limits;
   tcp::acceptor m_acceptor;
+  asio::steady_timer m_stallTimer;
   std::map<CallerId, SessionPtr> m_activeRequests;
   std::set<SessionPtr> m_sessions;
   std::uint64_t m_nextCaller = 1;
   bool m_isStopping = false;
   bool m_closesAfterResponse = false; ///< set by CloseAfterResponses
 
+  bool IsIdle() const;
+
 private:
   void Accept();
+  void CloseStalled();
 };
 
 /// One caller connection: reads a request, passes it to the handler, writes the
@@ -112,11 +121,16 @@
   void Queue(const std::string& aBytes);
   void Finish(bool aKeepOpen);
   void Close();
+  /// Closes the connection if no piece was written since the last call.
+  void CloseIfStalled();
+  /// Whether a request was received in part or bytes of a response are left.
+  bool IsBusy() const;
 
 private:
   void OnRead(const error_code& aError);
   void RejectRequest(const error_code& aError);
   void Write();
+  void WritePiece();
   void OnWritten(const error_code& aError);
   HttpRequest TakeRequest();
   void DetectDisconnect();
@@ -127,6 +141,8 @@
   std::optional<http::request_parser<http::string_body>> m_parser;
   std::string m_queued;
   std::string m_writing;
+  std::size_t m_writtenBytes = 0; ///< of m_writing
+  bool m_hasWritten = false;      ///< a piece, since the last CloseIfStalled
   CallerId m_caller;
   bool m_isFinished = false;
   bool m_keepOpen = true;
@@ -147,6 +163,34 @@
     throw Error("listen for callers", aEndpoint.ToString(), e.what());
   }
   Accept();
+  CloseStalled();
+}
+
+void
+HttpServer::Impl::CloseStalled()
+{
+  m_stallTimer.expires_after(m_limits.m_readTimeout);
+  const std::weak_ptr<Impl> self = weak_from_this();
+  m_stallTimer.async_wait([self](const error_code& aError) {
+    const auto server = self.lock();
+    if (aError || !server || server->m_isStopping) {
+      return;
+    }
+    const std::set<SessionPtr> sessions = server->m_sessions;
+    for (const SessionPtr& session : sessions) {
+      session->CloseIfStalled();
+    }
+    server->CloseStalled();
+  });
+}
+
+bool
+HttpServer::Impl::IsIdle() const
+{
+  return m_activeRequests.empty() &&
+         std::none_of(m_sessions.begin(),
+                      m_sessions.end(),
+                      [](const SessionPtr& aEach) { return aEach->IsBusy(); });
 }
 
 void
@@ -266,6 +310,7 @@
 HttpServer::Impl::Session::TakeRequest()
 {
   auto message = m_parser->release();
+  m_parser.reset();
   HttpRequest request;
   request.m_method = std::string(message.method_string());
   request.m_target = std::string(message.target());
@@ -329,11 +374,46 @@
     return;
   }
   m_writing.swap(m_queued);
+  m_writtenBytes = 0;
+  WritePiece();
+}
+
+void
+HttpServer::Impl::Session::WritePiece()
+{
+  const std::size_t size =
+    std::min(kPieceBytes, m_writing.size() - m_writtenBytes);
   auto self = shared_from_this();
-  asio::async_write(
-    m_stream,
-    asio::buffer(m_writing),
-    [self](const error_code& aError, std::size_t) { self->OnWritten(aError); });
+  asio::async_write(m_stream,
+                    asio::buffer(m_writing.data() + m_writtenBytes, size),
+                    [self](const error_code& aError, std::size_t aBytes) {
+                      self->m_writtenBytes += aBytes;
+                      self->m_hasWritten = true;
+                      const bool isLast =
+                        self->m_writtenBytes == self->m_writing.size();
+                      if (aError || isLast || self->m_isClosed) {
+                        self->OnWritten(aError);
+                      } else {
+                        self->WritePiece();
+                      }
+                    });
+}
+
+void
+HttpServer::Impl::Session::CloseIfStalled()
+{
+  if (!m_writing.empty() && !m_hasWritten) {
+    Close();
+  }
+  m_hasWritten = false;
+}
+
+bool
+HttpServer::Impl::Session::IsBusy() const
+{
+  const bool hasPartOfRequest =
+    m_buffer.size() > 0 || (m_parser && m_parser->got_some());
+  return !m_writing.empty() || !m_queued.empty() || hasPartOfRequest;
 }
 
 void
@@ -475,6 +555,12 @@
   session->Queue("0\r\n\r\n");
 }
 
+bool
+HttpServer::IsIdle() const
+{
+  return m_impl->IsIdle();
+}
+
 std::size_t
 HttpServer::Running() const
 {
--- a/src/libwire/http_client_test.cpp
+++ b/src/libwire/http_client_test.cpp
@@ -71,6 +71,55 @@
   std::thread m_thread;
 };
 
+/// Sends a head and then the same bytes without end, at an interval, until the
+/// client closes the connection.
+class EndlessServer
+{
+public:
+  EndlessServer(std::string aHead,
+                std::string aBytes,
+                Duration aInterval = Duration(0))
+    : m_acceptor(m_context, { asio::ip::make_address("127.0.0.1"), 0 })
+    , m_head(std::move(aHead))
+    , m_bytes(std::move(aBytes))
+    , m_interval(aInterval)
+    , m_thread([this] { Run(); })
+  {
+  }
+  ~EndlessServer() { m_thread.join(); }
+
+  Endpoint Address() const
+  {
+    return Endpoint("127.0.0.1", m_acceptor.local_endpoint().port());
+  }
+  std::size_t SentBytes() const { return m_sentBytes; }
+
+private:
+  void Run()
+  {
+    tcp::socket socket = m_acceptor.accept();
+    std::string input;
+    boost::system::error_code error;
+    asio::read_until(socket, asio::dynamic_buffer(input), "\r\n\r\n", error);
+    asio::write(socket, asio::buffer(m_head), error);
+    // Ends by itself well above all limits, so that a failing test ends too.
+    while (!error && m_sentBytes < kMaxBytes) {
+      m_sentBytes += asio::write(socket, asio::buffer(m_bytes), error);
+      std::this_thread::sleep_for(m_interval);
+    }
+  }
+
+  static constexpr std::size_t kMaxBytes = 256U << 20U;
+
+  asio::io_context m_context;
+  tcp::acceptor m_acceptor;
+  std::string m_head;
+  std::string m_bytes;
+  Duration m_interval;
+  std::atomic<std::size_t> m_sentBytes{ 0 };
+  std::thread m_thread;
+};
+
 /// Makes one call at a time and records its status, body and outcome.
 class TestClient : public HttpCallHandler
 {
@@ -209,3 +258,165 @@
   client.Call(probe);
   cr_assert_eq(client.m_end, CallResult::NotSent);
 }
+
+Test(http_client, call_without_correlation_header_uses_its_own_connection)
+{
+  // The second copy of the first response is on its way when the next call
+  // starts; on a kept connection it would be taken for the next response.
+  for (const bool isCorrelated : { true, false }) {
+    const ScriptedServer server(
+      { ResponseText("1", "a"),
+        ResponseText("1", "a") + ResponseText("2", "b"),
+        ResponseText("3", "c") });
+    TestClient client;
+    std::vector<std::string> bodies;
+    for (const char* id : { "1", "2" }) {
+      HttpCall call = CallTo(server, id);
+      if (!isCorrelated) {
+        call.m_correlationHeader = {};
+      }
+      client.Call(call);
+      bodies.push_back(client.m_body);
+    }
+    cr_assert_eq(server.Connections(), isCorrelated ? 1 : 2);
+    if (isCorrelated) {
+      cr_assert_eq(bodies.back(), "b");
+    }
+    client.Call(CallTo(server, "3"));
+  }
+}
+
+Test(http_client,
+     success_without_the_header_is_not_accepted_on_a_kept_connection)
+{
+  const std::string anonymous =
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother";
+  const ScriptedServer server(
+    { ResponseText("1", "a"), anonymous + ResponseText("2", "own") });
+  TestClient client;
+  client.Call(CallTo(server, "1"));
+  client.Call(CallTo(server, "2"));
+  cr_assert_eq(client.m_end, CallResult::Complete);
+  cr_assert_eq(client.m_body, "own");
+  cr_assert_eq(server.Connections(), 1);
+  // No earlier response can arrive on a new connection.
+  const ScriptedServer other({ anonymous });
+  client.Call(CallTo(other, "3"));
+  cr_assert_eq(client.m_body, "other");
+}
+
+Test(http_client, response_without_end_is_bounded_in_bytes)
+{
+  constexpr std::size_t kLimit = 1U << 20U;
+  // The buffers of the system hold some MB that the client never reads.
+  constexpr std::size_t kSystemBuffers = 16U << 20U;
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  struct Case
+  {
+    const char* m_name;
+    std::string m_head;
+    std::string m_bytes;
+  };
+  const std::vector<Case> cases = {
+    { "no answer", "", "\x16\x03\x01" },
+    { "status line", "HTTP/1.1 200 ", "K" },
+    { "header field", ok + "X: ", "x" },
+    { "header fields", ok, "X: x\r\n" },
+    { "body until the end of the connection", ok + "\r\n", "x" },
+    { "chunks", chunked, "1\r\nx\r\n" },
+    { "chunk size", chunked, "0" },
+    { "chunk extension", chunked + "1;", "x" },
+    { "chunk extensions", chunked, "1;a=bbbbbbbbbbbbbbbbbbbb\r\nx\r\n" },
+    { "trailer fields", chunked + "0\r\n", "X: x\r\n" },
+    { "responses to earlier requests",
+      "",
+      "HTTP/1.1 200 OK\r\nRequest-Id: old\r\nContent-Length: 0\r\n\r\n" },
+    { "interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+  };
+  for (const Case& each : cases) {
+    std::string bytes;
+    while (bytes.size() < (64U << 10U)) {
+      bytes += each.m_bytes;
+    }
+    const EndlessServer server(each.m_head, bytes);
+    TestClient client;
+    HttpCall call;
+    call.m_peer = server.Address();
+    call.m_correlationHeader = { "Request-Id", "1" };
+    call.m_maxResponseBytes = kLimit;
+    client.Call(call);
+    cr_assert_eq(client.m_end, CallResult::Incomplete, "%s", each.m_name);
+    cr_assert_leq(client.m_body.size(), kLimit, "%s", each.m_name);
+    cr_assert_lt(
+      server.SentBytes(), kLimit + kSystemBuffers, "%s", each.m_name);
+  }
+}
+
+Test(http_client, total_timeout_ends_a_response_that_arrives_byte_by_byte)
+{
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  for (const std::string& head : { ok, ok + "\r\n" }) {
+    const EndlessServer server(head, "x", Duration(20'000));
+    TestClient client;
+    HttpCall call;
+    call.m_peer = server.Address();
+    call.m_idleTimeout = Duration(2'000'000);
+    call.m_totalTimeout = Duration(300'000);
+    const auto start = std::chrono::steady_clock::now();
+    client.Call(call);
+    cr_assert_eq(client.m_end, CallResult::TimedOut);
+    cr_assert_lt(std::chrono::steady_clock::now() - start,
+                 std::chrono::seconds(5));
+  }
+}
+
+Test(http_client, slow_response_is_not_cut_by_the_idle_timeout)
+{
+  std::string body(40, 'x');
+  const ScriptedServer fast({ ResponseText("1", "a") });
+  TestClient client;
+  client.Call(CallTo(fast, "1"));
+  cr_assert_eq(client.m_end, CallResult::Complete);
+  // Bytes arrive for longer than the idle timeout, none of them later than it.
+  const EndlessServer slow(
+    "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n", "x", Duration(20'000));
+  HttpCall call;
+  call.m_peer = slow.Address();
+  call.m_idleTimeout = Duration(300'000);
+  client.Call(call);
+  cr_assert_eq(client.m_end, CallResult::Complete);
+  cr_assert_eq(client.m_body, body);
+}
+
+Test(http_client, response_that_ends_by_a_reset_is_incomplete)
+{
+  asio::io_context context;
+  tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+  const Endpoint address("127.0.0.1", acceptor.local_endpoint().port());
+  for (const bool isReset : { true, false }) {
+    std::thread server([&] {
+      tcp::socket socket = acceptor.accept();
+      std::string input;
+      asio::read_until(socket, asio::dynamic_buffer(input), "\r\n\r\n");
+      asio::write(socket,
+                  asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\npart")));
+      // Lets the client read the bytes before the end.
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+      if (isReset) {
+        socket.set_option(asio::socket_base::linger(true, 0));
+      }
+      // The destructor would ignore the option.
+      socket.close();
+    });
+    TestClient client;
+    HttpCall call;
+    call.m_peer = address;
+    client.Call(call);
+    server.join();
+    cr_assert_eq(client.m_end,
+                 isReset ? CallResult::Incomplete : CallResult::Complete,
+                 "%d",
+                 static_cast<int>(isReset));
+  }
+}
--- a/src/libwire/wire_test.cpp
+++ b/src/libwire/wire_test.cpp
@@ -227,8 +227,106 @@
   };
 }
 
+/// Answers each request with a response that exceeds the buffers of the system,
+/// to a caller that has a small receive buffer.
+class LargeResponse : public HttpHandler
+{
+public:
+  static constexpr std::size_t kBytes = 7U << 20U;
+  static constexpr Duration kReadTimeout = Duration(300'000);
+
+  LargeResponse()
+    : m_server(m_context,
+               *this,
+               HttpServerLimits{ 1024, 4096, kReadTimeout, 8 })
+    , m_socket(m_callerContext)
+  {
+    tcp::acceptor portFinder(
+      m_context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    const std::uint16_t port = portFinder.local_endpoint().port();
+    portFinder.close();
+    m_server.Listen(Endpoint("127.0.0.1", port));
+    m_socket.open(tcp::v4());
+    m_socket.set_option(asio::socket_base::receive_buffer_size(16 << 10));
+    m_socket.connect({ asio::ip::make_address("127.0.0.1"), port });
+    asio::write(m_socket, asio::buffer(Post("x")));
+  }
+
+  void OnRequest(CallerId aCaller, HttpRequest) override
+  {
+    HttpResponse response;
+    response.m_body = std::string(kBytes, 'x');
+    m_server.Respond(aCaller, response);
+  }
+  void OnCallerDisconnected(CallerId) override {}
+
+  void Run(Duration aTime)
+  {
+    m_context.restart();
+    m_context.run_for(aTime);
+  }
+
+  /// Reads up to a number of bytes; returns how many were read and whether the
+  /// connection is still open.
+  std::pair<std::size_t, bool> Read(std::size_t aBytes)
+  {
+    std::string bytes(aBytes, ' ');
+    boost::system::error_code error;
+    m_socket.non_blocking(true);
+    const std::size_t size = asio::read(m_socket, asio::buffer(bytes), error);
+    return { size, !error || error == asio::error::would_block };
+  }
+
+  asio::io_context m_context;
+  HttpServer m_server;
+  asio::io_context m_callerContext;
+  tcp::socket m_socket;
+};
+
 } // namespace
 
+Test(http_server, a_caller_that_stops_reading_is_disconnected)
+{
+  LargeResponse fixture;
+  fixture.Run(Duration(2'500'000));
+  std::size_t received = 0;
+  bool isOpen = true;
+  for (int i = 0; isOpen && i < 100'000; ++i) {
+    const auto [size, isStillOpen] = fixture.Read(64U << 10U);
+    received += size;
+    isOpen = isStillOpen && size > 0;
+  }
+  cr_assert_lt(received, LargeResponse::kBytes);
+  cr_assert(fixture.m_server.IsIdle());
+}
+
+Test(http_server, a_caller_that_reads_slowly_gets_its_whole_response)
+{
+  LargeResponse fixture;
+  std::size_t received = 0;
+  // Longer than the read timeout in all, with a piece in each part of it.
+  for (int i = 0; i < 400 && received <= LargeResponse::kBytes; ++i) {
+    fixture.Run(Duration(15'000));
+    received += fixture.Read(64U << 10U).first;
+  }
+  cr_assert_gt(received, LargeResponse::kBytes);
+}
+
+Test(http_server, is_idle_only_after_the_last_byte_of_a_response)
+{
+  LargeResponse fixture;
+  fixture.Run(Duration(100'000));
+  cr_assert_eq(fixture.m_server.Running(), 0U, "the response is complete");
+  cr_assert_not(fixture.m_server.IsIdle(), "its bytes are not");
+  fixture.m_server.StopAccepting();
+  std::size_t received = 0;
+  for (int i = 0; i < 1'000 && !fixture.m_server.IsIdle(); ++i) {
+    fixture.Run(Duration(2'000));
+    received += fixture.Read(1U << 20U).first;
+  }
+  cr_assert(fixture.m_server.IsIdle());
+}
+
 Test(http_server, invalid_input_gets_an_error_or_a_closed_connection)
 {
   EchoServer server;
