Relay: leaving and paused workers, answers without end

A worker that leaves says so in all its answers, earlier than the VM list; a worker that refuses with 503 may state for how long it wants no request. Both were ignored. A success without the worker's signature was read to its end before it counted as broken, and was forwarded where it resumed a stream; a plain answer could fill 64 MiB, an event without its end too. A worker list of an earlier leader replaced a newer one. Unsigned successes end at their head; held answers are bounded to 4 MiB each and 24 MiB together, events to 256 KiB.

--- a/src/include/fulmarquay/cache/CacheMessages.h
+++ b/src/include/fulmarquay/cache/CacheMessages.h
@@ -193,6 +193,15 @@
   bool operator==(const WorkerLoad&) const = default;
 };
 
+/// An incarnation of a worker that stated in an answer that it is leaving.
+struct LeavingWorker
+{
+  std::string m_worker;
+  std::int64_t m_createdMs = 0; ///< start time of the incarnation
+  MSGPACK_DEFINE(m_worker, m_createdMs)
+  bool operator==(const LeavingWorker&) const = default;
+};
+
 /// The worker loads of one entry, sent to its load peers.
 struct WorkerLoads
 {
@@ -200,7 +209,8 @@
   std::uint64_t m_number = 0; ///< sequence number, one more than the last one
   bool m_isSnapshot = false;  ///< snapshot; otherwise a delta to the last one
   std::vector<WorkerLoad> m_loads;
-  MSGPACK_DEFINE(m_vm, m_number, m_isSnapshot, m_loads)
+  std::vector<LeavingWorker> m_leaving; ///< in snapshots
+  MSGPACK_DEFINE(m_vm, m_number, m_isSnapshot, m_loads, m_leaving)
 };
 
 /// Messages of Channel::Cache, exchanged between entries.
--- a/src/include/fulmarquay/core/LogEvent.h
+++ b/src/include/fulmarquay/core/LogEvent.h
@@ -57,6 +57,8 @@
   RequestAbandoned = 3305,
   RequestRepeated = 3306,
   WorkerSuspected = 3401,
+  WorkerAnnouncedLeaving = 3402,
+  WorkerPaused = 3403,
 };
 
 /// The documentation of one event: a row of docs/LOG-EVENTS.md.
--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -88,10 +88,7 @@
   {
     m_exchange.SetPeers(aPeers);
   }
-  void OnLoads(const WorkerLoads& aLoads)
-  {
-    m_exchange.OnLoads(m_context.Now(), aLoads);
-  }
+  void OnLoads(const WorkerLoads& aLoads);
   std::vector<std::uint64_t> TakeUsedPartKeys()
   {
     return m_partMap.TakeUsedKeys();
@@ -171,6 +168,18 @@
   void LogAnswered(const ActiveRequest& aActive, int aStatus);
   ActiveRequest* Find(CallId aCall);
   void OnWorkerActivity(const ActiveRequest& aActive);
+  /// Applies what the head of an answer states about its worker.
+  void RecordAnnouncements(const ActiveRequest& aActive);
+  void LogLeaving(const WorkerId& aWorker, const std::string& aSource);
+  /// Retry-After of a request that no worker accepts now.
+  Duration RetryAfterFor(const PoolId& aPool) const;
+  /// Ends the call of a request whose answer can't be used; the worker may have
+  /// run it.
+  void AbortCall(ActiveRequest& aActive, const std::string& aReason);
+  /// Adds bytes to an answer that is held until it is complete. Returns false
+  /// if it exceeds the memory for such answers.
+  bool HoldBody(ActiveRequest& aActive, const std::string& aData);
+  void ReleaseBody(ActiveRequest& aActive);
   void ProbeSilentWorkers();
   void OnProbeEnd(const WorkerId& aWorker, CallResult aEnd);
 
@@ -210,6 +219,7 @@
   StartupAdmission m_startup;
   std::vector<CallerId> m_waitingForStartup; ///< in order of arrival
   std::uint32_t m_entryCount = 1;
+  std::size_t m_heldBodyBytes = 0; ///< of all answers that are held
   std::unordered_map<CallerId, ActiveRequestPtr> m_byCaller;
   std::unordered_map<CallId, ActiveRequest*> m_byCall;
   std::map<CallId, WorkerId> m_probes;
--- a/src/include/fulmarquay/serve/WorkerTable.h
+++ b/src/include/fulmarquay/serve/WorkerTable.h
@@ -26,6 +26,8 @@
   bool m_needsProbe = false;      ///< must accept a probe before new requests
   TimePoint m_lastActivityAt;     ///< last byte received or end of idle time
   bool m_isProbeInFlight = false; ///< a probe is in progress
+  bool m_hasAnnouncedLeaving = false; ///< in an answer, before the VM list
+  TimePoint m_pausedUntil; ///< accepts no requests of this entry before
 };
 
 /// The workers of all pools. Keeps the state of a worker across lists while its
@@ -33,7 +35,8 @@
 class WorkerTable
 {
 public:
-  /// Applies a worker list from the leader.
+  /// Applies a worker list from the leader. A list with a lower number than the
+  /// current one comes from an earlier leader and is ignored.
   void Apply(TimePoint aNow, const WorkerList& aList);
 
   std::uint64_t Number() const { return m_number; }
@@ -56,6 +59,22 @@
   void OnMisdirected(TimePoint aNow, const WorkerId& aWorker);
   void OnProbeSucceeded(const WorkerId& aWorker);
 
+  /// The worker stated that it is about to stop: this incarnation receives no
+  /// more new requests, also if a later list contains it. Returns whether this
+  /// was unknown.
+  bool OnLeavingAnnounced(TimePoint aNow, const WorkerId& aWorker);
+  /// As before, reported by another entry about an incarnation.
+  bool OnLeavingReported(TimePoint aNow,
+                         const WorkerId& aWorker,
+                         std::int64_t aCreatedMs);
+  /// The worker accepts no requests of this entry for a time.
+  void OnPauseRequested(TimePoint aNow,
+                        const WorkerId& aWorker,
+                        Duration aPause);
+  /// Time until the first paused worker of a pool accepts requests again; 0 if
+  /// none is paused.
+  Duration ShortestPause(TimePoint aNow, const PoolId& aPool) const;
+
   /// The newest weight version of a model and its release time; -1: none is
   /// known.
   std::int64_t LatestVersion(const std::string& aModel) const;
@@ -70,8 +89,22 @@
     TimePoint m_since;
   };
 
+  /// What an incarnation stated about itself. Kept apart from the list, because
+  /// a list may omit a worker for a while.
+  struct Announcement
+  {
+    std::int64_t m_createdMs = 0;
+    bool m_isLeaving = false;
+    TimePoint m_pausedUntil;
+    TimePoint m_expiresAt;
+  };
+
+  Announcement& AnnouncementOf(TimePoint aNow, const WorkerState& aWorker);
+  static bool IsUsable(const WorkerState& aWorker, TimePoint aNow);
+
   std::uint64_t m_number = 0;
   std::map<WorkerId, WorkerState> m_workers;
+  std::map<WorkerId, Announcement> m_announcements;
   std::map<std::string, LatestWeights> m_latestWeights;
 };
 
--- a/src/libcore/LogEvent.cpp
+++ b/src/libcore/LogEvent.cpp
@@ -348,6 +348,18 @@
       "warning",
       "A worker failed and temporarily receives no new requests.",
       "Check the worker if it recurs." },
+    { LogEvent::WorkerAnnouncedLeaving,
+      "WorkerAnnouncedLeaving",
+      "info",
+      "A worker stated in an answer, or another entry reported, that it is "
+      "leaving; it receives no new requests.",
+      "None." },
+    { LogEvent::WorkerPaused,
+      "WorkerPaused",
+      "info",
+      "A worker refused a request and asked for a pause; it receives no new "
+      "requests until the pause is over.",
+      "Add workers if it recurs." },
   };
   return catalogue;
 }
--- a/src/libserve/LoadExchange.cpp
+++ b/src/libserve/LoadExchange.cpp
@@ -140,6 +140,11 @@
       update.m_loads.push_back({ worker, 0, 0, 0 });
     }
   }
+  for (const auto& [id, worker] : aWorkers.All()) {
+    if (update.m_isSnapshot && worker.m_hasAnnouncedLeaving) {
+      update.m_leaving.push_back({ id.Value(), worker.m_info.m_createdMs });
+    }
+  }
   if (!update.m_isSnapshot && update.m_loads.empty()) {
     return std::nullopt;
   }
--- a/src/libserve/RelayDispatch.cpp
+++ b/src/libserve/RelayDispatch.cpp
@@ -15,6 +15,9 @@
 /// A worker's VM acknowledges received data within a few ms, regardless of how
 /// long its requests take. The timeout tolerates several lost packets in a row.
 constexpr Duration kPeerTimeout(1'000'000);
+/// Limit of a worker's answer with its framing. Streams are forwarded event by
+/// event, so that they use little memory.
+constexpr std::size_t kMaxResponseBytes = 64U << 20U;
 /// Bounds the assumed ratio between the load of two entries, in both
 /// directions.
 constexpr double kMaxLoadRatio = 3;
@@ -92,7 +95,7 @@
   if (aActive.m_isStreaming || aActive.m_mayHaveRun) {
     Fail(aActive, kStatusBadGateway, reason);
   } else {
-    Refuse(aActive, kStatusUnavailable, reason, kBusyRetryAfter);
+    Refuse(aActive, kStatusUnavailable, reason, RetryAfterFor(aActive.m_pool));
   }
 }
 
@@ -252,6 +255,7 @@
   call.m_peer = aWorker.m_address;
   call.m_request = m_protocol.Encode(aActive.m_request, parameters);
   call.m_idleTimeout = Duration(0);
+  call.m_maxResponseBytes = kMaxResponseBytes;
   call.m_connectTimeout = std::min(kConnectTimeout, parameters.m_timeLeft);
   call.m_peerTimeout = kPeerTimeout;
   call.m_correlationHeader = m_protocol.CorrelationHeader(aActive.m_request);
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -344,6 +344,7 @@
       break;
     }
   }
+  ReleaseBody(aActive);
   m_byCaller.erase(aActive.m_caller);
 }
 
--- a/src/libserve/RelayResponses.cpp
+++ b/src/libserve/RelayResponses.cpp
@@ -14,6 +14,13 @@
 /// accepts no connection.
 constexpr Duration kSilenceTimeout(400'000);
 constexpr Duration kProbeInterval(100'000);
+/// Limits of the memory for answers that are held until they are complete: of
+/// one answer, as for a caller's body, and of all. Together with the buffers of
+/// connections they stay well below the memory of an entry's VM.
+constexpr std::size_t kMaxHeldBodyBytes = 4U << 20U;
+constexpr std::size_t kMaxAllHeldBodyBytes = 24U << 20U;
+/// Limit of one event of a stream, which is held until its end.
+constexpr std::size_t kMaxEventBytes = 256U << 10U;
 /// Unreachable workers tried per request before it is refused.
 constexpr int kMaxUnreachedWorkers = 3;
 
@@ -89,6 +96,64 @@
   }
 }
 
+void
+RelayFlow::LogLeaving(const WorkerId& aWorker, const std::string& aSource)
+{
+  m_context.Log(LogEvent::WorkerAnnouncedLeaving,
+                { { "worker", aWorker.Value() }, { "source", aSource } });
+}
+
+void
+RelayFlow::RecordAnnouncements(const ActiveRequest& aActive)
+{
+  const WorkerResponseHead& head = aActive.m_workerHead;
+  // A misdirected request was answered by another worker at this address.
+  if (head.m_isMisdirected) {
+    return;
+  }
+  if (head.m_isLeaving &&
+      m_workers.OnLeavingAnnounced(m_context.Now(), aActive.m_worker)) {
+    LogLeaving(aActive.m_worker, "answer");
+  }
+  if (head.m_pause > Duration(0)) {
+    m_workers.OnPauseRequested(m_context.Now(), aActive.m_worker, head.m_pause);
+    m_context.Log(LogEvent::WorkerPaused,
+                  { { "worker", aActive.m_worker.Value() },
+                    { "id", aActive.m_request.m_id },
+                    { "pause_ms", FormatMillis(head.m_pause) } });
+  }
+}
+
+void
+RelayFlow::OnLoads(const WorkerLoads& aLoads)
+{
+  m_exchange.OnLoads(m_context.Now(), aLoads);
+  for (const LeavingWorker& leaving : aLoads.m_leaving) {
+    const WorkerId worker(leaving.m_worker);
+    if (m_workers.OnLeavingReported(
+          m_context.Now(), worker, leaving.m_createdMs)) {
+      LogLeaving(worker, aLoads.m_vm.Value());
+    }
+  }
+}
+
+Duration
+RelayFlow::RetryAfterFor(const PoolId& aPool) const
+{
+  return std::max(kBusyRetryAfter,
+                  m_workers.ShortestPause(m_context.Now(), aPool));
+}
+
+void
+RelayFlow::AbortCall(ActiveRequest& aActive, const std::string& aReason)
+{
+  m_context.Cancel(aActive.m_call);
+  ReleaseWorker(aActive);
+  aActive.m_mayHaveRun = true;
+  OnBroken(aActive, aReason);
+  DispatchQueued();
+}
+
 void
 RelayFlow::OnHead(CallId aCall, const HttpResponse& aHead)
 {
@@ -98,14 +163,21 @@
   }
   OnWorkerActivity(*active);
   active->m_workerHead = m_protocol.ReadHead(aHead);
+  RecordAnnouncements(*active);
   const WorkerResponseHead& workerHead = active->m_workerHead;
   const bool isSuccess =
     workerHead.m_status >= kStatusOk && workerHead.m_status < kStatusRedirect;
+  if (isSuccess && !workerHead.m_isSigned) {
+    // Not the worker's answer; its body may have no end.
+    AbortCall(*active, "the answer is not signed");
+    return;
+  }
   if (active->m_isStreaming) {
     return;
   }
+  ReleaseBody(*active);
   active->m_callerHead = m_protocol.ToCallerHead(aHead);
-  if (isSuccess && workerHead.m_isSigned && workerHead.m_isStream) {
+  if (isSuccess && workerHead.m_isStream) {
     active->m_isStreaming = true;
     m_context.Emit(BeginCallerStream{ active->m_caller, active->m_callerHead });
   }
@@ -158,17 +230,42 @@
   const bool isSuccess = active->m_workerHead.m_status >= kStatusOk &&
                          active->m_workerHead.m_status < kStatusRedirect;
   if (!active->m_isStreaming) {
-    active->m_callerHead.m_body += aData;
+    if (!HoldBody(*active, aData)) {
+      AbortCall(*active, "the answer is too large");
+    }
     return;
   }
   if (!isSuccess) {
     return;
   }
-  RecordEvents(*active);
   std::string events = active->m_eventSplitter.Feed(aData);
   if (!events.empty()) {
+    RecordEvents(*active);
     m_context.Emit(WriteCallerStream{ active->m_caller, std::move(events) });
   }
+  if (active->m_eventSplitter.PartialBytes() > kMaxEventBytes) {
+    AbortCall(*active, "an event has no end");
+  }
+}
+
+bool
+RelayFlow::HoldBody(ActiveRequest& aActive, const std::string& aData)
+{
+  std::string& body = aActive.m_callerHead.m_body;
+  if (body.size() + aData.size() > kMaxHeldBodyBytes ||
+      m_heldBodyBytes + aData.size() > kMaxAllHeldBodyBytes) {
+    return false;
+  }
+  body += aData;
+  m_heldBodyBytes += aData.size();
+  return true;
+}
+
+void
+RelayFlow::ReleaseBody(ActiveRequest& aActive)
+{
+  m_heldBodyBytes -= aActive.m_callerHead.m_body.size();
+  aActive.m_callerHead.m_body.clear();
 }
 
 void
@@ -246,7 +343,10 @@
     Fail(aActive, kStatusBadGateway, "no worker went on");
     return;
   }
-  Refuse(aActive, kStatusUnavailable, "the worker refused", kBusyRetryAfter);
+  Refuse(aActive,
+         kStatusUnavailable,
+         "the worker refused",
+         RetryAfterFor(aActive.m_pool));
 }
 
 void
@@ -298,7 +398,7 @@
 {
   m_workers.OnFailure(m_context.Now(), aActive.m_worker);
   aActive.m_eventSplitter.DropPartial();
-  aActive.m_callerHead.m_body.clear();
+  ReleaseBody(aActive);
   const bool mayContinue = aActive.m_rule.IsIdempotent() || MayResume(aActive);
   if (mayContinue && TakeRetry(aActive)) {
     Place(aActive);
@@ -384,8 +484,9 @@
   if (aActive.m_isStreaming) {
     m_context.Emit(EndCallerStream{ aActive.m_caller, true });
   } else {
-    m_context.Emit(
-      RespondCaller{ aActive.m_caller, std::move(aActive.m_callerHead) });
+    m_heldBodyBytes -= aActive.m_callerHead.m_body.size();
+    m_context.Emit(RespondCaller{
+      aActive.m_caller, std::exchange(aActive.m_callerHead, HttpResponse()) });
   }
   Remove(aActive);
 }
--- a/src/libserve/WorkerTable.cpp
+++ b/src/libserve/WorkerTable.cpp
@@ -17,13 +17,22 @@
 /// no requests. Worker lists are at most a few seconds old, so that the list
 /// then contains the worker's successor or its current weights.
 constexpr Duration kMaxListAge(3'000'000);
+/// Time for which an announcement of an unlisted worker is kept: longer than a
+/// list omits a worker that still runs.
+constexpr Duration kAnnouncementTtl(600'000'000);
 
 } // namespace
 
 void
 WorkerTable::Apply(TimePoint aNow, const WorkerList& aList)
 {
+  if (aList.m_number < m_number) {
+    return;
+  }
   m_number = aList.m_number;
+  std::erase_if(m_announcements, [&](const auto& aEach) {
+    return aNow >= aEach.second.m_expiresAt;
+  });
   std::map<WorkerId, WorkerState> workers;
   for (const WorkerInfo& info : aList.m_workers) {
     WorkerState state;
@@ -36,6 +45,13 @@
       }
     }
     state.m_info = info;
+    const auto announced = m_announcements.find(info.m_id);
+    if (announced != m_announcements.end() &&
+        announced->second.m_createdMs == info.m_createdMs) {
+      announced->second.m_expiresAt = aNow + kAnnouncementTtl;
+      state.m_hasAnnouncedLeaving = announced->second.m_isLeaving;
+      state.m_pausedUntil = announced->second.m_pausedUntil;
+    }
     state.m_address = Endpoint::Parse(info.m_address);
     workers[info.m_id] = std::move(state);
   }
@@ -49,15 +65,81 @@
   }
 }
 
+bool
+WorkerTable::IsUsable(const WorkerState& aWorker, TimePoint aNow)
+{
+  return !aWorker.m_info.m_isLeaving && !aWorker.m_hasAnnouncedLeaving &&
+         !aWorker.m_needsProbe && aNow >= aWorker.m_suspectUntil;
+}
+
+WorkerTable::Announcement&
+WorkerTable::AnnouncementOf(TimePoint aNow, const WorkerState& aWorker)
+{
+  Announcement& announcement = m_announcements[aWorker.m_info.m_id];
+  if (announcement.m_createdMs != aWorker.m_info.m_createdMs) {
+    announcement = Announcement();
+    announcement.m_createdMs = aWorker.m_info.m_createdMs;
+  }
+  announcement.m_expiresAt = aNow + kAnnouncementTtl;
+  return announcement;
+}
+
+bool
+WorkerTable::OnLeavingAnnounced(TimePoint aNow, const WorkerId& aWorker)
+{
+  WorkerState* worker = Find(aWorker);
+  if (worker == nullptr || worker->m_hasAnnouncedLeaving) {
+    return false;
+  }
+  worker->m_hasAnnouncedLeaving = true;
+  AnnouncementOf(aNow, *worker).m_isLeaving = true;
+  return true;
+}
+
+bool
+WorkerTable::OnLeavingReported(TimePoint aNow,
+                               const WorkerId& aWorker,
+                               std::int64_t aCreatedMs)
+{
+  const WorkerState* worker = Find(aWorker);
+  return worker != nullptr && worker->m_info.m_createdMs == aCreatedMs &&
+         OnLeavingAnnounced(aNow, aWorker);
+}
+
+void
+WorkerTable::OnPauseRequested(TimePoint aNow,
+                              const WorkerId& aWorker,
+                              Duration aPause)
+{
+  WorkerState* worker = Find(aWorker);
+  if (worker != nullptr) {
+    worker->m_pausedUntil = std::max(worker->m_pausedUntil, aNow + aPause);
+    AnnouncementOf(aNow, *worker).m_pausedUntil = worker->m_pausedUntil;
+  }
+}
+
+Duration
+WorkerTable::ShortestPause(TimePoint aNow, const PoolId& aPool) const
+{
+  Duration shortest(0);
+  for (const auto& [id, worker] : m_workers) {
+    const Duration left = worker.m_pausedUntil - aNow;
+    const bool isPaused = worker.m_info.m_pool == aPool &&
+                          IsUsable(worker, aNow) && left > Duration(0);
+    if (isPaused && (shortest == Duration(0) || left < shortest)) {
+      shortest = left;
+    }
+  }
+  return shortest;
+}
+
 std::vector<WorkerState*>
 WorkerTable::Available(TimePoint aNow, const PoolId& aPool)
 {
   std::vector<WorkerState*> available;
   for (auto& [id, worker] : m_workers) {
-    const bool isAvailable =
-      worker.m_info.m_pool == aPool && !worker.m_info.m_isLeaving &&
-      !worker.m_needsProbe && aNow >= worker.m_suspectUntil;
-    if (isAvailable) {
+    if (worker.m_info.m_pool == aPool && IsUsable(worker, aNow) &&
+        aNow >= worker.m_pausedUntil) {
       available.push_back(&worker);
     }
   }
--- a/src/libserve/relay_test.cpp
+++ b/src/libserve/relay_test.cpp
@@ -1,8 +1,5 @@
-// Tests of RelayFlow with a fake protocol and scripted worker responses.
-#include "fulmarquay/core/Digest.h"
-#include "fulmarquay/core/Error.h"
-#include "fulmarquay/route/RouteDelta.h"
-#include "fulmarquay/serve/RelayFlow.h"
+// Tests of RelayFlow: routes, faults of workers, startup and limits.
+#include "relay_test.h"
 
 #include <functional>
 #include <set>
@@ -11,252 +8,10 @@
 #include <criterion/criterion.h>
 
 using namespace fulmarquay;
+using namespace fulmarquay::testing;
 
 namespace {
 
-constexpr Duration kMillisecond(1'000);
-constexpr std::int64_t kTimeoutMs = 2'000;
-
-/// The status and a `flags` header encode a worker's response head: p signed, s
-/// stream, n not executed, m misdirected.
-class FakeProtocol : public RelayProtocol
-{
-public:
-  RelayRequest Decode(HttpRequest aRequest) const override
-  {
-    if (aRequest.m_method == "BAD") {
-      throw Error("read request", "", "bad");
-    }
-    RelayRequest request;
-    request.m_id = FindHeader(aRequest.m_headers, "id");
-    request.m_host = "h";
-    request.m_path = aRequest.m_target;
-    request.m_key = FindHeader(aRequest.m_headers, "key");
-    request.m_model = "m";
-    request.m_promptTokens = 100;
-    request.m_parts = { { "shared", 80 }, { "own", 20 } };
-    return request;
-  }
-  HttpRequest Encode(const RelayRequest& aRequest,
-                     const DispatchParameters& aParameters) const override
-  {
-    m_sentParameters.push_back(aParameters);
-    return { "POST", aRequest.m_path, {}, "" };
-  }
-  HttpHeader CorrelationHeader(const RelayRequest& aRequest) const override
-  {
-    return { "id", aRequest.m_id };
-  }
-  WorkerResponseHead ReadHead(const HttpResponse& aHead) const override
-  {
-    const std::string flags = FindHeader(aHead.m_headers, "flags");
-    WorkerResponseHead head;
-    head.m_status = aHead.m_status;
-    head.m_isSigned = flags.find('p') != std::string::npos;
-    head.m_isStream = flags.find('s') != std::string::npos;
-    head.m_isMisdirected = flags.find('m') != std::string::npos;
-    head.m_isNotExecuted =
-      head.m_isMisdirected || flags.find('n') != std::string::npos;
-    return head;
-  }
-  HttpResponse ToCallerHead(HttpResponse aHead) const override { return aHead; }
-  HttpResponse Refuse(const RelayRequest&,
-                      const RelayRefusal& aRefusal) const override
-  {
-    HttpResponse response;
-    response.m_status = aRefusal.m_status;
-    response.m_body = aRefusal.m_reason;
-    return response;
-  }
-
-  mutable std::vector<DispatchParameters> m_sentParameters;
-};
-
-WorkerInfo
-Worker(const std::string& aId, std::int64_t aVersion)
-{
-  WorkerInfo worker;
-  worker.m_id = WorkerId(aId);
-  worker.m_pool = PoolId("p");
-  worker.m_address = "10.0.0.1:" + std::to_string(8000 + aId.back());
-  worker.m_weights["m"] = aVersion;
-  return worker;
-}
-
-RouteRule
-Rule(RetryPolicy aKind, std::int64_t aAttempts)
-{
-  RouteRule rule;
-  rule.m_host = "h";
-  rule.m_retryPolicy = static_cast<std::uint8_t>(aKind);
-  rule.m_timeoutUs = kTimeoutMs * 1'000;
-  rule.m_targetLatencyUs = 300'000;
-  rule.m_maxAttempts = aAttempts;
-  rule.m_pools = { { PoolId("p"), 1 } };
-  return rule;
-}
-
-/// An entry that serves five routes under a confirmed lease.
-class Entry
-{
-public:
-  /// Whether routes, workers and keys are set on construction.
-  enum class InitialState
-  {
-    Unconfigured,
-    Configured
-  };
-
-  explicit Entry(InitialState aInitial = InitialState::Configured)
-    : m_context({}, 1)
-    , m_flow(m_context, m_protocol, RelayOptions())
-  {
-    AdvanceClock(0);
-    if (aInitial == InitialState::Configured) {
-      Configure();
-    }
-  }
-
-  /// Sets routes, workers and keys.
-  void Configure(std::uint32_t aEntryCount = 1)
-  {
-    RouteDocument document;
-    document.m_revision = Revision(3);
-    document.m_pools["p"].m_engines.m_kvBytesPerToken = 1'000;
-    Add(document, "/idempotent/", Rule(RetryPolicy::Idempotent, 2));
-    Add(document, "/once/", Rule(RetryPolicy::Once, 2));
-    RouteRule stream = Rule(RetryPolicy::Stream, 2);
-    Add(document, "/stream/", stream);
-    stream.m_isResumable = true;
-    stream.m_hasPrompt = true;
-    Add(document, "/resumable/", stream);
-    RouteRule open = Rule(RetryPolicy::Idempotent, 1);
-    open.m_allowsAnonymous = true;
-    Add(document, "/open/", open);
-    document.m_accounts["acc"].m_keyHashes = { Sha256Hex("key") };
-    document.m_needsKeys = true;
-    m_flow.OnRoutes(MakeDelta(RouteDocument(), document));
-    SetWorkers({ Worker("w1", 1), Worker("w2", 1), Worker("w3", 1) });
-    Confirm(aEntryCount);
-    m_flow.OnTick();
-    CollectEffects();
-  }
-
-  void SetWorkers(std::vector<WorkerInfo> aWorkers,
-                  std::int64_t aLatestVersion = -1)
-  {
-    WorkerList list;
-    list.m_number = ++m_list;
-    list.m_workers = std::move(aWorkers);
-    if (aLatestVersion >= 0) {
-      list.m_weights = { { "m", aLatestVersion, 0 } };
-    }
-    m_flow.OnWorkerList(list);
-  }
-
-  void Confirm(std::uint32_t aEntryCount = 1)
-  {
-    m_flow.OnConfirmed(m_now + 4'000 * kMillisecond, aEntryCount);
-  }
-
-  void AdvanceClock(std::int64_t aMillis)
-  {
-    m_now += aMillis * kMillisecond;
-    m_context.Begin(m_now);
-  }
-
-  /// Advances time in ticks of 20 ms.
-  void AdvanceTicks(std::int64_t aMillis)
-  {
-    for (std::int64_t elapsedMs = 0; elapsedMs < aMillis; elapsedMs += 20) {
-      AdvanceClock(20);
-      m_flow.OnTick();
-      CollectEffects();
-    }
-  }
-
-  void SendRequest(const std::string& aPath, const std::string& aKey = "key")
-  {
-    AdvanceClock(1);
-    HttpRequest request{ "POST",
-                         aPath,
-                         { { "id", "r" + std::to_string(++m_caller) },
-                           { "key", aKey } },
-                         "" };
-    m_flow.Start(CallerId(m_caller), request);
-    CollectEffects();
-  }
-
-  void Head(int aStatus, const std::string& aFlags)
-  {
-    AdvanceClock(1);
-    HttpResponse head;
-    head.m_status = aStatus;
-    head.m_headers = { { "flags", aFlags } };
-    m_flow.OnHead(m_calls.back().m_call, head);
-    CollectEffects();
-  }
-  void Data(const std::string& aData)
-  {
-    AdvanceClock(1);
-    m_flow.OnData(m_calls.back().m_call, aData);
-    CollectEffects();
-  }
-  void End(CallResult aEnd)
-  {
-    AdvanceClock(1);
-    m_flow.OnEnd(m_calls.back().m_call, aEnd, "why");
-    CollectEffects();
-  }
-
-  void CollectEffects()
-  {
-    for (EntryEffect& effect : m_context.TakeEffects()) {
-      if (auto* call = std::get_if<StartCall>(&effect)) {
-        (call->m_call.m_isProbe ? m_probes : m_calls)
-          .push_back(std::move(call->m_call));
-      } else if (auto* answer = std::get_if<RespondCaller>(&effect)) {
-        m_status = answer->m_response.m_status;
-        m_body += answer->m_response.m_body;
-        ++m_answers;
-      } else if (std::holds_alternative<BeginCallerStream>(effect)) {
-        ++m_heads;
-      } else if (auto* data = std::get_if<WriteCallerStream>(&effect)) {
-        m_body += data->m_data;
-      } else if (auto* end = std::get_if<EndCallerStream>(&effect)) {
-        m_isComplete = end->m_isComplete;
-        ++m_answers;
-      } else if (std::holds_alternative<CancelCall>(effect)) {
-        ++m_cancels;
-      }
-    }
-  }
-
-  FakeProtocol m_protocol;
-  EntryContext m_context;
-  RelayFlow m_flow;
-  TimePoint m_now{ Duration(1'000'000'000) };
-  std::uint64_t m_list = 0;
-  std::uint64_t m_caller = 0;
-  std::vector<HttpCall> m_calls;
-  std::vector<HttpCall> m_probes;
-  int m_status = 0;
-  std::string m_body;
-  int m_answers = 0;
-  int m_heads = 0;
-  int m_cancels = 0;
-  bool m_isComplete = false;
-
-private:
-  static void Add(RouteDocument& aDocument,
-                  const std::string& aPrefix,
-                  RouteRule aRule)
-  {
-    aRule.m_prefix = aPrefix;
-    aDocument.m_routes[aPrefix] = aRule;
-  }
-};
-
 /// Scripted behaviour of a worker up to the end of its call.
 using Fault = std::function<void(Entry&)>;
 
@@ -285,9 +40,11 @@
 void
 Unsigned(Entry& aEntry)
 {
+  const CallId call = aEntry.m_calls.back().m_call;
   aEntry.Head(200, "");
-  aEntry.Data("forged");
-  aEntry.End(CallResult::Complete);
+  aEntry.m_flow.OnData(call, "forged");
+  aEntry.m_flow.OnEnd(call, CallResult::Complete, "");
+  aEntry.CollectEffects();
 }
 
 struct FaultCase
@@ -578,7 +335,7 @@
     entry.AdvanceTicks(300);
     cr_assert(entry.m_calls.empty());
     if (isReported) {
-      entry.m_flow.OnLoads({ VmId("other"), 1, true, {} });
+      entry.m_flow.OnLoads({ VmId("other"), 1, true, {}, {} });
       entry.AdvanceTicks(20);
     } else {
       entry.AdvanceTicks(400); // the other entry may be down
