--- a/src/libserve/relay_answers_test.cpp
+++ b/src/libserve/relay_answers_test.cpp
@@ -85,7 +85,9 @@
   entry.Head(421, "ml");
   entry.End(CallResult::Complete);
   entry.AdvanceTicks(3'100);
-  cr_assert_eq(ServingWorkers(entry).size(), 1U);
+  const std::size_t calls = entry.m_calls.size();
+  entry.SendRequest("/open/x", "");
+  cr_assert_eq(entry.m_calls.size(), calls + 1);
 }
 
 Test(announcements, other_entries_learn_of_a_leaving_worker)
