Parts are fetched from other workers, and entries tell what workers read

Two slow stores of 200 Gbit/s carry what 18 workers with links of 1,100 Gbit/s cache as well. Change: WorkerCaches models the caches of the workers (least recently used leaves); entries of small deployments tell each other which parts a worker has read; a part is fetched from the store or the worker from which it arrives first, without the leader's lease for workers. Placement counts both as sources and is stateless now.

--- a/src/include/fulmarquay/cache/CacheMessages.h
+++ b/src/include/fulmarquay/cache/CacheMessages.h
@@ -202,6 +202,25 @@
   bool operator==(const LeavingWorker&) const = default;
 };
 
+/// A part of a prompt that a worker has read.
+struct PartRead
+{
+  std::uint64_t m_key = 0;
+  std::int64_t m_tokens = 0;
+  MSGPACK_DEFINE(m_key, m_tokens)
+  bool operator==(const PartRead&) const = default;
+};
+
+/// Parts that an incarnation of a worker has read, in the order of a prompt.
+struct WorkerReads
+{
+  std::string m_worker;
+  std::int64_t m_createdMs = 0; ///< start time of the incarnation
+  std::vector<PartRead> m_parts;
+  MSGPACK_DEFINE(m_worker, m_createdMs, m_parts)
+  bool operator==(const WorkerReads&) const = default;
+};
+
 /// The worker loads of one entry, sent to its load peers.
 struct WorkerLoads
 {
@@ -210,7 +229,8 @@
   bool m_isSnapshot = false;  ///< snapshot; otherwise a delta to the last one
   std::vector<WorkerLoad> m_loads;
   std::vector<LeavingWorker> m_leaving; ///< in snapshots
-  MSGPACK_DEFINE(m_vm, m_number, m_isSnapshot, m_loads, m_leaving)
+  std::vector<WorkerReads> m_reads;     ///< since the last update
+  MSGPACK_DEFINE(m_vm, m_number, m_isSnapshot, m_loads, m_leaving, m_reads)
 };
 
 /// Messages of Channel::Cache, exchanged between entries.
--- a/src/include/fulmarquay/serve/LoadExchange.h
+++ b/src/include/fulmarquay/serve/LoadExchange.h
@@ -39,6 +39,11 @@
   /// dropped; the next snapshot repairs it.
   void OnLoads(TimePoint aNow, const WorkerLoads& aLoads);
 
+  /// Adds parts that a worker has read to the next update. Does nothing if the
+  /// recipients are only some of the other entries, to bound the traffic of
+  /// large deployments.
+  void OnRead(WorkerReads aReads);
+
   /// Returns the update to send to the recipients, if one is due.
   std::optional<WorkerLoads> TakeUpdate(TimePoint aNow,
                                         const WorkerTable& aWorkers);
@@ -75,6 +80,7 @@
   std::unordered_map<std::string, WorkerLoad> m_sums; ///< by worker
   std::uint64_t m_sequence = 0; ///< of the last update sent
   Loads m_sentLoads;            ///< as the recipients have them
+  std::vector<WorkerReads> m_unsentReads;
   TimePoint m_nextUpdate;
   TimePoint m_nextSnapshot;
 };
--- a/src/include/fulmarquay/serve/PartMap.h
+++ b/src/include/fulmarquay/serve/PartMap.h
@@ -36,6 +36,13 @@
   /// Extends the lease of the map and sets the time limit of a fetch.
   void OnLeaseConfirmed(TimePoint aUntil, Duration aFetchTimeout);
 
+  /// Another worker that caches a part.
+  struct PeerCopy
+  {
+    std::string m_address;   ///< IP:PORT; empty: none
+    Duration m_transferTime; ///< to the worker that will run the request
+  };
+
   /// The worker that will run a request, and the current time.
   struct PlanInput
   {
@@ -43,12 +50,13 @@
     std::int64_t m_workersClockMs = 0; ///< workers' clock at m_now
     DataCentreId m_dataCentre;
     std::int64_t m_kvBytesPerToken = 0;
-    std::uint32_t m_entryCount = 1; ///< entries that share the stores' links
+    std::uint32_t m_entryCount = 1; ///< entries that share the links
+    std::vector<PeerCopy> m_peerCopies; ///< by part; may be shorter
   };
 
-  /// Sets the fetches and saves of a request and the deadline of its fetches on
-  /// the workers' clock. The last part of a prompt is not shared and is neither
-  /// fetched nor saved.
+  /// Sets the fetches and saves of a request and the deadline of its fetches
+  /// from stores on the workers' clock. The last part of a prompt is not shared
+  /// and is neither fetched nor saved.
   void PlanTransfers(const PlanInput& aInput,
                      const RelayRequest& aRequest,
                      DispatchParameters& aParameters);
@@ -57,17 +65,11 @@
   /// fetched from.
   void OnFirstEvent(Duration aTime, const std::set<std::string>& aStores);
 
-  /// Tokens of the contiguous stored prefix of a prompt: in stores of the
-  /// worker's data centre, and in stores of other ones.
-  struct StoredPrefix
-  {
-    std::int64_t m_localTokens = 0;
-    std::int64_t m_remoteTokens = 0;
-  };
-  StoredPrefix StoredPrefixTokens(TimePoint aNow,
-                                  const std::vector<PromptPart>& aParts,
-                                  const std::vector<std::uint64_t>& aKeys,
-                                  const DataCentreId& aDataCentre) const;
+  /// The data centre of the store that a worker would fetch a part from; null
+  /// if no store has it.
+  const DataCentreId* NearestStore(TimePoint aNow,
+                                   std::uint64_t aKey,
+                                   const DataCentreId& aDataCentre) const;
 
   /// Returns and clears the keys of parts that requests have used; a few
   /// hundred at most.
@@ -89,6 +91,11 @@
 
   const Copy* FindCopy(std::uint64_t aKey,
                        const DataCentreId& aDataCentre) const;
+  /// Reserves link time at the source from which a part arrives first; an empty
+  /// address if there is none or their links are busy.
+  PartSource ChooseSource(const PlanInput& aInput,
+                          const Copy* aCopy,
+                          const PeerCopy* aPeer);
   /// A requested save that is not in the map yet.
   struct PendingSave
   {
--- a/src/include/fulmarquay/serve/Placement.h
+++ b/src/include/fulmarquay/serve/Placement.h
@@ -4,13 +4,13 @@
 #include "fulmarquay/serve/LoadExchange.h"
 #include "fulmarquay/serve/PartMap.h"
 #include "fulmarquay/serve/RelayRequest.h"
+#include "fulmarquay/serve/WorkerCaches.h"
 #include "fulmarquay/serve/WorkerTable.h"
 
 #include <cstdint>
 #include <map>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace fulmarquay {
@@ -21,7 +21,7 @@
 /// requests, and each engine caches only a part of all conversations. A prompt
 /// goes to the worker with the fewest tokens to compute before it and for it.
 /// The last shared part of a prompt has a home worker by rendezvous hashing, so
-/// that entries agree without coordination. Pure; not thread-safe.
+/// that entries agree without coordination. Pure and stateless.
 class Placement
 {
 public:
@@ -35,6 +35,8 @@
     std::string m_account; ///< owner of an isolated cache, else empty
     std::set<WorkerId> m_triedWorkers;
     const PartMap* m_partMap = nullptr; ///< contents of the stores, or null
+    const WorkerCaches* m_caches = nullptr; ///< of the workers, or null
+    DataCentreId m_dataCentre;              ///< of this entry
     std::uint32_t m_entryCount = 1;     ///< entries that share the workers
     Duration m_maxOldWeightsAge{};
     /// Memory, in tokens, that the request needs and that one worker has for
@@ -61,13 +63,6 @@
   /// there is none.
   Choice Choose(WorkerTable& aWorkers, const Criteria& aCriteria) const;
 
-  /// Records that a worker has read the prompt of a request and caches its
-  /// parts.
-  void OnPrefillDone(TimePoint aNow,
-                     const WorkerState& aWorker,
-                     const RelayRequest& aRequest,
-                     const std::string& aAccount);
-
 private:
   static bool HasRoom(const WorkerState& aWorker,
                       const Criteria& aCriteria,
@@ -78,14 +73,13 @@
                                      const Criteria& aCriteria,
                                      std::size_t aWorkers);
 
-  /// Keys of the parts that a worker has read, with the time.
-  using CachedParts = std::unordered_map<std::uint64_t, TimePoint>;
   /// Part keys of one prompt, by weight version.
   using PartKeysByVersion = std::map<std::int64_t, std::vector<std::uint64_t>>;
 
-  std::int64_t PrefillTokens(const WorkerState& aWorker,
-                             const Criteria& aCriteria,
-                             PartKeysByVersion& aKeysByVersion) const;
+  static std::int64_t PrefillTokens(const WorkerTable& aWorkers,
+                                    const WorkerState& aWorker,
+                                    const Criteria& aCriteria,
+                                    PartKeysByVersion& aKeysByVersion);
   std::int64_t LoadCost(const WorkerState& aWorker,
                         const Criteria& aCriteria,
                         const WorkerLoad& aOthersLoad,
@@ -93,10 +87,6 @@
   std::int64_t OldWeightsCost(const WorkerTable& aWorkers,
                               const WorkerState& aWorker,
                               const Criteria& aCriteria) const;
-  void Sweep(TimePoint aNow);
-
-  std::unordered_map<std::string, CachedParts> m_cachedParts; ///< by worker
-  TimePoint m_nextSweep;
 };
 
 } // namespace fulmarquay
--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -11,6 +11,7 @@
 #include "fulmarquay/serve/Placement.h"
 #include "fulmarquay/serve/RelayProtocol.h"
 #include "fulmarquay/serve/StartupAdmission.h"
+#include "fulmarquay/serve/WorkerCaches.h"
 #include "fulmarquay/serve/WorkerTable.h"
 
 #include <map>
@@ -162,6 +163,14 @@
   std::int64_t WorkerClockMs() const;
   PartMap::PlanInput PlanInputFor(const ActiveRequest& aActive,
                                   const WorkerState& aWorker) const;
+  /// For each shared part of a prompt, the best other worker that caches it.
+  std::vector<PartMap::PeerCopy> FindPeerCopies(
+    const ActiveRequest& aActive,
+    const WorkerState& aWorker,
+    const std::string& aScope) const;
+  void RecordReads(const ActiveRequest& aActive, const WorkerState& aWorker);
+  /// Memory of a pool's workers for parts that they cache, in tokens.
+  std::int64_t CacheBudget(const PoolId& aPool) const;
   void ReleaseWorker(ActiveRequest& aActive);
   void OnPrefillDone(ActiveRequest& aActive);
   void RecordEvents(ActiveRequest& aActive);
@@ -210,6 +219,8 @@
   WorkerTable m_workers;
   LoadExchange m_exchange;
   Placement m_placement;
+  WorkerCaches m_caches;
+  TimePoint m_nextCacheSweep;
   PartMap m_partMap;
   std::int64_t m_workersClockMs = 0; ///< at m_workersClockAt; 0: unknown
   TimePoint m_workersClockAt;
--- a/src/include/fulmarquay/serve/RelayRequest.h
+++ b/src/include/fulmarquay/serve/RelayRequest.h
@@ -35,11 +35,11 @@
   HttpRequest m_forwardRequest;
 };
 
-/// Store that holds a part of a prompt's KV cache.
+/// Store or worker from which a part of a prompt's KV cache is fetched.
 struct PartSource
 {
-  std::string m_address; ///< IP:PORT; empty: not stored
-  std::int64_t m_tokens = 0;
+  std::string m_address;     ///< IP:PORT; empty: not fetched
+  std::int64_t m_tokens = 0; ///< in a store; 0: as many as a worker caches
 };
 
 /// Parameters of a request for the worker that runs it.
@@ -55,7 +55,8 @@
   /// One for each part of the prompt, or empty.
   std::vector<PartSource> m_fetches;
   std::vector<std::string> m_saveAddresses; ///< IP:PORT; empty: not saved
-  std::int64_t m_fetchDeadlineMs = 0;       ///< on the workers' clock
+  /// On the workers' clock, for fetches from stores; 0: none.
+  std::int64_t m_fetchDeadlineMs = 0;
 };
 
 /// Relevant fields of the head of a worker's answer.
--- a/src/include/fulmarquay/serve/StoreFetchLimiter.h
+++ b/src/include/fulmarquay/serve/StoreFetchLimiter.h
@@ -35,6 +35,12 @@
                   Duration aTime,
                   std::uint32_t aEntryCount);
 
+  /// Expected time until a transfer ends, given the backlog and the assumed
+  /// bandwidth of the link.
+  Duration ExpectedTime(TimePoint aNow,
+                        const std::string& aStore,
+                        Duration aTime) const;
+
   /// Assumed bandwidth of a store's link, as a fraction of the configured one.
   double BandwidthRatio(const std::string& aStore) const;
 
--- a/src/libserve/LoadExchange.cpp
+++ b/src/libserve/LoadExchange.cpp
@@ -22,6 +22,8 @@
 /// Expiry of received loads: one lost snapshot is tolerated, and the requests
 /// of a crashed process end within about the same time.
 constexpr Duration kLoadTtl(1'000'000);
+/// Bounds the reads of one update; an entry starts a few prompts in its time.
+constexpr std::size_t kMaxUnsentReads = 100;
 
 } // namespace
 
@@ -118,6 +120,15 @@
   return loads;
 }
 
+void
+LoadExchange::OnRead(WorkerReads aReads)
+{
+  if (m_recipients.size() + 1 >= m_entryCount &&
+      m_unsentReads.size() < kMaxUnsentReads) {
+    m_unsentReads.push_back(std::move(aReads));
+  }
+}
+
 std::optional<WorkerLoads>
 LoadExchange::TakeUpdate(TimePoint aNow, const WorkerTable& aWorkers)
 {
@@ -145,9 +156,11 @@
       update.m_leaving.push_back({ id.Value(), worker.m_info.m_createdMs });
     }
   }
-  if (!update.m_isSnapshot && update.m_loads.empty()) {
+  if (!update.m_isSnapshot && update.m_loads.empty() &&
+      m_unsentReads.empty()) {
     return std::nullopt;
   }
+  update.m_reads = std::exchange(m_unsentReads, {});
   m_sentLoads = std::move(loads);
   update.m_number = ++m_sequence;
   const auto recipients = static_cast<std::int64_t>(m_recipients.size());
--- a/src/libserve/PartMap.cpp
+++ b/src/libserve/PartMap.cpp
@@ -155,26 +155,13 @@
   return best;
 }
 
-PartMap::StoredPrefix
-PartMap::StoredPrefixTokens(TimePoint aNow,
-                            const std::vector<PromptPart>& aParts,
-                            const std::vector<std::uint64_t>& aKeys,
-                            const DataCentreId& aDataCentre) const
+const DataCentreId*
+PartMap::NearestStore(TimePoint aNow,
+                      std::uint64_t aKey,
+                      const DataCentreId& aDataCentre) const
 {
-  StoredPrefix stored;
-  if (!HasLease(aNow)) {
-    return stored;
-  }
-  for (std::size_t i = 0; i < aParts.size(); ++i) {
-    const Copy* copy = FindCopy(aKeys[i], aDataCentre);
-    if (copy == nullptr) {
-      break;
-    }
-    const bool isLocal = m_stores[copy->m_store].m_dataCentre == aDataCentre;
-    (isLocal ? stored.m_localTokens : stored.m_remoteTokens) +=
-      aParts[i].m_tokens;
-  }
-  return stored;
+  const Copy* copy = HasLease(aNow) ? FindCopy(aKey, aDataCentre) : nullptr;
+  return copy == nullptr ? nullptr : &m_stores[copy->m_store].m_dataCentre;
 }
 
 Duration
@@ -196,16 +183,62 @@
   return Duration(isRemote ? time * kRemoteTransferFactor : time);
 }
 
+PartSource
+PartMap::ChooseSource(const PlanInput& aInput,
+                      const Copy* aCopy,
+                      const PeerCopy* aPeer)
+{
+  struct Candidate
+  {
+    std::string m_address;
+    std::int64_t m_tokens = 0; ///< stores are told how many to read
+    Duration m_time{};
+    Duration m_expected{};
+  };
+  std::vector<Candidate> candidates;
+  const auto add = [&](std::string aAddress,
+                       std::int64_t aTokens,
+                       Duration aTime) {
+    const Duration expected =
+      m_fetchLimiter.ExpectedTime(aInput.m_now, aAddress, aTime);
+    candidates.push_back({ std::move(aAddress), aTokens, aTime, expected });
+  };
+  if (aCopy != nullptr) {
+    const StoreInfo& store = m_stores[aCopy->m_store];
+    add(store.m_address,
+        aCopy->m_tokens,
+        TransferTime(store, aInput, aCopy->m_tokens));
+  }
+  if (aPeer != nullptr && !aPeer->m_address.empty()) {
+    add(aPeer->m_address, 0, aPeer->m_transferTime);
+  }
+  std::sort(candidates.begin(),
+            candidates.end(),
+            [](const Candidate& aLeft, const Candidate& aRight) {
+              return aLeft.m_expected < aRight.m_expected;
+            });
+  for (const Candidate& candidate : candidates) {
+    if (m_fetchLimiter.TryReserve(aInput.m_now,
+                                  candidate.m_address,
+                                  candidate.m_time,
+                                  aInput.m_entryCount)) {
+      return { candidate.m_address, candidate.m_tokens };
+    }
+  }
+  return {};
+}
+
 void
 PartMap::PlanTransfers(const PlanInput& aInput,
                        const RelayRequest& aRequest,
                        DispatchParameters& aParameters)
 {
   const TimePoint now = aInput.m_now;
-  if (!HasLease(now) || aInput.m_workersClockMs <= 0 || m_stores.empty() ||
-      aRequest.m_parts.size() < 2) {
+  if (aRequest.m_parts.size() < 2) {
     return;
   }
+  const bool mayUseStores =
+    HasLease(now) && aInput.m_workersClockMs > 0 && !m_stores.empty();
   if (now >= m_nextSweep) {
     m_nextSweep = now + kSweepInterval;
     std::erase_if(m_pendingSaves, [&](const auto& aEach) {
@@ -219,28 +252,25 @@
   for (std::size_t i = 0; i < shared; ++i) {
     const PromptPart& part = aRequest.m_parts[i];
     const std::uint64_t key = PartKey(aParameters.m_cacheScope, part.m_id);
-    const Copy* copy = FindCopy(key, aInput.m_dataCentre);
-    if (copy == nullptr) {
-      isContiguous = false;
+    const Copy* copy =
+      mayUseStores ? FindCopy(key, aInput.m_dataCentre) : nullptr;
+    if (mayUseStores && copy == nullptr) {
       PlanSave(aInput, key, part.m_tokens, aParameters.m_saveAddresses[i]);
-      continue;
     }
-    if (m_usedKeys.size() < kMaxUsedKeys) {
+    if (copy != nullptr && m_usedKeys.size() < kMaxUsedKeys) {
       m_usedKeys.push_back(key);
     }
-    const StoreInfo& store = m_stores[copy->m_store];
-    isContiguous =
-      isContiguous &&
-      m_fetchLimiter.TryReserve(now,
-                                store.m_address,
-                                TransferTime(store, aInput, copy->m_tokens),
-                                aInput.m_entryCount);
     if (isContiguous) {
-      aParameters.m_fetches[i] = { store.m_address, copy->m_tokens };
+      const PeerCopy* peer =
+        i < aInput.m_peerCopies.size() ? &aInput.m_peerCopies[i] : nullptr;
+      aParameters.m_fetches[i] = ChooseSource(aInput, copy, peer);
+      isContiguous = !aParameters.m_fetches[i].m_address.empty();
     }
   }
-  aParameters.m_fetchDeadlineMs =
-    aInput.m_workersClockMs + ToMillis(m_fetchTimeout);
+  if (mayUseStores) {
+    aParameters.m_fetchDeadlineMs =
+      aInput.m_workersClockMs + ToMillis(m_fetchTimeout);
+  }
 }
 
 void
--- a/src/libserve/Placement.cpp
+++ b/src/libserve/Placement.cpp
@@ -21,9 +21,6 @@
 /// free. Links between data centres are slower and paid for.
 constexpr std::int64_t kLocalFetchPercent = 25;
 constexpr std::int64_t kRemoteFetchPercent = 50;
-/// Parts read by a worker are assumed to be cached there for this long.
-constexpr Duration kCachedPartTtl(6'000'000);
-constexpr Duration kSweepInterval(2'000'000);
 /// Time after the release of newer weights during which old weights cost
 /// little; later they are worth less to the caller.
 constexpr Duration kOldWeightsGracePeriod(1'000'000);
@@ -51,6 +48,47 @@
   return Checksum64(parts[last].m_id, Checksum64(aCriteria.m_account));
 }
 
+enum class SourceDistance
+{
+  Local, ///< in the data centre of the worker
+  Remote,
+  None
+};
+
+/// The distance between a worker and the nearest source of a part.
+SourceDistance
+NearestSource(const WorkerTable& aWorkers,
+              const WorkerState& aWorker,
+              const Placement::Criteria& aCriteria,
+              std::uint64_t aKey)
+{
+  const DataCentreId& dataCentre = aWorker.m_info.m_dataCentre;
+  SourceDistance nearest = SourceDistance::None;
+  const auto add = [&](const DataCentreId& aSource) {
+    if (aSource == dataCentre) {
+      nearest = SourceDistance::Local;
+    } else if (nearest == SourceDistance::None) {
+      nearest = SourceDistance::Remote;
+    }
+  };
+  if (aCriteria.m_partMap != nullptr) {
+    if (const DataCentreId* store = aCriteria.m_partMap->NearestStore(
+          aCriteria.m_now, aKey, dataCentre)) {
+      add(*store);
+    }
+  }
+  if (aCriteria.m_caches != nullptr && nearest != SourceDistance::Local) {
+    for (const std::string& id : aCriteria.m_caches->Holders(aKey)) {
+      const auto holder = aWorkers.All().find(WorkerId(id));
+      if (holder != aWorkers.All().end() &&
+          aCriteria.m_caches->Holds(aCriteria.m_now, holder->second, aKey)) {
+        add(holder->second.m_info.m_dataCentre);
+      }
+    }
+  }
+  return nearest;
+}
+
 } // namespace
 
 bool
@@ -92,9 +130,10 @@
 }
 
 std::int64_t
-Placement::PrefillTokens(const WorkerState& aWorker,
+Placement::PrefillTokens(const WorkerTable& aWorkers,
+                         const WorkerState& aWorker,
                          const Criteria& aCriteria,
-                         PartKeysByVersion& aKeysByVersion) const
+                         PartKeysByVersion& aKeysByVersion)
 {
   const RelayRequest& request = *aCriteria.m_request;
   const std::int64_t version = aWorker.m_info.VersionOf(request.m_model);
@@ -103,40 +142,34 @@
     keys->second =
       PartKeys(MakeCacheScope(version, aCriteria.m_account), request.m_parts);
   }
+  // The contiguous prefix that need not be computed: parts cached by the
+  // worker, kept in a store or cached by another worker.
   std::int64_t cached = 0;
-  const auto workerParts = m_cachedParts.find(aWorker.m_info.m_id.Value());
-  for (std::size_t i = 0;
-       workerParts != m_cachedParts.end() && i < keys->second.size();
-       ++i) {
-    const auto part = workerParts->second.find(keys->second[i]);
-    if (part == workerParts->second.end() ||
-        aCriteria.m_now >= part->second + kCachedPartTtl) {
-      break;
+  std::int64_t local = 0;
+  std::int64_t remote = 0;
+  for (std::size_t i = 0; version >= 0 && i < request.m_parts.size(); ++i) {
+    const std::uint64_t key = keys->second[i];
+    const std::int64_t tokens = request.m_parts[i].m_tokens;
+    if (aCriteria.m_caches != nullptr &&
+        aCriteria.m_caches->Holds(aCriteria.m_now, aWorker, key)) {
+      cached += tokens;
+      continue;
     }
-    cached += request.m_parts[i].m_tokens;
-  }
-  PartMap::StoredPrefix stored;
-  if (aCriteria.m_partMap != nullptr && version >= 0) {
-    stored =
-      aCriteria.m_partMap->StoredPrefixTokens(aCriteria.m_now,
-                                              request.m_parts,
-                                              keys->second,
-                                              aWorker.m_info.m_dataCentre);
+    switch (NearestSource(aWorkers, aWorker, aCriteria, key)) {
+      case SourceDistance::Local:
+        local += tokens;
+        continue;
+      case SourceDistance::Remote:
+        remote += tokens;
+        continue;
+      case SourceDistance::None:
+        break;
+    }
+    break;
   }
-  // Parts cached by the worker are not fetched.
-  const std::int64_t cachedStored =
-    std::min(cached, stored.m_localTokens + stored.m_remoteTokens);
-  const std::int64_t remoteTokens =
-    std::max<std::int64_t>(0, stored.m_remoteTokens - cachedStored);
-  const std::int64_t localTokens = std::max<std::int64_t>(
-    0,
-    stored.m_localTokens -
-      std::max<std::int64_t>(0, cachedStored - stored.m_remoteTokens));
   return std::max<std::int64_t>(
-           0, request.m_promptTokens - cached - localTokens - remoteTokens) +
-         (localTokens * kLocalFetchPercent +
-          remoteTokens * kRemoteFetchPercent) /
-           100;
+           0, request.m_promptTokens - cached - local - remote) +
+         (local * kLocalFetchPercent + remote * kRemoteFetchPercent) / 100;
 }
 
 std::int64_t
@@ -209,8 +242,9 @@
       continue;
     }
     const std::int64_t prefillTokens =
-      aCriteria.m_hasPrompt ? PrefillTokens(*worker, aCriteria, keysByVersion)
-                            : 0;
+      aCriteria.m_hasPrompt
+        ? PrefillTokens(aWorkers, *worker, aCriteria, keysByVersion)
+        : 0;
     const std::int64_t prefillCost =
       worker == *home
         ? std::min(prefillTokens,
@@ -228,35 +262,4 @@
   return choice;
 }
 
-void
-Placement::OnPrefillDone(TimePoint aNow,
-                         const WorkerState& aWorker,
-                         const RelayRequest& aRequest,
-                         const std::string& aAccount)
-{
-  CachedParts& workerParts = m_cachedParts[aWorker.m_info.m_id.Value()];
-  const std::string scope =
-    MakeCacheScope(aWorker.m_info.VersionOf(aRequest.m_model), aAccount);
-  for (const std::uint64_t key : PartKeys(scope, aRequest.m_parts)) {
-    workerParts[key] = aNow;
-  }
-  Sweep(aNow);
-}
-
-void
-Placement::Sweep(TimePoint aNow)
-{
-  if (aNow < m_nextSweep) {
-    return;
-  }
-  m_nextSweep = aNow + kSweepInterval;
-  for (auto& [worker, parts] : m_cachedParts) {
-    std::erase_if(parts, [&](const auto& aEach) {
-      return aNow >= aEach.second + kCachedPartTtl;
-    });
-  }
-  std::erase_if(m_cachedParts,
-                [](const auto& aEach) { return aEach.second.empty(); });
-}
-
 } // namespace fulmarquay
--- a/src/libserve/RelayDispatch.cpp
+++ b/src/libserve/RelayDispatch.cpp
@@ -3,6 +3,8 @@
 #include "fulmarquay/serve/RelayFlow.h"
 
 #include "RelayConstants.h"
+#include "fulmarquay/cache/Rendezvous.h"
+#include "fulmarquay/core/Digest.h"
 #include <algorithm>
 #include <boost/algorithm/string/join.hpp>
 #include <cmath>
@@ -18,6 +20,13 @@
 /// Limit of a worker's answer with its framing. Streams are forwarded event by
 /// event, so that they use little memory.
 constexpr std::size_t kMaxResponseBytes = 64U << 20U;
+/// Slowdown of transfers between data centres.
+constexpr std::int64_t kRemoteTransferFactor = 2;
+constexpr double kBitsPerByte = 8;
+constexpr double kMicrosPerSecond = 1e6;
+/// Share of an engine's memory that holds cached parts; the rest is taken by
+/// running requests.
+constexpr std::int64_t kCacheMemoryPercent = 80;
 /// Bounds the assumed ratio between the load of two entries, in both
 /// directions.
 constexpr double kMaxLoadRatio = 3;
@@ -50,6 +59,8 @@
   criteria.m_entryCount = m_entryCount;
   criteria.m_otherLoads = m_exchange.HasLoads() ? &m_exchange : nullptr;
   criteria.m_partMap = &m_partMap;
+  criteria.m_caches = &m_caches;
+  criteria.m_dataCentre = m_context.Self().m_dataCentre;
   criteria.m_maxOldWeightsAge = m_options.m_maxOldWeightsAge;
   const PoolRule* pool = m_routes.FindPool(aActive.m_pool);
   if (criteria.m_hasPrompt && pool != nullptr) {
@@ -228,6 +239,81 @@
   return input;
 }
 
+std::vector<PartMap::PeerCopy>
+RelayFlow::FindPeerCopies(const ActiveRequest& aActive,
+                          const WorkerState& aWorker,
+                          const std::string& aScope) const
+{
+  const TimePoint now = m_context.Now();
+  const std::vector<PromptPart>& parts = aActive.m_request.m_parts;
+  const PoolRule* pool = m_routes.FindPool(aActive.m_pool);
+  std::vector<PartMap::PeerCopy> copies(parts.size());
+  if (pool == nullptr || pool->m_engines.m_linkBitsPerSecond <= 0) {
+    return copies;
+  }
+  const std::uint64_t spread = Checksum64(aActive.m_request.m_id);
+  for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+    const std::uint64_t key = PartKey(aScope, parts[i].m_id);
+    const auto time = static_cast<std::int64_t>(
+      static_cast<double>(parts[i].m_tokens *
+                          pool->m_engines.m_kvBytesPerToken) *
+      kBitsPerByte * kMicrosPerSecond /
+      static_cast<double>(pool->m_engines.m_linkBitsPerSecond));
+    std::uint64_t bestWeight = 0;
+    for (const std::string& id : m_caches.Holders(key)) {
+      const auto holder = m_workers.All().find(WorkerId(id));
+      if (holder == m_workers.All().end() ||
+          holder->first == aWorker.m_info.m_id ||
+          holder->second.m_needsProbe || holder->second.m_info.m_isLeaving ||
+          !m_caches.Holds(now, holder->second, key)) {
+        continue;
+      }
+      const bool isLocal =
+        holder->second.m_info.m_dataCentre == aWorker.m_info.m_dataCentre;
+      const Duration transfer(isLocal ? time : time * kRemoteTransferFactor);
+      // Among equally near holders, requests spread by a hash.
+      const std::uint64_t weight = RendezvousWeight(id, spread);
+      PartMap::PeerCopy& best = copies[i];
+      const bool isBetter =
+        best.m_address.empty() || transfer < best.m_transferTime ||
+        (transfer == best.m_transferTime && weight > bestWeight);
+      if (isBetter) {
+        best = { holder->second.m_info.m_address, transfer };
+        bestWeight = weight;
+      }
+    }
+  }
+  return copies;
+}
+
+std::int64_t
+RelayFlow::CacheBudget(const PoolId& aPool) const
+{
+  const PoolRule* pool = m_routes.FindPool(aPool);
+  return pool == nullptr ? 0
+                         : pool->m_engines.m_cacheCapacityTokens *
+                             kCacheMemoryPercent / 100;
+}
+
+void
+RelayFlow::RecordReads(const ActiveRequest& aActive, const WorkerState& aWorker)
+{
+  const RelayRequest& request = aActive.m_request;
+  if (request.m_parts.size() < 2) {
+    return;
+  }
+  WorkerReads reads;
+  reads.m_worker = aWorker.m_info.m_id.Value();
+  reads.m_createdMs = aWorker.m_info.m_createdMs;
+  const std::string scope = CacheScopeFor(aActive, aWorker);
+  for (const PromptPart& part : request.m_parts) {
+    reads.m_parts.push_back({ PartKey(scope, part.m_id), part.m_tokens });
+  }
+  m_caches.OnRead(
+    m_context.Now(), aWorker, reads.m_parts, CacheBudget(aActive.m_pool));
+  m_exchange.OnRead(std::move(reads));
+}
+
 void
 RelayFlow::Send(ActiveRequest& aActive, WorkerState& aWorker)
 {
@@ -243,8 +329,10 @@
     parameters.m_priority = aActive.m_priority;
     parameters.m_cacheScope = CacheScopeFor(aActive, aWorker);
     parameters.m_weights = aWorker.m_info.VersionOf(aActive.m_request.m_model);
-    m_partMap.PlanTransfers(
-      PlanInputFor(aActive, aWorker), aActive.m_request, parameters);
+    PartMap::PlanInput input = PlanInputFor(aActive, aWorker);
+    input.m_peerCopies =
+      FindPeerCopies(aActive, aWorker, parameters.m_cacheScope);
+    m_partMap.PlanTransfers(input, aActive.m_request, parameters);
     for (const PartSource& source : parameters.m_fetches) {
       if (!source.m_address.empty()) {
         aActive.m_stores.insert(source.m_address);
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -18,6 +18,7 @@
 /// Bounds the requests held during startup: a few hundred ms of a busy entry's
 /// load, and little memory with bodies of some KB.
 constexpr std::size_t kMaxWaitingForStartup = 400;
+constexpr Duration kCacheSweepInterval(2'000'000);
 /// Retry-After while this entry drains: another entry can accept the request at
 /// once.
 constexpr Duration kLeavingRetryAfter(10'000);
@@ -320,6 +321,10 @@
   ProbeSilentWorkers();
   UpdateHeldAverages();
   m_exchange.OnTick(now);
+  if (now >= m_nextCacheSweep) {
+    m_nextCacheSweep = now + kCacheSweepInterval;
+    m_caches.Sweep(now, m_workers);
+  }
   DispatchQueued();
   SendLoads();
   if (m_hadKeyLease != HasKeyLease()) {
--- a/src/libserve/RelayResponses.cpp
+++ b/src/libserve/RelayResponses.cpp
@@ -135,6 +135,15 @@
       LogLeaving(worker, aLoads.m_vm.Value());
     }
   }
+  for (const WorkerReads& reads : aLoads.m_reads) {
+    const WorkerState* worker = m_workers.Find(WorkerId(reads.m_worker));
+    if (worker != nullptr && worker->m_info.m_createdMs == reads.m_createdMs) {
+      m_caches.OnRead(m_context.Now(),
+                      *worker,
+                      reads.m_parts,
+                      CacheBudget(worker->m_info.m_pool));
+    }
+  }
 }
 
 Duration
@@ -194,8 +203,7 @@
     0, worker->m_pendingPrefillTokens - aActive.m_pendingPrefillTokens);
   aActive.m_pendingPrefillTokens = 0;
   m_partMap.OnFirstEvent(m_context.Now() - aActive.m_sentAt, aActive.m_stores);
-  m_placement.OnPrefillDone(
-    m_context.Now(), *worker, aActive.m_request, aActive.m_cacheAccount);
+  RecordReads(aActive, *worker);
   m_context.Counters().Observe("first_event_seconds",
                                static_cast<double>(Age(aActive).count()) / 1e6,
                                "route=\"" + aActive.m_routeName + "\"");
--- a/src/libserve/StoreFetchLimiter.cpp
+++ b/src/libserve/StoreFetchLimiter.cpp
@@ -102,6 +102,24 @@
   return isAccepted;
 }
 
+Duration
+StoreFetchLimiter::ExpectedTime(TimePoint aNow,
+                                const std::string& aStore,
+                                Duration aTime) const
+{
+  const auto found = m_states.find(aStore);
+  if (found == m_states.end()) {
+    return aTime;
+  }
+  const StoreState& state = found->second;
+  const double backlogUs =
+    std::max(0.0,
+             state.m_backlogUs -
+               static_cast<double>((aNow - state.m_updatedAt).count()));
+  return Duration(static_cast<std::int64_t>(
+    backlogUs + static_cast<double>(aTime.count()) / state.m_bandwidthRatio));
+}
+
 double
 StoreFetchLimiter::BandwidthRatio(const std::string& aStore) const
 {
--- a/src/libserve/placement_test.cpp
+++ b/src/libserve/placement_test.cpp
@@ -36,7 +36,7 @@
 WorkerLoads
 MakeSnapshot(const std::string& aVm, std::vector<WorkerLoad> aLoads)
 {
-  return { VmId(aVm), 1, true, std::move(aLoads) };
+  return { VmId(aVm), 1, true, std::move(aLoads), {}, {} };
 }
 
 /// Simulates entries that place prompts of 10,000 tokens on nine workers, one
