Entries tell each other the link time that they reserve

Cause: each entry took its own use of a store's link times the number of entries for the use of all, which refuses fetches at random while the link is free. Change: reservations go with the load updates where all entries are load peers; a part that the worker is assumed to hold reserves nothing.

--- a/src/include/fulmarquay/cache/CacheMessages.h
+++ b/src/include/fulmarquay/cache/CacheMessages.h
@@ -221,6 +221,15 @@
   bool operator==(const WorkerReads&) const = default;
 };
 
+/// Time of a link that an entry has reserved for transfers.
+struct LinkUse
+{
+  std::string m_address; ///< IP:PORT of the source
+  std::int64_t m_timeUs = 0;
+  MSGPACK_DEFINE(m_address, m_timeUs)
+  bool operator==(const LinkUse&) const = default;
+};
+
 /// The worker loads of one entry, sent to its load peers.
 struct WorkerLoads
 {
@@ -230,7 +239,14 @@
   std::vector<WorkerLoad> m_loads;
   std::vector<LeavingWorker> m_leaving; ///< in snapshots
   std::vector<WorkerReads> m_reads;     ///< since the last update
-  MSGPACK_DEFINE(m_vm, m_number, m_isSnapshot, m_loads, m_leaving, m_reads)
+  std::vector<LinkUse> m_linkUse;       ///< since the last update
+  MSGPACK_DEFINE(m_vm,
+                 m_number,
+                 m_isSnapshot,
+                 m_loads,
+                 m_leaving,
+                 m_reads,
+                 m_linkUse)
 };
 
 /// Messages of Channel::Cache, exchanged between entries.
--- a/src/include/fulmarquay/serve/LoadExchange.h
+++ b/src/include/fulmarquay/serve/LoadExchange.h
@@ -39,10 +39,14 @@
   /// dropped; the next snapshot repairs it.
   void OnLoads(TimePoint aNow, const WorkerLoads& aLoads);
 
-  /// Adds parts that a worker has read to the next update. Does nothing if the
-  /// recipients are only some of the other entries, to bound the traffic of
-  /// large deployments.
+  /// Whether all other entries receive the updates of this one. If not, reads
+  /// and link use are not exchanged, to bound the traffic of large deployments.
+  bool ReachesAll() const { return m_recipients.size() + 1 >= m_entryCount; }
+
+  /// Adds parts that a worker has read to the next update.
   void OnRead(WorkerReads aReads);
+  /// Adds reserved link time to the next update.
+  void OnLinkReserved(const std::string& aAddress, Duration aTime);
 
   /// Returns the update to send to the recipients, if one is due.
   std::optional<WorkerLoads> TakeUpdate(TimePoint aNow,
@@ -81,6 +85,7 @@
   std::uint64_t m_sequence = 0; ///< of the last update sent
   Loads m_sentLoads;            ///< as the recipients have them
   std::vector<WorkerReads> m_unsentReads;
+  std::map<std::string, std::int64_t> m_unsentLinkUse; ///< us by address
   TimePoint m_nextUpdate;
   TimePoint m_nextSnapshot;
 };
--- a/src/include/fulmarquay/serve/PartMap.h
+++ b/src/include/fulmarquay/serve/PartMap.h
@@ -1,6 +1,7 @@
 #ifndef FULMARQUAY_SERVE_PARTMAP_H
 #define FULMARQUAY_SERVE_PARTMAP_H
 
+#include "fulmarquay/cache/CacheMessages.h"
 #include "fulmarquay/control/PartStore.h"
 #include "fulmarquay/core/Units.h"
 #include "fulmarquay/serve/RelayRequest.h"
@@ -36,11 +37,12 @@
   /// Extends the lease of the map and sets the time limit of a fetch.
   void OnLeaseConfirmed(TimePoint aUntil, Duration aFetchTimeout);
 
-  /// Another worker that caches a part.
+  /// What is known of a part beside the stores.
   struct PeerCopy
   {
-    std::string m_address;   ///< IP:PORT; empty: none
-    Duration m_transferTime; ///< to the worker that will run the request
+    bool m_isHeld = false; ///< by the worker that will run the request
+    std::string m_address; ///< IP:PORT of another worker; empty: none
+    Duration m_transferTime{};
   };
 
   /// The worker that will run a request, and the current time.
@@ -50,7 +52,10 @@
     std::int64_t m_workersClockMs = 0; ///< workers' clock at m_now
     DataCentreId m_dataCentre;
     std::int64_t m_kvBytesPerToken = 0;
-    std::uint32_t m_entryCount = 1; ///< entries that share the links
+    std::uint32_t m_entryCount = 1; ///< entries that save to the stores
+    /// Entries that share the links and do not tell their reservations, this
+    /// one included.
+    std::uint32_t m_linkSharers = 1;
     std::vector<PeerCopy> m_peerCopies; ///< by part; may be shorter
   };
 
@@ -71,6 +76,11 @@
                                    std::uint64_t aKey,
                                    const DataCentreId& aDataCentre) const;
 
+  /// Returns and clears the link time that PlanTransfers has reserved.
+  std::vector<LinkUse> TakeReservations();
+  /// Adds link time that another entry has reserved.
+  void OnReservedByOther(TimePoint aNow, const LinkUse& aUse);
+
   /// Returns and clears the keys of parts that requests have used; a few
   /// hundred at most.
   std::vector<std::uint64_t> TakeUsedKeys();
@@ -91,8 +101,10 @@
 
   const Copy* FindCopy(std::uint64_t aKey,
                        const DataCentreId& aDataCentre) const;
-  /// Reserves link time at the source from which a part arrives first; an empty
-  /// address if there is none or their links are busy.
+  /// Chooses the source from which a part arrives first and reserves link time
+  /// there; an empty address if there is none or the links are busy. For a part
+  /// that the worker is assumed to hold, a source is named in case it does not,
+  /// without a reservation.
   PartSource ChooseSource(const PlanInput& aInput,
                           const Copy* aCopy,
                           const PeerCopy* aPeer);
@@ -128,6 +140,7 @@
   TimePoint m_leaseUntil;
   Duration m_fetchTimeout{};
   std::vector<std::uint64_t> m_usedKeys;
+  std::vector<LinkUse> m_reservations;
   StoreFetchLimiter m_fetchLimiter;
 };
 
--- a/src/include/fulmarquay/serve/StoreFetchLimiter.h
+++ b/src/include/fulmarquay/serve/StoreFetchLimiter.h
@@ -29,12 +29,19 @@
 
   /// Reserves link time for a transfer; returns false if the backlog is too
   /// long. `aTime` is the transfer time at the configured bandwidth,
-  /// `aEntryCount` the number of entries that share the link.
+  /// `aEntryCount` the number of entries that share the link and do not tell
+  /// their reservations, this one included; they are assumed to use the link as
+  /// much as this one.
   bool TryReserve(TimePoint aNow,
                   const std::string& aStore,
                   Duration aTime,
                   std::uint32_t aEntryCount);
 
+  /// Adds link time that another entry has reserved.
+  void OnReservedByOther(TimePoint aNow,
+                         const std::string& aStore,
+                         Duration aTime);
+
   /// Expected time until a transfer ends, given the backlog and the assumed
   /// bandwidth of the link.
   Duration ExpectedTime(TimePoint aNow,
@@ -57,6 +64,7 @@
   };
 
   double LowerQuartileUs() const;
+  StoreState& UpdateBacklog(TimePoint aNow, const std::string& aStore);
 
   std::map<std::string, StoreState> m_states;
   std::array<std::int64_t, kSampleCount> m_firstEventTimesUs{};
--- a/src/libserve/LoadExchange.cpp
+++ b/src/libserve/LoadExchange.cpp
@@ -123,12 +123,19 @@
 void
 LoadExchange::OnRead(WorkerReads aReads)
 {
-  if (m_recipients.size() + 1 >= m_entryCount &&
-      m_unsentReads.size() < kMaxUnsentReads) {
+  if (ReachesAll() && m_unsentReads.size() < kMaxUnsentReads) {
     m_unsentReads.push_back(std::move(aReads));
   }
 }
 
+void
+LoadExchange::OnLinkReserved(const std::string& aAddress, Duration aTime)
+{
+  if (ReachesAll()) {
+    m_unsentLinkUse[aAddress] += aTime.count();
+  }
+}
+
 std::optional<WorkerLoads>
 LoadExchange::TakeUpdate(TimePoint aNow, const WorkerTable& aWorkers)
 {
@@ -157,9 +164,12 @@
     }
   }
   if (!update.m_isSnapshot && update.m_loads.empty() &&
-      m_unsentReads.empty()) {
+      m_unsentReads.empty() && m_unsentLinkUse.empty()) {
     return std::nullopt;
   }
+  for (const auto& [address, time] : std::exchange(m_unsentLinkUse, {})) {
+    update.m_linkUse.push_back({ address, time });
+  }
   update.m_reads = std::exchange(m_unsentReads, {});
   m_sentLoads = std::move(loads);
   update.m_number = ++m_sequence;
--- a/src/libserve/PartMap.cpp
+++ b/src/libserve/PartMap.cpp
@@ -217,11 +217,16 @@
             [](const Candidate& aLeft, const Candidate& aRight) {
               return aLeft.m_expected < aRight.m_expected;
             });
+  if (aPeer != nullptr && aPeer->m_isHeld && !candidates.empty()) {
+    return { candidates.front().m_address, candidates.front().m_tokens };
+  }
   for (const Candidate& candidate : candidates) {
     if (m_fetchLimiter.TryReserve(aInput.m_now,
                                   candidate.m_address,
                                   candidate.m_time,
-                                  aInput.m_entryCount)) {
+                                  aInput.m_linkSharers)) {
+      m_reservations.push_back(
+        { candidate.m_address, candidate.m_time.count() });
       return { candidate.m_address, candidate.m_tokens };
     }
   }
@@ -264,7 +269,8 @@
       const PeerCopy* peer =
         i < aInput.m_peerCopies.size() ? &aInput.m_peerCopies[i] : nullptr;
       aParameters.m_fetches[i] = ChooseSource(aInput, copy, peer);
-      isContiguous = !aParameters.m_fetches[i].m_address.empty();
+      isContiguous = !aParameters.m_fetches[i].m_address.empty() ||
+                     (peer != nullptr && peer->m_isHeld);
     }
   }
   if (mayUseStores) {
@@ -299,6 +305,19 @@
   m_fetchLimiter.OnFirstEvent(aTime, aStores);
 }
 
+std::vector<LinkUse>
+PartMap::TakeReservations()
+{
+  return std::exchange(m_reservations, {});
+}
+
+void
+PartMap::OnReservedByOther(TimePoint aNow, const LinkUse& aUse)
+{
+  m_fetchLimiter.OnReservedByOther(
+    aNow, aUse.m_address, Duration(aUse.m_timeUs));
+}
+
 std::vector<std::uint64_t>
 PartMap::TakeUsedKeys()
 {
--- a/src/libserve/RelayDispatch.cpp
+++ b/src/libserve/RelayDispatch.cpp
@@ -233,6 +233,7 @@
   input.m_workersClockMs = WorkerClockMs();
   input.m_dataCentre = aWorker.m_info.m_dataCentre;
   input.m_entryCount = m_entryCount;
+  input.m_linkSharers = m_exchange.ReachesAll() ? 1 : m_entryCount;
   if (const PoolRule* pool = m_routes.FindPool(aActive.m_pool)) {
     input.m_kvBytesPerToken = pool->m_engines.m_kvBytesPerToken;
   }
@@ -259,6 +260,7 @@
                           pool->m_engines.m_kvBytesPerToken) *
       kBitsPerByte * kMicrosPerSecond /
       static_cast<double>(pool->m_engines.m_linkBitsPerSecond));
+    copies[i].m_isHeld = m_caches.Holds(now, aWorker, key);
     std::uint64_t bestWeight = 0;
     for (const std::string& id : m_caches.Holders(key)) {
       const auto holder = m_workers.All().find(WorkerId(id));
@@ -278,7 +280,8 @@
         best.m_address.empty() || transfer < best.m_transferTime ||
         (transfer == best.m_transferTime && weight > bestWeight);
       if (isBetter) {
-        best = { holder->second.m_info.m_address, transfer };
+        best.m_address = holder->second.m_info.m_address;
+        best.m_transferTime = transfer;
         bestWeight = weight;
       }
     }
@@ -333,6 +336,9 @@
     input.m_peerCopies =
       FindPeerCopies(aActive, aWorker, parameters.m_cacheScope);
     m_partMap.PlanTransfers(input, aActive.m_request, parameters);
+    for (const LinkUse& use : m_partMap.TakeReservations()) {
+      m_exchange.OnLinkReserved(use.m_address, Duration(use.m_timeUs));
+    }
     for (const PartSource& source : parameters.m_fetches) {
       if (!source.m_address.empty()) {
         aActive.m_stores.insert(source.m_address);
--- a/src/libserve/RelayResponses.cpp
+++ b/src/libserve/RelayResponses.cpp
@@ -135,6 +135,9 @@
       LogLeaving(worker, aLoads.m_vm.Value());
     }
   }
+  for (const LinkUse& use : aLoads.m_linkUse) {
+    m_partMap.OnReservedByOther(m_context.Now(), use);
+  }
   for (const WorkerReads& reads : aLoads.m_reads) {
     const WorkerState* worker = m_workers.Find(WorkerId(reads.m_worker));
     if (worker != nullptr && worker->m_info.m_createdMs == reads.m_createdMs) {
--- a/src/libserve/StoreFetchLimiter.cpp
+++ b/src/libserve/StoreFetchLimiter.cpp
@@ -80,17 +80,38 @@
   }
 }
 
-bool
-StoreFetchLimiter::TryReserve(TimePoint aNow,
-                              const std::string& aStore,
-                              Duration aTime,
-                              std::uint32_t aEntryCount)
+StoreFetchLimiter::StoreState&
+StoreFetchLimiter::UpdateBacklog(TimePoint aNow, const std::string& aStore)
 {
   StoreState& state = m_states[aStore];
   const auto elapsedUs =
     static_cast<double>((aNow - state.m_updatedAt).count());
   state.m_backlogUs = std::max(0.0, state.m_backlogUs - elapsedUs);
   state.m_updatedAt = aNow;
+  return state;
+}
+
+void
+StoreFetchLimiter::OnReservedByOther(TimePoint aNow,
+                                     const std::string& aStore,
+                                     Duration aTime)
+{
+  StoreState& state = UpdateBacklog(aNow, aStore);
+  // Each entry assumes its own bandwidth; one that assumes more than this one
+  // must not keep it from fetching for good.
+  state.m_backlogUs = std::min(
+    std::max(state.m_backlogUs, kMaxBacklogUs),
+    state.m_backlogUs +
+      static_cast<double>(aTime.count()) / state.m_bandwidthRatio);
+}
+
+bool
+StoreFetchLimiter::TryReserve(TimePoint aNow,
+                              const std::string& aStore,
+                              Duration aTime,
+                              std::uint32_t aEntryCount)
+{
+  StoreState& state = UpdateBacklog(aNow, aStore);
   const double cost =
     static_cast<double>(aTime.count()) * aEntryCount / state.m_bandwidthRatio;
   // A transfer longer than the maximum backlog may start on an idle link.
