--- a/src/libserve/Placement.cpp
+++ b/src/libserve/Placement.cpp
@@ -33,6 +33,10 @@
 constexpr std::int64_t kUsableMemoryPercent = 100;
 /// Cost of one more running request at a service without prompts.
 constexpr std::int64_t kServiceRequestCost = 1'000;
+/// Traffic between data centres is slower and paid for: among workers with
+/// similar costs, those of the entry's data centre are preferred.
+constexpr std::int64_t kRemoteServiceCost = kServiceRequestCost;
+constexpr std::int64_t kRemoteWorkerTokens = 400;
 constexpr std::int64_t kIneligible = std::numeric_limits<std::int64_t>::max();
 
 /// Key of the rendezvous hash, equal at all entries: the last part of the
@@ -179,14 +183,16 @@
                     std::uint64_t aAffinityKey) const
 {
   const std::int64_t running = aWorker.m_running + aOthersLoad.m_running;
+  const bool isRemote = aWorker.m_info.m_dataCentre != aCriteria.m_dataCentre;
   if (!aCriteria.m_hasPrompt) {
     const auto spread = static_cast<std::int64_t>(
       RendezvousWeight(aWorker.m_info.m_id.Value(), aAffinityKey) %
       kServiceRequestCost);
-    return running * kServiceRequestCost + spread;
+    return running * kServiceRequestCost + spread +
+           (isRemote ? kRemoteServiceCost : 0);
   }
   return aWorker.m_pendingPrefillTokens + aOthersLoad.m_pendingPrefillTokens +
-         running * kRunningRequestTokens;
+         running * kRunningRequestTokens + (isRemote ? kRemoteWorkerTokens : 0);
 }
 
 std::int64_t
