--- a/src/include/fulmarquay/serve/Placement.h
+++ b/src/include/fulmarquay/serve/Placement.h
@@ -34,10 +34,10 @@
     bool m_hasPrompt = false;
     std::string m_account; ///< owner of an isolated cache, else empty
     std::set<WorkerId> m_triedWorkers;
-    const PartMap* m_partMap = nullptr; ///< contents of the stores, or null
+    const PartMap* m_partMap = nullptr;     ///< contents of the stores, or null
     const WorkerCaches* m_caches = nullptr; ///< of the workers, or null
     DataCentreId m_dataCentre;              ///< of this entry
-    std::uint32_t m_entryCount = 1;     ///< entries that share the workers
+    std::uint32_t m_entryCount = 1;         ///< entries that share the workers
     Duration m_maxOldWeightsAge{};
     /// Memory, in tokens, that the request needs and that one worker has for
     /// the requests of all entries; capacity 0: unlimited.
--- a/src/libserve/LoadExchange.cpp
+++ b/src/libserve/LoadExchange.cpp
@@ -163,8 +163,8 @@
       update.m_leaving.push_back({ id.Value(), worker.m_info.m_createdMs });
     }
   }
-  if (!update.m_isSnapshot && update.m_loads.empty() &&
-      m_unsentReads.empty() && m_unsentLinkUse.empty()) {
+  if (!update.m_isSnapshot && update.m_loads.empty() && m_unsentReads.empty() &&
+      m_unsentLinkUse.empty()) {
     return std::nullopt;
   }
   for (const auto& [address, time] : std::exchange(m_unsentLinkUse, {})) {
--- a/src/libserve/PartMap.cpp
+++ b/src/libserve/PartMap.cpp
@@ -196,13 +196,12 @@
     Duration m_expected{};
   };
   std::vector<Candidate> candidates;
-  const auto add = [&](std::string aAddress,
-                       std::int64_t aTokens,
-                       Duration aTime) {
-    const Duration expected =
-      m_fetchLimiter.ExpectedTime(aInput.m_now, aAddress, aTime);
-    candidates.push_back({ std::move(aAddress), aTokens, aTime, expected });
-  };
+  const auto add =
+    [&](std::string aAddress, std::int64_t aTokens, Duration aTime) {
+      const Duration expected =
+        m_fetchLimiter.ExpectedTime(aInput.m_now, aAddress, aTime);
+      candidates.push_back({ std::move(aAddress), aTokens, aTime, expected });
+    };
   if (aCopy != nullptr) {
     const StoreInfo& store = m_stores[aCopy->m_store];
     add(store.m_address,
--- a/src/libserve/RelayDispatch.cpp
+++ b/src/libserve/RelayDispatch.cpp
@@ -265,8 +265,8 @@
     for (const std::string& id : m_caches.Holders(key)) {
       const auto holder = m_workers.All().find(WorkerId(id));
       if (holder == m_workers.All().end() ||
-          holder->first == aWorker.m_info.m_id ||
-          holder->second.m_needsProbe || holder->second.m_info.m_isLeaving ||
+          holder->first == aWorker.m_info.m_id || holder->second.m_needsProbe ||
+          holder->second.m_info.m_isLeaving ||
           !m_caches.Holds(now, holder->second, key)) {
         continue;
       }
@@ -293,9 +293,9 @@
 RelayFlow::CacheBudget(const PoolId& aPool) const
 {
   const PoolRule* pool = m_routes.FindPool(aPool);
-  return pool == nullptr ? 0
-                         : pool->m_engines.m_cacheCapacityTokens *
-                             kCacheMemoryPercent / 100;
+  return pool == nullptr
+           ? 0
+           : pool->m_engines.m_cacheCapacityTokens * kCacheMemoryPercent / 100;
 }
 
 void
--- a/src/libserve/StoreFetchLimiter.cpp
+++ b/src/libserve/StoreFetchLimiter.cpp
@@ -99,10 +99,10 @@
   StoreState& state = UpdateBacklog(aNow, aStore);
   // Each entry assumes its own bandwidth; one that assumes more than this one
   // must not keep it from fetching for good.
-  state.m_backlogUs = std::min(
-    std::max(state.m_backlogUs, kMaxBacklogUs),
-    state.m_backlogUs +
-      static_cast<double>(aTime.count()) / state.m_bandwidthRatio);
+  state.m_backlogUs =
+    std::min(std::max(state.m_backlogUs, kMaxBacklogUs),
+             state.m_backlogUs +
+               static_cast<double>(aTime.count()) / state.m_bandwidthRatio);
 }
 
 bool
--- a/src/libserve/WorkerCaches.cpp
+++ b/src/libserve/WorkerCaches.cpp
@@ -58,8 +58,7 @@
     const auto known = cache.m_parts.find(part->m_key);
     if (known != cache.m_parts.end()) {
       known->second->m_usedAt = aNow;
-      cache.m_order.splice(
-        cache.m_order.begin(), cache.m_order, known->second);
+      cache.m_order.splice(cache.m_order.begin(), cache.m_order, known->second);
       continue;
     }
     cache.m_order.push_front({ part->m_key, part->m_tokens, aNow });
@@ -101,12 +100,10 @@
   for (auto each = m_caches.begin(); each != m_caches.end();) {
     auto& [id, cache] = *each;
     const auto listed = aWorkers.All().find(WorkerId(id));
-    const bool isGone =
-      listed == aWorkers.All().end() ||
-      listed->second.m_info.m_createdMs != cache.m_createdMs;
+    const bool isGone = listed == aWorkers.All().end() ||
+                        listed->second.m_info.m_createdMs != cache.m_createdMs;
     while (!cache.m_order.empty() &&
-           (isGone ||
-            aNow >= cache.m_order.back().m_usedAt + kCachedPartTtl)) {
+           (isGone || aNow >= cache.m_order.back().m_usedAt + kCachedPartTtl)) {
       DropLast(id, cache);
     }
     each = isGone ? m_caches.erase(each) : std::next(each);
--- a/src/libserve/placement_test.cpp
+++ b/src/libserve/placement_test.cpp
@@ -216,7 +216,8 @@
   const TimePoint now(Duration(1'000'000'000));
   const auto apply = [&](std::uint64_t aNumber, std::int64_t aRunning) {
     exchange.OnLoads(
-      now, { VmId("a"), aNumber, false, { { "w", aRunning, 0, 10 } }, {}, {}, {} });
+      now,
+      { VmId("a"), aNumber, false, { { "w", aRunning, 0, 10 } }, {}, {}, {} });
     return exchange.OtherEntriesLoad(WorkerId("w")).m_running;
   };
   cr_assert_eq(apply(1, 5), 0, "no snapshot yet");
--- a/src/libserve/relay_answers_test.cpp
+++ b/src/libserve/relay_answers_test.cpp
@@ -93,9 +93,8 @@
 Test(announcements, other_entries_learn_of_a_leaving_worker)
 {
   Entry first;
-  first.m_flow.OnLoadPeers(
-    { { VmId("other"), BootId(1), "10.0.0.9:1" },
-      { VmId("third"), BootId(2), "10.0.0.9:2" } });
+  first.m_flow.OnLoadPeers({ { VmId("other"), BootId(1), "10.0.0.9:1" },
+                             { VmId("third"), BootId(2), "10.0.0.9:2" } });
   first.SendRequest("/open/x", "");
   const std::string leaving = first.LastWorker();
   first.Head(200, "pl");
@@ -120,7 +119,8 @@
   // A report about an earlier incarnation does not concern its successor.
   Entry third;
   reported.front().m_createdMs = 5;
-  third.m_flow.OnLoads({ VmId("first"), 1, true, {}, { reported.front() }, {}, {} });
+  third.m_flow.OnLoads(
+    { VmId("first"), 1, true, {}, { reported.front() }, {}, {} });
   cr_assert_eq(ServingWorkers(third).count(leaving), 1U);
 }
 
--- a/src/libwire/http_client_test.cpp
+++ b/src/libwire/http_client_test.cpp
@@ -420,3 +420,18 @@
                  static_cast<int>(isReset));
   }
 }
+
+Test(http_client, many_responses_to_earlier_requests_end_the_call)
+{
+  for (const int earlier : { 3, 30 }) {
+    std::string text;
+    for (int i = 0; i < earlier; ++i) {
+      text += ResponseText("old", "late");
+    }
+    const ScriptedServer server({ text + ResponseText("new", "own") });
+    TestClient client;
+    client.Call(CallTo(server, "new"));
+    cr_assert_eq(client.m_end,
+                 earlier == 3 ? CallResult::Complete : CallResult::Incomplete);
+  }
+}
