--- a/src/include/fulmarquay/cache/CacheMessages.h
+++ b/src/include/fulmarquay/cache/CacheMessages.h
@@ -193,6 +193,43 @@
   bool operator==(const WorkerLoad&) const = default;
 };
 
+/// An incarnation of a worker that stated in an answer that it is leaving.
+struct LeavingWorker
+{
+  std::string m_worker;
+  std::int64_t m_createdMs = 0; ///< start time of the incarnation
+  MSGPACK_DEFINE(m_worker, m_createdMs)
+  bool operator==(const LeavingWorker&) const = default;
+};
+
+/// A part of a prompt that a worker has read.
+struct PartRead
+{
+  std::uint64_t m_key = 0;
+  std::int64_t m_tokens = 0;
+  MSGPACK_DEFINE(m_key, m_tokens)
+  bool operator==(const PartRead&) const = default;
+};
+
+/// Parts that an incarnation of a worker has read, in the order of a prompt.
+struct WorkerReads
+{
+  std::string m_worker;
+  std::int64_t m_createdMs = 0; ///< start time of the incarnation
+  std::vector<PartRead> m_parts;
+  MSGPACK_DEFINE(m_worker, m_createdMs, m_parts)
+  bool operator==(const WorkerReads&) const = default;
+};
+
+/// Time of a link that an entry has reserved for transfers.
+struct LinkUse
+{
+  std::string m_address; ///< IP:PORT of the source
+  std::int64_t m_timeUs = 0;
+  MSGPACK_DEFINE(m_address, m_timeUs)
+  bool operator==(const LinkUse&) const = default;
+};
+
 /// The worker loads of one entry, sent to its load peers.
 struct WorkerLoads
 {
@@ -200,7 +237,16 @@
   std::uint64_t m_number = 0; ///< sequence number, one more than the last one
   bool m_isSnapshot = false;  ///< snapshot; otherwise a delta to the last one
   std::vector<WorkerLoad> m_loads;
-  MSGPACK_DEFINE(m_vm, m_number, m_isSnapshot, m_loads)
+  std::vector<LeavingWorker> m_leaving; ///< in snapshots
+  std::vector<WorkerReads> m_reads;     ///< since the last update
+  std::vector<LinkUse> m_linkUse;       ///< since the last update
+  MSGPACK_DEFINE(m_vm,
+                 m_number,
+                 m_isSnapshot,
+                 m_loads,
+                 m_leaving,
+                 m_reads,
+                 m_linkUse)
 };
 
 /// Messages of Channel::Cache, exchanged between entries.
--- a/src/include/fulmarquay/serve/PartMap.h
+++ b/src/include/fulmarquay/serve/PartMap.h
@@ -1,6 +1,7 @@
 #ifndef FULMARQUAY_SERVE_PARTMAP_H
 #define FULMARQUAY_SERVE_PARTMAP_H
 
+#include "fulmarquay/cache/CacheMessages.h"
 #include "fulmarquay/control/PartStore.h"
 #include "fulmarquay/core/Units.h"
 #include "fulmarquay/serve/RelayRequest.h"
@@ -36,6 +37,14 @@
   /// Extends the lease of the map and sets the time limit of a fetch.
   void OnLeaseConfirmed(TimePoint aUntil, Duration aFetchTimeout);
 
+  /// What is known of a part beside the stores.
+  struct PeerCopy
+  {
+    bool m_isHeld = false; ///< by the worker that will run the request
+    std::string m_address; ///< IP:PORT of another worker; empty: none
+    Duration m_transferTime{};
+  };
+
   /// The worker that will run a request, and the current time.
   struct PlanInput
   {
@@ -43,12 +52,16 @@
     std::int64_t m_workersClockMs = 0; ///< workers' clock at m_now
     DataCentreId m_dataCentre;
     std::int64_t m_kvBytesPerToken = 0;
-    std::uint32_t m_entryCount = 1; ///< entries that share the stores' links
+    std::uint32_t m_entryCount = 1; ///< entries that save to the stores
+    /// Entries that share the links and do not tell their reservations, this
+    /// one included.
+    std::uint32_t m_linkSharers = 1;
+    std::vector<PeerCopy> m_peerCopies; ///< by part; may be shorter
   };
 
-  /// Sets the fetches and saves of a request and the deadline of its fetches on
-  /// the workers' clock. The last part of a prompt is not shared and is neither
-  /// fetched nor saved.
+  /// Sets the fetches and saves of a request and the deadline of its fetches
+  /// from stores on the workers' clock. The last part of a prompt is not shared
+  /// and is neither fetched nor saved.
   void PlanTransfers(const PlanInput& aInput,
                      const RelayRequest& aRequest,
                      DispatchParameters& aParameters);
@@ -57,17 +70,16 @@
   /// fetched from.
   void OnFirstEvent(Duration aTime, const std::set<std::string>& aStores);
 
-  /// Tokens of the contiguous stored prefix of a prompt: in stores of the
-  /// worker's data centre, and in stores of other ones.
-  struct StoredPrefix
-  {
-    std::int64_t m_localTokens = 0;
-    std::int64_t m_remoteTokens = 0;
-  };
-  StoredPrefix StoredPrefixTokens(TimePoint aNow,
-                                  const std::vector<PromptPart>& aParts,
-                                  const std::vector<std::uint64_t>& aKeys,
-                                  const DataCentreId& aDataCentre) const;
+  /// The data centre of the store that a worker would fetch a part from; null
+  /// if no store has it.
+  const DataCentreId* NearestStore(TimePoint aNow,
+                                   std::uint64_t aKey,
+                                   const DataCentreId& aDataCentre) const;
+
+  /// Returns and clears the link time that PlanTransfers has reserved.
+  std::vector<LinkUse> TakeReservations();
+  /// Adds link time that another entry has reserved.
+  void OnReservedByOther(TimePoint aNow, const LinkUse& aUse);
 
   /// Returns and clears the keys of parts that requests have used; a few
   /// hundred at most.
@@ -89,6 +101,13 @@
 
   const Copy* FindCopy(std::uint64_t aKey,
                        const DataCentreId& aDataCentre) const;
+  /// Chooses the source from which a part arrives first and reserves link time
+  /// there; an empty address if there is none or the links are busy. For a part
+  /// that the worker is assumed to hold, a source is named in case it does not,
+  /// without a reservation.
+  PartSource ChooseSource(const PlanInput& aInput,
+                          const Copy* aCopy,
+                          const PeerCopy* aPeer);
   /// A requested save that is not in the map yet.
   struct PendingSave
   {
@@ -121,6 +140,7 @@
   TimePoint m_leaseUntil;
   Duration m_fetchTimeout{};
   std::vector<std::uint64_t> m_usedKeys;
+  std::vector<LinkUse> m_reservations;
   StoreFetchLimiter m_fetchLimiter;
 };
 
--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -11,6 +11,7 @@
 #include "fulmarquay/serve/Placement.h"
 #include "fulmarquay/serve/RelayProtocol.h"
 #include "fulmarquay/serve/StartupAdmission.h"
+#include "fulmarquay/serve/WorkerCaches.h"
 #include "fulmarquay/serve/WorkerTable.h"
 
 #include <map>
@@ -88,10 +89,7 @@
   {
     m_exchange.SetPeers(aPeers);
   }
-  void OnLoads(const WorkerLoads& aLoads)
-  {
-    m_exchange.OnLoads(m_context.Now(), aLoads);
-  }
+  void OnLoads(const WorkerLoads& aLoads);
   std::vector<std::uint64_t> TakeUsedPartKeys()
   {
     return m_partMap.TakeUsedKeys();
@@ -165,12 +163,32 @@
   std::int64_t WorkerClockMs() const;
   PartMap::PlanInput PlanInputFor(const ActiveRequest& aActive,
                                   const WorkerState& aWorker) const;
+  /// For each shared part of a prompt, the best other worker that caches it.
+  std::vector<PartMap::PeerCopy> FindPeerCopies(
+    const ActiveRequest& aActive,
+    const WorkerState& aWorker,
+    const std::string& aScope) const;
+  void RecordReads(const ActiveRequest& aActive, const WorkerState& aWorker);
+  /// Memory of a pool's workers for parts that they cache, in tokens.
+  std::int64_t CacheBudget(const PoolId& aPool) const;
   void ReleaseWorker(ActiveRequest& aActive);
   void OnPrefillDone(ActiveRequest& aActive);
   void RecordEvents(ActiveRequest& aActive);
   void LogAnswered(const ActiveRequest& aActive, int aStatus);
   ActiveRequest* Find(CallId aCall);
   void OnWorkerActivity(const ActiveRequest& aActive);
+  /// Applies what the head of an answer states about its worker.
+  void RecordAnnouncements(const ActiveRequest& aActive);
+  void LogLeaving(const WorkerId& aWorker, const std::string& aSource);
+  /// Retry-After of a request that no worker accepts now.
+  Duration RetryAfterFor(const PoolId& aPool) const;
+  /// Ends the call of a request whose answer can't be used; the worker may have
+  /// run it.
+  void AbortCall(ActiveRequest& aActive, const std::string& aReason);
+  /// Adds bytes to an answer that is held until it is complete. Returns false
+  /// if it exceeds the memory for such answers.
+  bool HoldBody(ActiveRequest& aActive, const std::string& aData);
+  void ReleaseBody(ActiveRequest& aActive);
   void ProbeSilentWorkers();
   void OnProbeEnd(const WorkerId& aWorker, CallResult aEnd);
 
@@ -201,6 +219,8 @@
   WorkerTable m_workers;
   LoadExchange m_exchange;
   Placement m_placement;
+  WorkerCaches m_caches;
+  TimePoint m_nextCacheSweep;
   PartMap m_partMap;
   std::int64_t m_workersClockMs = 0; ///< at m_workersClockAt; 0: unknown
   TimePoint m_workersClockAt;
@@ -210,6 +230,7 @@
   StartupAdmission m_startup;
   std::vector<CallerId> m_waitingForStartup; ///< in order of arrival
   std::uint32_t m_entryCount = 1;
+  std::size_t m_heldBodyBytes = 0; ///< of all answers that are held
   std::unordered_map<CallerId, ActiveRequestPtr> m_byCaller;
   std::unordered_map<CallId, ActiveRequest*> m_byCall;
   std::map<CallId, WorkerId> m_probes;
--- a/src/libserve/LoadExchange.cpp
+++ b/src/libserve/LoadExchange.cpp
@@ -22,6 +22,8 @@
 /// Expiry of received loads: one lost snapshot is tolerated, and the requests
 /// of a crashed process end within about the same time.
 constexpr Duration kLoadTtl(1'000'000);
+/// Bounds the reads of one update; an entry starts a few prompts in its time.
+constexpr std::size_t kMaxUnsentReads = 100;
 
 } // namespace
 
@@ -118,6 +120,22 @@
   return loads;
 }
 
+void
+LoadExchange::OnRead(WorkerReads aReads)
+{
+  if (ReachesAll() && m_unsentReads.size() < kMaxUnsentReads) {
+    m_unsentReads.push_back(std::move(aReads));
+  }
+}
+
+void
+LoadExchange::OnLinkReserved(const std::string& aAddress, Duration aTime)
+{
+  if (ReachesAll()) {
+    m_unsentLinkUse[aAddress] += aTime.count();
+  }
+}
+
 std::optional<WorkerLoads>
 LoadExchange::TakeUpdate(TimePoint aNow, const WorkerTable& aWorkers)
 {
@@ -140,9 +158,19 @@
       update.m_loads.push_back({ worker, 0, 0, 0 });
     }
   }
-  if (!update.m_isSnapshot && update.m_loads.empty()) {
+  for (const auto& [id, worker] : aWorkers.All()) {
+    if (update.m_isSnapshot && worker.m_hasAnnouncedLeaving) {
+      update.m_leaving.push_back({ id.Value(), worker.m_info.m_createdMs });
+    }
+  }
+  if (!update.m_isSnapshot && update.m_loads.empty() && m_unsentReads.empty() &&
+      m_unsentLinkUse.empty()) {
     return std::nullopt;
   }
+  for (const auto& [address, time] : std::exchange(m_unsentLinkUse, {})) {
+    update.m_linkUse.push_back({ address, time });
+  }
+  update.m_reads = std::exchange(m_unsentReads, {});
   m_sentLoads = std::move(loads);
   update.m_number = ++m_sequence;
   const auto recipients = static_cast<std::int64_t>(m_recipients.size());
