--- a/src/fulmarquay-load/LoadRun.cpp
+++ b/src/fulmarquay-load/LoadRun.cpp
@@ -171,6 +171,9 @@
                    LoadSample sample;
                    sample.m_firstData = aExchange.m_firstData;
                    sample.m_total = aExchange.m_total;
+                   sample.m_isCut =
+                     aExchange.m_result != CallResult::Complete &&
+                     aExchange.m_result != CallResult::NotSent;
                    m_source.Finish(number, aExchange, sample);
                    m_samples.push_back(std::move(sample));
                    if (aSendsNext && MonotonicNow() < m_endAt) {
--- a/src/fulmarquay-load/LoadRun.h
+++ b/src/fulmarquay-load/LoadRun.h
@@ -18,6 +18,7 @@
   Duration m_firstData{};
   Duration m_total{};
   bool m_isSuccess = false;   ///< complete, status 200 and expected text
+  bool m_isCut = false;       ///< sent, but without a complete answer
   bool m_isReturning = false; ///< a turn after the first of a conversation
   TurnResult m_turn;
 };
--- a/src/fulmarquay-load/fulmarquay-load.cpp
+++ b/src/fulmarquay-load/fulmarquay-load.cpp
@@ -236,14 +236,17 @@
              : run.RunClosedLoop(std::stoul(aLine.Value("in-flight")), length);
   std::vector<Duration> firstData;
   std::size_t failed = 0;
+  std::size_t cut = 0;
   for (const LoadSample& sample : samples) {
     firstData.push_back(sample.m_firstData);
     failed += sample.m_isSuccess ? 0 : 1;
+    cut += sample.m_isCut ? 1 : 0;
   }
   const double seconds = static_cast<double>(length.count()) / 1e6;
   std::cout << Json{
     { "requests", samples.size() },
     { "failed", failed },
+    { "cut", cut },
     { "per_second", static_cast<double>(samples.size()) / seconds },
     { "first_data_p50_ms", ToMilliseconds(Percentile(firstData, 0.5)) },
     { "first_data_p99_ms", ToMilliseconds(Percentile(firstData, 0.99)) }
--- a/src/libserve/caches_test.cpp
+++ b/src/libserve/caches_test.cpp
@@ -179,8 +179,7 @@
   for (int i = 0; i < 100; ++i) {
     limiter.OnReservedByOther(kStart, "s", Duration(950'000));
   }
-  cr_assert(
-    limiter.TryReserve(kStart + Duration(1'000'000), "s", transfer, 1));
+  cr_assert(limiter.TryReserve(kStart + Duration(1'000'000), "s", transfer, 1));
 }
 
 Test(part_sources, reads_of_other_entries_are_used)
@@ -223,9 +222,8 @@
 Test(placement, workers_of_the_own_data_centre_are_preferred_at_equal_load)
 {
   for (const bool hasPrompt : { true, false }) {
-    WorkerTable table = Table({ WorkerIn("w1", "a"),
-                                WorkerIn("w2", "b"),
-                                WorkerIn("w3", "c") });
+    WorkerTable table =
+      Table({ WorkerIn("w1", "a"), WorkerIn("w2", "b"), WorkerIn("w3", "c") });
     const auto chosen = [&](const std::string& aDataCentre) {
       const RelayRequest request = PromptOf("x", 100);
       Placement::Criteria criteria;
@@ -248,14 +246,15 @@
 namespace {
 
 /// Plays the load of an advice service whose subjects fit into the memory
-/// of all engines, not into that of a few: entries place prompts on engines that
-/// read them one after the other and drop the least recently used parts.
+/// of all engines, not into that of a few: entries place prompts on engines
+/// that read them one after the other and drop the least recently used parts.
 class CacheLoad
 {
 public:
   struct Result
   {
-    std::int64_t m_firstTokens = 0; ///< of shared parts, read for the first time
+    std::int64_t m_firstTokens =
+      0; ///< of shared parts, read for the first time
     std::int64_t m_againTokens = 0; ///< read though an engine had read them
     int m_late = 0;                 ///< first events after the target
     int m_requests = 0;
@@ -269,8 +268,9 @@
     WorkerList list;
     list.m_number = 1;
     for (int i = 0; i < kEngines; ++i) {
-      WorkerInfo info = WorkerIn("w" + std::to_string(i),
-                                 std::string(1, static_cast<char>('a' + i % 3)));
+      WorkerInfo info =
+        WorkerIn("w" + std::to_string(i),
+                 std::string(1, static_cast<char>('a' + i % 3)));
       info.m_address = "10.0.0." + std::to_string(i + 1) + ":1";
       list.m_workers.push_back(info);
     }
