Lost SYNs are replaced by new connections after 300 ms

Change: an attempt of the framed links ends after 300 ms instead of 1.2 s; its owner opens the next one. The new test takes a listener with a full queue; it fails with the old limit.

--- a/src/libwire/FrameHub.cpp
+++ b/src/libwire/FrameHub.cpp
@@ -30,9 +30,10 @@
 /// Passed to SetPeerTimeout. Keep-alive probes cover connections that carry
 /// messages less often than this.
 constexpr Duration kPeerTimeout(1'500'000);
-/// Round trips take a few milliseconds, but a lost SYN is only retransmitted
-/// after 1 s.
-constexpr Duration kConnectTimeout(1'200'000);
+/// Round trips take a few milliseconds. A SYN that is lost, for example because
+/// the peer is just starting, is only retransmitted after 1 s; its owner opens
+/// another connection sooner.
+constexpr Duration kConnectTimeout(300'000);
 
 tcp::endpoint
 ToAsio(const Endpoint& aEndpoint)
--- a/src/libwire/wire_test.cpp
+++ b/src/libwire/wire_test.cpp
@@ -3,6 +3,7 @@
 #include "fulmarquay/core/Error.h"
 #include "fulmarquay/wire/Codec.h"
 #include "fulmarquay/wire/Frame.h"
+#include "fulmarquay/wire/FrameHub.h"
 #include "fulmarquay/wire/HttpServer.h"
 
 #include <boost/asio/connect.hpp>
@@ -374,3 +375,44 @@
   cr_assert_neq(server.Exchange(Post("fine")).find("echo:fine"),
                 std::string::npos);
 }
+
+namespace {
+
+/// Counts the closed connections of a hub.
+class ClosedCounter : public FrameHandler
+{
+public:
+  void OnConnected(ConnectionId) override { ++m_connected; }
+  void OnFrame(ConnectionId, Frame) override {}
+  void OnClosed(ConnectionId) override { ++m_closed; }
+
+  int m_connected = 0;
+  int m_closed = 0;
+};
+
+} // namespace
+
+Test(frame_hub, an_attempt_without_an_answer_ends_before_a_syn_is_sent_again)
+{
+  asio::io_context context;
+  // A listener that accepts nothing drops SYNs once its queue is full.
+  tcp::acceptor listener(context);
+  const tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+  listener.open(any.protocol());
+  listener.bind(any);
+  listener.listen(0);
+  const tcp::endpoint address = listener.local_endpoint();
+  std::vector<tcp::socket> queued;
+  for (int i = 0; i < 8; ++i) {
+    queued.emplace_back(context);
+    queued.back().async_connect(address, [](const auto&) {});
+  }
+  context.run_for(std::chrono::milliseconds(100));
+  context.restart();
+  ClosedCounter handler;
+  FrameHub hub(context, handler);
+  hub.Connect(Endpoint("127.0.0.1", address.port()));
+  context.run_for(std::chrono::milliseconds(800));
+  cr_assert_eq(handler.m_connected, 0);
+  cr_assert_eq(handler.m_closed, 1);
+}
