Entries count on 60 in 100 of an engine's memory for cached parts

Cause: a part that the model holds but the engine has dropped is read again, as the placement counts it as free and no link time is reserved for it. Running requests take more than the fifth that was left to them. Change: 60 instead of 80 in 100.

--- a/src/libserve/RelayDispatch.cpp
+++ b/src/libserve/RelayDispatch.cpp
@@ -26,7 +26,7 @@
 constexpr double kMicrosPerSecond = 1e6;
 /// Share of an engine's memory that holds cached parts; the rest is taken by
 /// running requests.
-constexpr std::int64_t kCacheMemoryPercent = 80;
+constexpr std::int64_t kCacheMemoryPercent = 60;
 /// Bounds the assumed ratio between the load of two entries, in both
 /// directions.
 constexpr double kMaxLoadRatio = 3;
