A cancelled call discards what was not delivered

Cancel closed the connection, and the system went on to deliver the bytes that were held up: an order runs seconds after its caller was told that it failed. Change: cancelled and failed calls reset their connection. Measured: the new test over a socket whose peer doesn't read failed first (all of 1 MiB arrived after the cancel); wire 24 of 24.

--- a/src/libwire/HttpClient.cpp
+++ b/src/libwire/HttpClient.cpp
@@ -136,6 +136,8 @@
   void Fail(const ActiveCallPtr& aActive, const error_code& aError);
   void Finish(const ActiveCallPtr& aActive);
   void Close(Connection& aConnection);
+  /// Closes a connection and discards what was not delivered yet.
+  void Reset(Connection& aConnection);
   static void SetTimeout(const ActiveCall& aActive);
   /// Counts received bytes; returns false above the limit of the call.
   static bool CountBytes(ActiveCall& aActive, std::size_t aBytes);
@@ -161,6 +163,17 @@
   aConnection.m_stream.socket().close(ignored);
 }
 
+void
+HttpClient::Impl::Reset(Connection& aConnection)
+{
+  // Otherwise the system would go on to deliver a request that is held up, for
+  // example by a partition, long after its caller was told that it failed.
+  error_code ignored;
+  aConnection.m_stream.socket().set_option(asio::socket_base::linger(true, 0),
+                                           ignored);
+  Close(aConnection);
+}
+
 ConnectionPtr
 HttpClient::Impl::TakeIdle(const Endpoint& aPeer)
 {
@@ -415,7 +428,7 @@
 void
 HttpClient::Impl::Fail(const ActiveCallPtr& aActive, const error_code& aError)
 {
-  Close(*aActive->m_connection);
+  Reset(*aActive->m_connection);
   m_activeCalls.erase(aActive->m_call.m_call);
   if (aError == asio::error::timed_out || aError == beast::error::timeout) {
     // The idle connections to this peer are assumed to be unresponsive too.
@@ -469,7 +482,7 @@
   }
   const ActiveCallPtr active = found->second;
   m_activeCalls.erase(found);
-  Close(*active->m_connection);
+  Reset(*active->m_connection);
 }
 
 void
--- a/src/libwire/http_client_test.cpp
+++ b/src/libwire/http_client_test.cpp
@@ -4,6 +4,7 @@
 #include "fulmarquay/wire/HttpClient.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <atomic>
@@ -435,3 +436,28 @@
                  earlier == 3 ? CallResult::Complete : CallResult::Incomplete);
   }
 }
+
+Test(http_client, bytes_of_a_cancelled_call_are_not_delivered_later)
+{
+  asio::io_context context;
+  tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+  acceptor.set_option(asio::socket_base::receive_buffer_size(16 << 10));
+  TestClient client;
+  HttpCall call;
+  call.m_call = CallId(1);
+  call.m_peer = Endpoint("127.0.0.1", acceptor.local_endpoint().port());
+  // More than the buffers of the system hold for a peer that does not read.
+  call.m_request.m_method = "POST";
+  call.m_request.m_body = std::string(1U << 20U, 'x');
+  client.m_client.Start(std::move(call));
+  client.m_context.run_for(std::chrono::milliseconds(100));
+  client.m_client.Cancel(CallId(1));
+  client.m_context.restart();
+  client.m_context.run_for(std::chrono::milliseconds(100));
+  tcp::socket socket = acceptor.accept();
+  std::string received;
+  boost::system::error_code error;
+  asio::read(socket, asio::dynamic_buffer(received), error);
+  cr_assert_lt(received.size(), 1U << 20U);
+  cr_assert_eq(error, asio::error::connection_reset);
+}
