Prompts: an engine that sends bytes but no token is given up

Cause: the only limit of a call to an engine was 15 s without data; a byte now and then renewed it for good (one of the faults that operators reported). Change: ChatFlow ends a call 15 s after its start or its last token.

--- a/src/include/fulmarquay/serve/ChatFlow.h
+++ b/src/include/fulmarquay/serve/ChatFlow.h
@@ -44,6 +44,10 @@
   /// Starts a prompt that is authenticated and within its account's rate limit.
   void Start(CallerId aCaller, const AccountId& aAccount, ChatRequest aRequest);
 
+  /// Ends the calls to engines that send no token in time, also if they send
+  /// other bytes.
+  void OnTick();
+
   /// Cancels the prompt of a caller that has disconnected.
   void OnCallerDisconnected(CallerId aCaller);
 
@@ -68,6 +72,7 @@
     ChainReply m_chain;
     TimePoint m_startedAt;
     TimePoint m_lastTokenAt;
+    TimePoint m_progressAt;     ///< start of the attempt or its last token
     bool m_isStreaming = false; ///< the head was sent to the caller
     EngineId m_engine;
     std::optional<EngineId> m_failedEngine; ///< of the last attempt
--- a/src/libserve/ChatFlow.cpp
+++ b/src/libserve/ChatFlow.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-/// Longest time without data from the engine.
+/// Longest time without a token from the engine.
 constexpr Duration kTokenTimeout(15'000'000);
 constexpr Duration kRetryAfter(1'000'000);
 constexpr double kMicrosPerSecond = 1e6;
@@ -300,10 +300,28 @@
   call.m_request = m_protocol.Generate(request);
   call.m_idleTimeout = kTokenTimeout;
   m_engines.Table().OnStart(aEngine, aPlan.m_recomputedTokens.Count());
+  aRun.m_progressAt = m_context.Now();
   aRun.m_call = m_context.Call(std::move(call), *this);
   m_byCall[aRun.m_call] = aRun.m_caller;
 }
 
+void
+ChatFlow::OnTick()
+{
+  std::vector<CallId> stalled;
+  for (const auto& [call, caller] : m_byCall) {
+    const Run* run = Find(caller);
+    if (run != nullptr &&
+        m_context.Now() >= run->m_progressAt + kTokenTimeout) {
+      stalled.push_back(call);
+    }
+  }
+  for (const CallId call : stalled) {
+    m_context.Cancel(call);
+    OnEnd(call, CallResult::TimedOut, "no token in time");
+  }
+}
+
 void
 ChatFlow::OnHead(CallId aCall, const HttpResponse& aHead)
 {
@@ -366,6 +384,7 @@
                                  Seconds(now - aRun.m_lastTokenAt));
   }
   aRun.m_lastTokenAt = now;
+  aRun.m_progressAt = now;
   ++aRun.m_sentTokens;
   aRun.m_text += aToken.m_text;
   SendToken(aRun, aToken.m_text);
--- a/src/libserve/EntryNode.cpp
+++ b/src/libserve/EntryNode.cpp
@@ -179,6 +179,7 @@
   m_cache.OnTick();
   m_engines.OnTick();
   m_writeBack.OnTick();
+  m_chat.OnTick();
   if (m_relay) {
     m_relay->OnTick();
   }
--- a/src/libserve/serve_test.cpp
+++ b/src/libserve/serve_test.cpp
@@ -644,6 +644,43 @@
   }
 }
 
+Test(streams, an_engine_that_sends_bytes_but_no_token_is_given_up)
+{
+  EntryHarness entry;
+  entry.SendRequest(1, MakePrompt());
+  const auto calls = entry.TakeCalls("/generate");
+  cr_assert_eq(calls.size(), 1U);
+  const CallId call = calls[0].m_call.m_call;
+  HttpResponse head;
+  head.m_status = 200;
+  entry.Feed(CallHead{ call, head });
+  for (int second = 0; second < 20; ++second) {
+    entry.Feed(CallData{ call, " " });
+    entry.AdvanceTime(1'000);
+  }
+  cr_assert_eq(entry.TakeCalls("/generate").size(), 1U, "another attempt");
+}
+
+Test(streams, a_slow_engine_is_not_given_up)
+{
+  EntryHarness entry;
+  entry.SendRequest(1, MakePrompt());
+  const auto calls = entry.TakeCalls("/generate");
+  const CallId call = calls[0].m_call.m_call;
+  const nlohmann::json request = RequestBodyOf(calls[0]);
+  HttpResponse head;
+  head.m_status = 200;
+  entry.Feed(CallHead{ call, head });
+  for (int i = 0; i < 5; ++i) {
+    entry.AdvanceTime(10'000);
+    entry.Feed(CallData{ call, RenderToken(request, i) });
+  }
+  entry.Feed(CallData{ call, RenderEnd(request, 5) });
+  entry.Feed(CallEnded{ call, CallResult::Complete, "" });
+  cr_assert(entry.TakeCalls("/generate").empty());
+  cr_assert(entry.ResultOf(1).m_isComplete);
+}
+
 Test(streams, abandoned_stream_ends_as_incomplete)
 {
   EntryHarness entry;
