Cached parts expire sooner where reads of some entries are unknown

Cause: with more entries than load peers, the model hears of few reads, and 20 s is far longer than busy engines keep a part. Change: 6 s as before in that case.

--- a/src/include/fulmarquay/serve/WorkerCaches.h
+++ b/src/include/fulmarquay/serve/WorkerCaches.h
@@ -18,11 +18,14 @@
 /// Workers do not tell which parts they drop. Each cache is modelled as the
 /// engines manage theirs: a use moves a part to the front, and the least
 /// recently used ones leave when the parts exceed the memory that running
-/// requests do not hold. The model is as complete as the reads that it hears
-/// of, so that parts also expire after a time. Pure; not thread-safe.
+/// requests do not hold. Where only some of the other entries tell their reads,
+/// parts expire sooner. Pure; not thread-safe.
 class WorkerCaches
 {
 public:
+  /// Sets whether the reads of all entries are recorded.
+  void SetComplete(bool aIsComplete) { m_isComplete = aIsComplete; }
+
   /// Records that a worker has read or fetched the shared parts of a prompt.
   /// `aCapacityTokens` is the memory for cached parts; 0: unlimited.
   void OnRead(TimePoint aNow,
@@ -58,10 +61,12 @@
     std::unordered_map<std::uint64_t, Order::iterator> m_parts;
   };
 
+  Duration Ttl() const;
   void DropLast(const std::string& aWorker, Cache& aCache);
   void Clear(const std::string& aWorker, Cache& aCache);
   void RemoveHolder(std::uint64_t aKey, const std::string& aWorker);
 
+  bool m_isComplete = true;
   std::unordered_map<std::string, Cache> m_caches; ///< by worker
   std::unordered_map<std::uint64_t, std::vector<std::string>> m_holders;
 };
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -61,6 +61,7 @@
   m_keyLeaseUntil = std::max(m_keyLeaseUntil, aKeyLeaseUntil);
   m_entryCount = std::max<std::uint32_t>(1, aEntryCount);
   m_exchange.SetEntryCount(m_entryCount);
+  m_caches.SetComplete(m_exchange.ReachesAll());
   for (auto& [pool, budget] : m_budgets) {
     budget.SetBudgetCapacity(m_options.m_retrySlack / m_entryCount);
   }
--- a/src/libserve/WorkerCaches.cpp
+++ b/src/libserve/WorkerCaches.cpp
@@ -6,12 +6,19 @@
 
 namespace {
 
-/// Parts are assumed to be dropped this long after their last use, because the
-/// reads of entries that are not load peers are unknown.
+/// Parts are assumed to be dropped this long after their last use. Reads of
+/// unknown entries displace them within seconds on busy engines.
 constexpr Duration kCachedPartTtl(20'000'000);
+constexpr Duration kPartialKnowledgeTtl(6'000'000);
 
 } // namespace
 
+Duration
+WorkerCaches::Ttl() const
+{
+  return m_isComplete ? kCachedPartTtl : kPartialKnowledgeTtl;
+}
+
 void
 WorkerCaches::RemoveHolder(std::uint64_t aKey, const std::string& aWorker)
 {
@@ -83,7 +90,7 @@
   }
   const auto part = cache->second.m_parts.find(aKey);
   return part != cache->second.m_parts.end() &&
-         aNow < part->second->m_usedAt + kCachedPartTtl;
+         aNow < part->second->m_usedAt + Ttl();
 }
 
 const std::vector<std::string>&
@@ -103,7 +110,7 @@
     const bool isGone = listed == aWorkers.All().end() ||
                         listed->second.m_info.m_createdMs != cache.m_createdMs;
     while (!cache.m_order.empty() &&
-           (isGone || aNow >= cache.m_order.back().m_usedAt + kCachedPartTtl)) {
+           (isGone || aNow >= cache.m_order.back().m_usedAt + Ttl())) {
       DropLast(id, cache);
     }
     each = isGone ? m_caches.erase(each) : std::next(each);
--- a/src/libserve/caches_test.cpp
+++ b/src/libserve/caches_test.cpp
@@ -115,6 +115,18 @@
   cr_assert(caches.Holders(1).empty());
 }
 
+Test(worker_caches, parts_expire_sooner_if_reads_of_some_entries_are_unknown)
+{
+  WorkerTable table = Table({ WorkerIn("w1", "a") });
+  const WorkerState& worker = *table.Find(WorkerId("w1"));
+  WorkerCaches caches;
+  caches.OnRead(kStart, worker, { { 1, 100 } }, 0);
+  const TimePoint later = kStart + Duration(10'000'000);
+  cr_assert(caches.Holds(later, worker, 1));
+  caches.SetComplete(false);
+  cr_assert_not(caches.Holds(later, worker, 1));
+}
+
 Test(part_sources, a_part_is_fetched_from_another_worker_without_stores)
 {
   PartMap map; // no lease: the stores may not be used
