--- a/src/include/fulmarquay/serve/LoadExchange.h
+++ b/src/include/fulmarquay/serve/LoadExchange.h
@@ -21,8 +21,10 @@
 /// second, because each sees only its own requests. Every entry sends its
 /// recipients load changes many times a second and periodic snapshots; the
 /// loads of an entry expire when it stops sending. If only some of the other
-/// entries send their loads, the sum is scaled up to all of them. Pure; not
-/// thread-safe.
+/// entries send their loads, the sum is scaled up to all of them. Updates also
+/// carry the workers that announced their leaving and, if they reach all other
+/// entries, the parts that workers have read and the link time that is reserved.
+/// Pure; not thread-safe.
 class LoadExchange
 {
 public:
--- a/src/include/fulmarquay/serve/StoreFetchLimiter.h
+++ b/src/include/fulmarquay/serve/StoreFetchLimiter.h
@@ -12,7 +12,8 @@
 
 namespace fulmarquay {
 
-/// Limits the fetches from each store to the capacity of its link.
+/// Limits the fetches from each source, a store or a worker, to the capacity of
+/// its link.
 ///
 /// Too many fetches for a link, or a link slower than configured, would queue
 /// up while the engines could compute the prompts instead. Each entry uses its
