--- a/src/include/fulmarquay/serve/LoadExchange.h
+++ b/src/include/fulmarquay/serve/LoadExchange.h
@@ -23,8 +23,8 @@
 /// loads of an entry expire when it stops sending. If only some of the other
 /// entries send their loads, the sum is scaled up to all of them. Updates also
 /// carry the workers that announced their leaving and, if they reach all other
-/// entries, the parts that workers have read and the link time that is reserved.
-/// Pure; not thread-safe.
+/// entries, the parts that workers have read and the link time that is
+/// reserved. Pure; not thread-safe.
 class LoadExchange
 {
 public:
