A pause of the process disconnects no caller

The check of stalled callers ran first after the process had not been scheduled for longer than its interval, found no written piece and closed a sound connection; a frozen VM would do the same to all of its callers. Change: two checks in a row must find none.

--- a/src/include/fulmarquay/wire/HttpServer.h
+++ b/src/include/fulmarquay/wire/HttpServer.h
@@ -31,8 +31,8 @@
   std::size_t m_maxHeaderBytes = 16U << 10U;
   std::size_t m_maxBodyBytes = 4U << 20U;
   /// Maximum time until the next request is complete, idle time included. A
-  /// caller that takes no piece of its response for this long is disconnected
-  /// within twice the time.
+  /// caller that takes no piece of its response for twice this long is
+  /// disconnected within three times as long.
   Duration m_readTimeout = Duration(10'000'000);
   std::size_t m_connections = 4096; ///< further connections are closed
 };
--- a/src/libwire/HttpServer.cpp
+++ b/src/libwire/HttpServer.cpp
@@ -28,6 +28,9 @@
 /// Responses are written in pieces of this size; a caller that takes none for
 /// the read timeout counts as stalled.
 constexpr std::size_t kPieceBytes = 64U << 10U;
+/// Checks in a row without a written piece. After a pause of this process, for
+/// example of its VM, the first check finds none on sound connections either.
+constexpr int kStalledChecks = 2;
 /// Above this the connection of a slowly reading caller is closed.
 constexpr std::size_t kMaxQueuedBytes = 8U << 20U;
 
@@ -121,7 +124,7 @@
   void Queue(const std::string& aBytes);
   void Finish(bool aKeepOpen);
   void Close();
-  /// Closes the connection if no piece was written since the last call.
+  /// Closes the connection if no piece was written between several calls.
   void CloseIfStalled();
   /// Whether a request was received in part or bytes of a response are left.
   bool IsBusy() const;
@@ -143,6 +146,7 @@
   std::string m_writing;
   std::size_t m_writtenBytes = 0; ///< of m_writing
   bool m_hasWritten = false;      ///< a piece, since the last CloseIfStalled
+  int m_stalledChecks = 0;        ///< in a row
   CallerId m_caller;
   bool m_isFinished = false;
   bool m_keepOpen = true;
@@ -402,10 +406,12 @@
 void
 HttpServer::Impl::Session::CloseIfStalled()
 {
-  if (!m_writing.empty() && !m_hasWritten) {
+  const bool isStalled = !m_writing.empty() && !m_hasWritten;
+  m_hasWritten = false;
+  m_stalledChecks = isStalled ? m_stalledChecks + 1 : 0;
+  if (m_stalledChecks >= kStalledChecks) {
     Close();
   }
-  m_hasWritten = false;
 }
 
 bool
--- a/src/libwire/wire_test.cpp
+++ b/src/libwire/wire_test.cpp
@@ -313,6 +313,21 @@
   cr_assert_gt(received, LargeResponse::kBytes);
 }
 
+Test(http_server, a_pause_of_the_process_disconnects_no_caller)
+{
+  LargeResponse fixture;
+  fixture.Run(Duration(350'000)); // beyond the first check
+  std::this_thread::sleep_for(LargeResponse::kReadTimeout * 2);
+  // The check is due before the caller's reading is noticed.
+  fixture.Run(Duration(1'000));
+  std::size_t received = fixture.Read(1U << 20U).first;
+  for (int i = 0; i < 400 && received <= LargeResponse::kBytes; ++i) {
+    fixture.Run(Duration(5'000));
+    received += fixture.Read(1U << 20U).first;
+  }
+  cr_assert_gt(received, LargeResponse::kBytes);
+}
+
 Test(http_server, is_idle_only_after_the_last_byte_of_a_response)
 {
   LargeResponse fixture;
