--- a/src/include/fulmarquay/control/PartStoreProtocol.h
+++ b/src/include/fulmarquay/control/PartStoreProtocol.h
@@ -25,7 +25,7 @@
 struct StoreEventBatch
 {
   std::uint64_t m_epoch = 0;  ///< changes when the store restarts
-  std::uint64_t m_next = 0;   ///< the next call asks for events after this one
+  std::uint64_t m_next = 0;   ///< cursor of the next events call
   bool m_isGap = false;       ///< events before these were lost
   std::int64_t m_clockMs = 0; ///< the workers' clock; 0: not reported
   std::vector<StoreEvent> m_events;
--- a/src/libserve/ControlSession.cpp
+++ b/src/libserve/ControlSession.cpp
@@ -11,7 +11,7 @@
 /// Consecutive replies after which a link counts as stable.
 constexpr int kStableReplyCount = 3;
 constexpr Duration kLeaderSearchInterval(100'000);
-/// Timeout of a heartbeat, after which the next replica is tried as the leader.
+/// Timeout of a heartbeat, after which the next one goes to another replica.
 constexpr Duration kHeartbeatTimeout(400'000);
 /// Minimum interval between sends of a request, for example after a reply that
 /// the replica does not lead.
--- a/src/libserve/PartMap.cpp
+++ b/src/libserve/PartMap.cpp
@@ -191,7 +191,7 @@
   struct Candidate
   {
     std::string m_address;
-    std::int64_t m_tokens = 0; ///< stores are told how many to read
+    std::int64_t m_tokens = 0; ///< 0 for a worker
     Duration m_time{};
     Duration m_expected{};
   };
--- a/src/libserve/relay_answers_test.cpp
+++ b/src/libserve/relay_answers_test.cpp
@@ -37,7 +37,7 @@
   return workers;
 }
 
-/// Lets every worker ask for a pause.
+/// Makes every worker refuse a request with a pause.
 void
 PauseAllWorkers(Entry& aEntry)
 {
--- a/src/libwire/HttpClient.cpp
+++ b/src/libwire/HttpClient.cpp
@@ -166,8 +166,8 @@
 void
 HttpClient::Impl::Reset(Connection& aConnection)
 {
-  // Otherwise the system would go on to deliver a request that is held up, for
-  // example by a partition, long after its caller was told that it failed.
+  // After an orderly close, the kernel still retransmits a request that a
+  // partition delays, although its caller has already got an error.
   error_code ignored;
   aConnection.m_stream.socket().set_option(asio::socket_base::linger(true, 0),
                                            ignored);
--- a/src/libwire/http_client_test.cpp
+++ b/src/libwire/http_client_test.cpp
@@ -1,6 +1,7 @@
 // Tests of the HTTP client against a server with scripted responses.
 #include <utility>
 
+#include "fulmarquay/core/Clock.h"
 #include "fulmarquay/wire/HttpClient.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -364,11 +365,10 @@
     call.m_peer = server.Address();
     call.m_idleTimeout = Duration(2'000'000);
     call.m_totalTimeout = Duration(300'000);
-    const auto start = std::chrono::steady_clock::now();
+    const TimePoint start = MonotonicNow();
     client.Call(call);
     cr_assert_eq(client.m_end, CallResult::TimedOut);
-    cr_assert_lt(std::chrono::steady_clock::now() - start,
-                 std::chrono::seconds(5));
+    cr_assert_lt(MonotonicNow() - start, Duration(5'000'000));
   }
 }
 
