One transfer time, one decay of a link's backlog, reservations as a result

Cause: a reading of the change found the time of a transfer computed in PartMap and again in RelayFlow, the rest of a link's backlog computed twice in StoreFetchLimiter, and reserved link time kept as state of PartMap only to be taken by the next line. Change: TransferTime serves both, BacklogUsAt both, PlanTransfers returns what it reserved. No behaviour changes; the tests keep their assertions.

--- a/src/include/fulmarquay/serve/PartMap.h
+++ b/src/include/fulmarquay/serve/PartMap.h
@@ -21,6 +21,11 @@
 std::vector<std::uint64_t>
 PartKeys(const std::string& aScope, const std::vector<PromptPart>& aParts);
 
+/// Time of a transfer over a link; longer between data centres. 0 for a link of
+/// unknown bandwidth.
+Duration
+TransferTime(std::int64_t aBytes, std::int64_t aBitsPerSecond, bool aIsRemote);
+
 /// Contents of the KV cache stores, as received from the leader, and the choice
 /// of stores to fetch from and to save to.
 ///
@@ -61,10 +66,10 @@
 
   /// Sets the fetches and saves of a request and the deadline of its fetches
   /// from stores on the workers' clock. The last part of a prompt is not shared
-  /// and is neither fetched nor saved.
-  void PlanTransfers(const PlanInput& aInput,
-                     const RelayRequest& aRequest,
-                     DispatchParameters& aParameters);
+  /// and is neither fetched nor saved. Returns the link time that it reserved.
+  std::vector<LinkUse> PlanTransfers(const PlanInput& aInput,
+                                     const RelayRequest& aRequest,
+                                     DispatchParameters& aParameters);
 
   /// Records the time to first event of a request and the stores that it
   /// fetched from.
@@ -76,8 +81,6 @@
                                    std::uint64_t aKey,
                                    const DataCentreId& aDataCentre) const;
 
-  /// Returns and clears the link time that PlanTransfers has reserved.
-  std::vector<LinkUse> TakeReservations();
   /// Adds link time that another entry has reserved.
   void OnReservedByOther(TimePoint aNow, const LinkUse& aUse);
 
@@ -101,13 +104,14 @@
 
   const Copy* FindCopy(std::uint64_t aKey,
                        const DataCentreId& aDataCentre) const;
-  /// Chooses the source from which a part arrives first and reserves link time
-  /// there; an empty address if there is none or the links are busy. For a part
-  /// that the worker is assumed to hold, a source is named in case it does not,
-  /// without a reservation.
+  /// Chooses the source from which a part arrives first, reserves link time
+  /// there and adds it to `aReserved`; an empty address if there is none or the
+  /// links are busy. For a part that the worker is assumed to hold, a source is
+  /// named in case it does not, without a reservation.
   PartSource ChooseSource(const PlanInput& aInput,
                           const Copy* aCopy,
-                          const PeerCopy* aPeer);
+                          const PeerCopy* aPeer,
+                          std::vector<LinkUse>& aReserved);
   /// A requested save that is not in the map yet.
   struct PendingSave
   {
@@ -126,9 +130,6 @@
                 std::uint64_t aKey,
                 std::int64_t aTokens,
                 std::string& aAddress);
-  static Duration TransferTime(const StoreInfo& aStore,
-                               const PlanInput& aInput,
-                               std::int64_t aTokens);
   bool HasLease(TimePoint aNow) const { return aNow < m_leaseUntil; }
 
   std::uint64_t m_state = 0;
@@ -140,7 +141,6 @@
   TimePoint m_leaseUntil;
   Duration m_fetchTimeout{};
   std::vector<std::uint64_t> m_usedKeys;
-  std::vector<LinkUse> m_reservations;
   StoreFetchLimiter m_fetchLimiter;
 };
 
--- a/src/include/fulmarquay/serve/StoreFetchLimiter.h
+++ b/src/include/fulmarquay/serve/StoreFetchLimiter.h
@@ -62,6 +62,9 @@
     double m_otherLateShare = 0; ///< of requests that did not use this store
     double m_backlogUs = 0;
     TimePoint m_updatedAt;
+
+    /// The rest of the backlog at a time after m_updatedAt.
+    double BacklogUsAt(TimePoint aNow) const;
   };
 
   double LowerQuartileUs() const;
--- a/src/libserve/PartMap.cpp
+++ b/src/libserve/PartMap.cpp
@@ -35,6 +35,18 @@
   return keys;
 }
 
+Duration
+TransferTime(std::int64_t aBytes, std::int64_t aBitsPerSecond, bool aIsRemote)
+{
+  if (aBitsPerSecond <= 0) {
+    return Duration(0);
+  }
+  const auto time = static_cast<std::int64_t>(
+    static_cast<double>(aBytes * kBitsPerByte) /
+    static_cast<double>(aBitsPerSecond) * kMicrosPerSecond);
+  return Duration(aIsRemote ? time * kRemoteTransferFactor : time);
+}
+
 bool
 PartMap::Apply(const StorePush& aPush)
 {
@@ -164,29 +176,11 @@
   return copy == nullptr ? nullptr : &m_stores[copy->m_store].m_dataCentre;
 }
 
-Duration
-PartMap::TransferTime(const StoreInfo& aStore,
-                      const PlanInput& aInput,
-                      std::int64_t aTokens)
-{
-  // Only the store's link counts: the links of the workers carry their
-  // transfers in parallel.
-  const std::int64_t bitsPerSecond = aStore.m_linkBitsPerSecond;
-  if (bitsPerSecond <= 0) {
-    return Duration(0);
-  }
-  const auto bits =
-    static_cast<double>(aTokens * aInput.m_kvBytesPerToken * kBitsPerByte);
-  const bool isRemote = aStore.m_dataCentre != aInput.m_dataCentre;
-  const auto time = static_cast<std::int64_t>(
-    bits / static_cast<double>(bitsPerSecond) * kMicrosPerSecond);
-  return Duration(isRemote ? time * kRemoteTransferFactor : time);
-}
-
 PartSource
 PartMap::ChooseSource(const PlanInput& aInput,
                       const Copy* aCopy,
-                      const PeerCopy* aPeer)
+                      const PeerCopy* aPeer,
+                      std::vector<LinkUse>& aReserved)
 {
   struct Candidate
   {
@@ -206,7 +200,11 @@
     const StoreInfo& store = m_stores[aCopy->m_store];
     add(store.m_address,
         aCopy->m_tokens,
-        TransferTime(store, aInput, aCopy->m_tokens));
+        // Only the store's link counts: the links of the workers carry their
+        // transfers in parallel.
+        TransferTime(aCopy->m_tokens * aInput.m_kvBytesPerToken,
+                     store.m_linkBitsPerSecond,
+                     store.m_dataCentre != aInput.m_dataCentre));
   }
   if (aPeer != nullptr && !aPeer->m_address.empty()) {
     add(aPeer->m_address, 0, aPeer->m_transferTime);
@@ -224,22 +222,22 @@
                                   candidate.m_address,
                                   candidate.m_time,
                                   aInput.m_linkSharers)) {
-      m_reservations.push_back(
-        { candidate.m_address, candidate.m_time.count() });
+      aReserved.push_back({ candidate.m_address, candidate.m_time.count() });
       return { candidate.m_address, candidate.m_tokens };
     }
   }
   return {};
 }
 
-void
+std::vector<LinkUse>
 PartMap::PlanTransfers(const PlanInput& aInput,
                        const RelayRequest& aRequest,
                        DispatchParameters& aParameters)
 {
   const TimePoint now = aInput.m_now;
+  std::vector<LinkUse> reserved;
   if (aRequest.m_parts.size() < 2) {
-    return;
+    return reserved;
   }
   const bool mayUseStores =
     HasLease(now) && aInput.m_workersClockMs > 0 && !m_stores.empty();
@@ -267,7 +265,7 @@
     if (isContiguous) {
       const PeerCopy* peer =
         i < aInput.m_peerCopies.size() ? &aInput.m_peerCopies[i] : nullptr;
-      aParameters.m_fetches[i] = ChooseSource(aInput, copy, peer);
+      aParameters.m_fetches[i] = ChooseSource(aInput, copy, peer, reserved);
       isContiguous = !aParameters.m_fetches[i].m_address.empty() ||
                      (peer != nullptr && peer->m_isHeld);
     }
@@ -276,6 +274,7 @@
     aParameters.m_fetchDeadlineMs =
       aInput.m_workersClockMs + ToMillis(m_fetchTimeout);
   }
+  return reserved;
 }
 
 void
@@ -304,12 +303,6 @@
   m_fetchLimiter.OnFirstEvent(aTime, aStores);
 }
 
-std::vector<LinkUse>
-PartMap::TakeReservations()
-{
-  return std::exchange(m_reservations, {});
-}
-
 void
 PartMap::OnReservedByOther(TimePoint aNow, const LinkUse& aUse)
 {
--- a/src/libserve/RelayDispatch.cpp
+++ b/src/libserve/RelayDispatch.cpp
@@ -20,10 +20,6 @@
 /// Limit of a worker's answer with its framing. Streams are forwarded event by
 /// event, so that they use little memory.
 constexpr std::size_t kMaxResponseBytes = 64U << 20U;
-/// Slowdown of transfers between data centres.
-constexpr std::int64_t kRemoteTransferFactor = 2;
-constexpr double kBitsPerByte = 8;
-constexpr double kMicrosPerSecond = 1e6;
 /// Share of an engine's memory that holds cached parts; the rest is taken by
 /// running requests.
 constexpr std::int64_t kCacheMemoryPercent = 60;
@@ -255,11 +251,8 @@
   const std::uint64_t spread = Checksum64(aActive.m_request.m_id);
   for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
     const std::uint64_t key = PartKey(aScope, parts[i].m_id);
-    const auto time = static_cast<std::int64_t>(
-      static_cast<double>(parts[i].m_tokens *
-                          pool->m_engines.m_kvBytesPerToken) *
-      kBitsPerByte * kMicrosPerSecond /
-      static_cast<double>(pool->m_engines.m_linkBitsPerSecond));
+    const std::int64_t bytes =
+      parts[i].m_tokens * pool->m_engines.m_kvBytesPerToken;
     copies[i].m_isHeld = m_caches.Holds(now, aWorker, key);
     std::uint64_t bestWeight = 0;
     for (const std::string& id : m_caches.Holders(key)) {
@@ -270,9 +263,10 @@
           !m_caches.Holds(now, holder->second, key)) {
         continue;
       }
-      const bool isLocal =
-        holder->second.m_info.m_dataCentre == aWorker.m_info.m_dataCentre;
-      const Duration transfer(isLocal ? time : time * kRemoteTransferFactor);
+      const Duration transfer = TransferTime(
+        bytes,
+        pool->m_engines.m_linkBitsPerSecond,
+        holder->second.m_info.m_dataCentre != aWorker.m_info.m_dataCentre);
       // Among equally near holders, requests spread by a hash.
       const std::uint64_t weight = RendezvousWeight(id, spread);
       PartMap::PeerCopy& best = copies[i];
@@ -335,8 +329,8 @@
     PartMap::PlanInput input = PlanInputFor(aActive, aWorker);
     input.m_peerCopies =
       FindPeerCopies(aActive, aWorker, parameters.m_cacheScope);
-    m_partMap.PlanTransfers(input, aActive.m_request, parameters);
-    for (const LinkUse& use : m_partMap.TakeReservations()) {
+    for (const LinkUse& use :
+         m_partMap.PlanTransfers(input, aActive.m_request, parameters)) {
       m_exchange.OnLinkReserved(use.m_address, Duration(use.m_timeUs));
     }
     for (const PartSource& source : parameters.m_fetches) {
--- a/src/libserve/StoreFetchLimiter.cpp
+++ b/src/libserve/StoreFetchLimiter.cpp
@@ -80,13 +80,18 @@
   }
 }
 
+double
+StoreFetchLimiter::StoreState::BacklogUsAt(TimePoint aNow) const
+{
+  return std::max(
+    0.0, m_backlogUs - static_cast<double>((aNow - m_updatedAt).count()));
+}
+
 StoreFetchLimiter::StoreState&
 StoreFetchLimiter::UpdateBacklog(TimePoint aNow, const std::string& aStore)
 {
   StoreState& state = m_states[aStore];
-  const auto elapsedUs =
-    static_cast<double>((aNow - state.m_updatedAt).count());
-  state.m_backlogUs = std::max(0.0, state.m_backlogUs - elapsedUs);
+  state.m_backlogUs = state.BacklogUsAt(aNow);
   state.m_updatedAt = aNow;
   return state;
 }
@@ -133,12 +138,9 @@
     return aTime;
   }
   const StoreState& state = found->second;
-  const double backlogUs =
-    std::max(0.0,
-             state.m_backlogUs -
-               static_cast<double>((aNow - state.m_updatedAt).count()));
-  return Duration(static_cast<std::int64_t>(
-    backlogUs + static_cast<double>(aTime.count()) / state.m_bandwidthRatio));
+  return Duration(static_cast<std::int64_t>(state.BacklogUsAt(aNow) +
+                                            static_cast<double>(aTime.count()) /
+                                              state.m_bandwidthRatio));
 }
 
 double
--- a/src/libserve/caches_test.cpp
+++ b/src/libserve/caches_test.cpp
@@ -157,6 +157,7 @@
   };
   push.m_changes = { { 0, PartKey(kScope, "x"), 500 } };
   cr_assert(map.Apply(push));
+  std::vector<LinkUse> reserved;
   const auto sourceOf = [&](std::int64_t aPeerTimeUs, bool aIsHeld) {
     PartMap::PlanInput input;
     input.m_now = kStart;
@@ -167,18 +168,17 @@
     input.m_peerCopies[0] = { aIsHeld, "10.0.0.7:1", Duration(aPeerTimeUs) };
     DispatchParameters parameters;
     parameters.m_cacheScope = kScope;
-    map.PlanTransfers(input, PromptOf("x", 500), parameters);
+    reserved = map.PlanTransfers(input, PromptOf("x", 500), parameters);
     return parameters.m_fetches.at(0).m_address;
   };
   cr_assert_eq(sourceOf(100'000, false), "10.0.0.7:1");
-  cr_assert_eq(map.TakeReservations().size(), 1U);
+  cr_assert_eq(reserved.size(), 1U);
   cr_assert_eq(sourceOf(900'000, false), "10.0.0.8:1");
   // The store's link is busy now.
   cr_assert_eq(sourceOf(500'000, false), "10.0.0.7:1");
-  map.TakeReservations();
   // A part that the worker holds takes no time of a link.
   cr_assert_not(sourceOf(100'000, true).empty());
-  cr_assert(map.TakeReservations().empty());
+  cr_assert(reserved.empty());
 }
 
 Test(part_sources, link_time_of_other_entries_counts_and_is_bounded)
