Holders of a part are looked up in one place, once for a placement

Cause: Placement and RelayFlow each walked over the holders of a part with the same checks, and Placement did so again for every candidate worker. Change: WorkerCaches returns the holders that are listed and still hold a part; Placement collects their data centres once for each part and weight version. A switch over three distances became one percentage. No behaviour changes; tests that looked at holders of dropped parts also check that the part itself is forgotten.

--- a/src/include/fulmarquay/serve/Placement.h
+++ b/src/include/fulmarquay/serve/Placement.h
@@ -73,13 +73,26 @@
                                      const Criteria& aCriteria,
                                      std::size_t aWorkers);
 
-  /// Part keys of one prompt, by weight version.
-  using PartKeysByVersion = std::map<std::int64_t, std::vector<std::uint64_t>>;
+  /// A part of the prompt under one weight version.
+  struct PartCopies
+  {
+    std::uint64_t m_key = 0;
+    std::set<DataCentreId> m_holders; ///< of workers that cache it
+  };
+  using PartsByVersion = std::map<std::int64_t, std::vector<PartCopies>>;
 
+  static std::vector<PartCopies> FindPartCopies(const WorkerTable& aWorkers,
+                                                const Criteria& aCriteria,
+                                                std::int64_t aVersion);
+  /// Cost of fetching a part to a worker, in percent of computing it; 100 if it
+  /// has no copy.
+  static std::int64_t FetchPercent(const WorkerState& aWorker,
+                                   const Criteria& aCriteria,
+                                   const PartCopies& aPart);
   static std::int64_t PrefillTokens(const WorkerTable& aWorkers,
                                     const WorkerState& aWorker,
                                     const Criteria& aCriteria,
-                                    PartKeysByVersion& aKeysByVersion);
+                                    PartsByVersion& aPartsByVersion);
   std::int64_t LoadCost(const WorkerState& aWorker,
                         const Criteria& aCriteria,
                         const WorkerLoad& aOthersLoad,
--- a/src/include/fulmarquay/serve/WorkerCaches.h
+++ b/src/include/fulmarquay/serve/WorkerCaches.h
@@ -5,6 +5,7 @@
 #include "fulmarquay/core/Units.h"
 #include "fulmarquay/serve/WorkerTable.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <list>
 #include <string>
@@ -38,8 +39,14 @@
              const WorkerState& aWorker,
              std::uint64_t aKey) const;
 
-  /// The ids of workers that may cache a part; check with Holds.
-  const std::vector<std::string>& Holders(std::uint64_t aKey) const;
+  /// The listed workers that are assumed to cache a part; valid until the table
+  /// changes.
+  std::vector<const WorkerState*> Holders(TimePoint aNow,
+                                          const WorkerTable& aWorkers,
+                                          std::uint64_t aKey) const;
+
+  /// The number of parts that are known with a holder.
+  std::size_t PartCount() const { return m_holders.size(); }
 
   /// Forgets the workers that are not in the table and expired parts.
   void Sweep(TimePoint aNow, const WorkerTable& aWorkers);
--- a/src/libserve/Placement.cpp
+++ b/src/libserve/Placement.cpp
@@ -21,6 +21,7 @@
 /// free. Links between data centres are slower and paid for.
 constexpr std::int64_t kLocalFetchPercent = 25;
 constexpr std::int64_t kRemoteFetchPercent = 50;
+constexpr std::int64_t kComputePercent = 100;
 /// Time after the release of newer weights during which old weights cost
 /// little; later they are worth less to the caller.
 constexpr Duration kOldWeightsGracePeriod(1'000'000);
@@ -52,47 +53,6 @@
   return Checksum64(parts[last].m_id, Checksum64(aCriteria.m_account));
 }
 
-enum class SourceDistance
-{
-  Local, ///< in the data centre of the worker
-  Remote,
-  None
-};
-
-/// The distance between a worker and the nearest source of a part.
-SourceDistance
-NearestSource(const WorkerTable& aWorkers,
-              const WorkerState& aWorker,
-              const Placement::Criteria& aCriteria,
-              std::uint64_t aKey)
-{
-  const DataCentreId& dataCentre = aWorker.m_info.m_dataCentre;
-  SourceDistance nearest = SourceDistance::None;
-  const auto add = [&](const DataCentreId& aSource) {
-    if (aSource == dataCentre) {
-      nearest = SourceDistance::Local;
-    } else if (nearest == SourceDistance::None) {
-      nearest = SourceDistance::Remote;
-    }
-  };
-  if (aCriteria.m_partMap != nullptr) {
-    if (const DataCentreId* store = aCriteria.m_partMap->NearestStore(
-          aCriteria.m_now, aKey, dataCentre)) {
-      add(*store);
-    }
-  }
-  if (aCriteria.m_caches != nullptr && nearest != SourceDistance::Local) {
-    for (const std::string& id : aCriteria.m_caches->Holders(aKey)) {
-      const auto holder = aWorkers.All().find(WorkerId(id));
-      if (holder != aWorkers.All().end() &&
-          aCriteria.m_caches->Holds(aCriteria.m_now, holder->second, aKey)) {
-        add(holder->second.m_info.m_dataCentre);
-      }
-    }
-  }
-  return nearest;
-}
-
 } // namespace
 
 bool
@@ -133,47 +93,77 @@
            aCriteria.m_otherEntriesHeldTokens / workers };
 }
 
+std::vector<Placement::PartCopies>
+Placement::FindPartCopies(const WorkerTable& aWorkers,
+                          const Criteria& aCriteria,
+                          std::int64_t aVersion)
+{
+  std::vector<PartCopies> parts;
+  for (const std::uint64_t key :
+       PartKeys(MakeCacheScope(aVersion, aCriteria.m_account),
+                aCriteria.m_request->m_parts)) {
+    PartCopies& part = parts.emplace_back();
+    part.m_key = key;
+    if (aCriteria.m_caches != nullptr) {
+      for (const WorkerState* holder :
+           aCriteria.m_caches->Holders(aCriteria.m_now, aWorkers, key)) {
+        part.m_holders.insert(holder->m_info.m_dataCentre);
+      }
+    }
+  }
+  return parts;
+}
+
+std::int64_t
+Placement::FetchPercent(const WorkerState& aWorker,
+                        const Criteria& aCriteria,
+                        const PartCopies& aPart)
+{
+  const DataCentreId& dataCentre = aWorker.m_info.m_dataCentre;
+  const DataCentreId* store = aCriteria.m_partMap == nullptr
+                                ? nullptr
+                                : aCriteria.m_partMap->NearestStore(
+                                    aCriteria.m_now, aPart.m_key, dataCentre);
+  const bool isLocal = (store != nullptr && *store == dataCentre) ||
+                       aPart.m_holders.count(dataCentre) != 0;
+  if (isLocal) {
+    return kLocalFetchPercent;
+  }
+  const bool isRemote = store != nullptr || !aPart.m_holders.empty();
+  return isRemote ? kRemoteFetchPercent : kComputePercent;
+}
+
 std::int64_t
 Placement::PrefillTokens(const WorkerTable& aWorkers,
                          const WorkerState& aWorker,
                          const Criteria& aCriteria,
-                         PartKeysByVersion& aKeysByVersion)
+                         PartsByVersion& aPartsByVersion)
 {
   const RelayRequest& request = *aCriteria.m_request;
   const std::int64_t version = aWorker.m_info.VersionOf(request.m_model);
-  const auto [keys, isNew] = aKeysByVersion.try_emplace(version);
+  const auto [parts, isNew] = aPartsByVersion.try_emplace(version);
   if (isNew) {
-    keys->second =
-      PartKeys(MakeCacheScope(version, aCriteria.m_account), request.m_parts);
+    parts->second = FindPartCopies(aWorkers, aCriteria, version);
   }
-  // The contiguous prefix that need not be computed: parts cached by the
-  // worker, kept in a store or cached by another worker.
-  std::int64_t cached = 0;
-  std::int64_t local = 0;
-  std::int64_t remote = 0;
+  // Beyond the contiguous prefix that is cached or can be fetched, all tokens
+  // are computed.
+  std::int64_t computed = request.m_promptTokens;
+  std::int64_t fetchCost = 0;
   for (std::size_t i = 0; version >= 0 && i < request.m_parts.size(); ++i) {
-    const std::uint64_t key = keys->second[i];
+    const PartCopies& part = parts->second[i];
     const std::int64_t tokens = request.m_parts[i].m_tokens;
-    if (aCriteria.m_caches != nullptr &&
-        aCriteria.m_caches->Holds(aCriteria.m_now, aWorker, key)) {
-      cached += tokens;
-      continue;
-    }
-    switch (NearestSource(aWorkers, aWorker, aCriteria, key)) {
-      case SourceDistance::Local:
-        local += tokens;
-        continue;
-      case SourceDistance::Remote:
-        remote += tokens;
-        continue;
-      case SourceDistance::None:
-        break;
+    const bool isCached =
+      aCriteria.m_caches != nullptr &&
+      aCriteria.m_caches->Holds(aCriteria.m_now, aWorker, part.m_key);
+    const std::int64_t percent =
+      isCached ? 0 : FetchPercent(aWorker, aCriteria, part);
+    if (percent == kComputePercent) {
+      break;
     }
-    break;
+    computed -= tokens;
+    fetchCost += tokens * percent;
   }
-  return std::max<std::int64_t>(
-           0, request.m_promptTokens - cached - local - remote) +
-         (local * kLocalFetchPercent + remote * kRemoteFetchPercent) / 100;
+  return std::max<std::int64_t>(0, computed) + fetchCost / kComputePercent;
 }
 
 std::int64_t
@@ -233,7 +223,7 @@
                        return weightOf(aLeft) < weightOf(aRight);
                      });
   Choice choice;
-  PartKeysByVersion keysByVersion;
+  PartsByVersion partsByVersion;
   std::int64_t bestCost = kIneligible;
   for (WorkerState* worker : available) {
     const std::int64_t oldWeightsCost =
@@ -249,7 +239,7 @@
     }
     const std::int64_t prefillTokens =
       aCriteria.m_hasPrompt
-        ? PrefillTokens(aWorkers, *worker, aCriteria, keysByVersion)
+        ? PrefillTokens(aWorkers, *worker, aCriteria, partsByVersion)
         : 0;
     const std::int64_t prefillCost =
       worker == *home
--- a/src/libserve/RelayDispatch.cpp
+++ b/src/libserve/RelayDispatch.cpp
@@ -255,26 +255,24 @@
       parts[i].m_tokens * pool->m_engines.m_kvBytesPerToken;
     copies[i].m_isHeld = m_caches.Holds(now, aWorker, key);
     std::uint64_t bestWeight = 0;
-    for (const std::string& id : m_caches.Holders(key)) {
-      const auto holder = m_workers.All().find(WorkerId(id));
-      if (holder == m_workers.All().end() ||
-          holder->first == aWorker.m_info.m_id || holder->second.m_needsProbe ||
-          holder->second.m_info.m_isLeaving ||
-          !m_caches.Holds(now, holder->second, key)) {
+    for (const WorkerState* holder : m_caches.Holders(now, m_workers, key)) {
+      const WorkerInfo& info = holder->m_info;
+      if (info.m_id == aWorker.m_info.m_id || holder->m_needsProbe ||
+          info.m_isLeaving) {
         continue;
       }
-      const Duration transfer = TransferTime(
-        bytes,
-        pool->m_engines.m_linkBitsPerSecond,
-        holder->second.m_info.m_dataCentre != aWorker.m_info.m_dataCentre);
+      const Duration transfer =
+        TransferTime(bytes,
+                     pool->m_engines.m_linkBitsPerSecond,
+                     info.m_dataCentre != aWorker.m_info.m_dataCentre);
       // Among equally near holders, requests spread by a hash.
-      const std::uint64_t weight = RendezvousWeight(id, spread);
+      const std::uint64_t weight = RendezvousWeight(info.m_id.Value(), spread);
       PartMap::PeerCopy& best = copies[i];
       const bool isBetter =
         best.m_address.empty() || transfer < best.m_transferTime ||
         (transfer == best.m_transferTime && weight > bestWeight);
       if (isBetter) {
-        best.m_address = holder->second.m_info.m_address;
+        best.m_address = info.m_address;
         best.m_transferTime = transfer;
         bestWeight = weight;
       }
--- a/src/libserve/WorkerCaches.cpp
+++ b/src/libserve/WorkerCaches.cpp
@@ -93,12 +93,23 @@
          aNow < part->second->m_usedAt + Ttl();
 }
 
-const std::vector<std::string>&
-WorkerCaches::Holders(std::uint64_t aKey) const
+std::vector<const WorkerState*>
+WorkerCaches::Holders(TimePoint aNow,
+                      const WorkerTable& aWorkers,
+                      std::uint64_t aKey) const
 {
-  static const std::vector<std::string> none;
-  const auto found = m_holders.find(aKey);
-  return found == m_holders.end() ? none : found->second;
+  std::vector<const WorkerState*> holders;
+  const auto ids = m_holders.find(aKey);
+  if (ids == m_holders.end()) {
+    return holders;
+  }
+  for (const std::string& id : ids->second) {
+    const auto holder = aWorkers.All().find(WorkerId(id));
+    if (holder != aWorkers.All().end() && Holds(aNow, holder->second, aKey)) {
+      holders.push_back(&holder->second);
+    }
+  }
+  return holders;
 }
 
 void
--- a/src/libserve/caches_test.cpp
+++ b/src/libserve/caches_test.cpp
@@ -73,8 +73,9 @@
   cr_assert(caches.Holds(kStart, worker, 1));
   cr_assert_not(caches.Holds(kStart, worker, 2));
   cr_assert(caches.Holds(kStart, worker, 3));
-  cr_assert(caches.Holders(2).empty());
-  cr_assert_eq(caches.Holders(3).size(), 1U);
+  cr_assert(caches.Holders(kStart, table, 2).empty());
+  cr_assert_eq(caches.Holders(kStart, table, 3).size(), 1U);
+  cr_assert_eq(caches.PartCount(), 2U);
 }
 
 Test(worker_caches, the_first_part_of_a_prompt_leaves_last)
@@ -100,7 +101,8 @@
   WorkerTable later = Table({ restarted });
   cr_assert_not(caches.Holds(kStart, *later.Find(WorkerId("w1")), 1));
   caches.Sweep(kStart, later);
-  cr_assert(caches.Holders(1).empty());
+  cr_assert(caches.Holders(kStart, later, 1).empty());
+  cr_assert_eq(caches.PartCount(), 0U);
 }
 
 Test(worker_caches, parts_expire_after_their_last_use)
@@ -112,7 +114,8 @@
   const TimePoint later = kStart + Duration(60'000'000);
   cr_assert_not(caches.Holds(later, worker, 1));
   caches.Sweep(later, table);
-  cr_assert(caches.Holders(1).empty());
+  cr_assert(caches.Holders(later, table, 1).empty());
+  cr_assert_eq(caches.PartCount(), 0U);
 }
 
 Test(worker_caches, parts_expire_sooner_if_reads_of_some_entries_are_unknown)
@@ -438,11 +441,12 @@
                    const WorkerId& aWorker,
                    std::uint64_t aKey)
   {
-    const auto& holders = m_entries[aEntry].m_caches.Holders(aKey);
+    const EntryState& entry = m_entries[aEntry];
+    const auto holders = entry.m_caches.Holders(m_now, entry.m_workers, aKey);
     return std::any_of(
-      holders.begin(), holders.end(), [&](const std::string& aHolder) {
-        return WorkerId(aHolder) != aWorker &&
-               Caches(EngineOf(WorkerId(aHolder)), aKey);
+      holders.begin(), holders.end(), [&](const WorkerState* aHolder) {
+        const WorkerId& id = aHolder->m_info.m_id;
+        return id != aWorker && Caches(EngineOf(id), aKey);
       });
   }
 
