One parser of decimal numbers for settings and headers

Cause: the adapter parsed a worker's Retry-After with the same lines as the settings parse decimals.

--- a/src/include/fulmarquay/core/Settings.h
+++ b/src/include/fulmarquay/core/Settings.h
@@ -6,6 +6,7 @@
 #include "fulmarquay/core/Units.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -72,6 +73,10 @@
 std::string
 ReadWholeFile(const std::string& aFile);
 
+/// Parses a finite decimal number, e.g. `33.15`; no value for other texts.
+std::optional<double>
+ParseDecimal(std::string_view aText);
+
 /// Parses `250ms`, `1.5s`, `5m`, `2h`, rounded to microseconds. Throws
 /// std::invalid_argument.
 Duration
--- a/src/libcore/Settings.cpp
+++ b/src/libcore/Settings.cpp
@@ -49,21 +49,18 @@
   return value;
 }
 
-/// Parses a finite decimal number of at least 0, e.g. `33.15`.
+/// Throws std::invalid_argument for a text that is no number of at least 0.
 double
-ParseDecimal(std::string_view aText)
+ParseNonNegative(std::string_view aText)
 {
-  double value = 0;
-  const char* end = aText.data() + aText.size();
-  const auto [parsedEnd, error] = std::from_chars(aText.data(), end, value);
-  if (aText.empty() || error != std::errc() || parsedEnd != end ||
-      !std::isfinite(value)) {
+  const std::optional<double> value = ParseDecimal(aText);
+  if (!value) {
     throw std::invalid_argument("not a number");
   }
-  if (value < 0) {
+  if (*value < 0) {
     throw std::invalid_argument("out of range");
   }
-  return value;
+  return *value;
 }
 
 template<std::size_t N>
@@ -78,7 +75,7 @@
       aText.substr(0, aText.size() - unit.m_suffix.size());
     if (number.find_first_not_of("0123456789") != std::string_view::npos) {
       const double value =
-        ParseDecimal(number) * static_cast<double>(unit.m_factor);
+        ParseNonNegative(number) * static_cast<double>(unit.m_factor);
       if (value > kMaxDecimalUnits) {
         throw std::invalid_argument("out of range");
       }
@@ -157,7 +154,8 @@
       return;
     case SettingKind::Number:
       CheckRange(
-        aKey, std::llround(std::min(ParseDecimal(aValue), kMaxDecimalUnits)));
+        aKey,
+        std::llround(std::min(ParseNonNegative(aValue), kMaxDecimalUnits)));
       return;
     case SettingKind::Fraction:
       ParseFraction(aValue);
@@ -302,6 +300,17 @@
   return text.str();
 }
 
+std::optional<double>
+ParseDecimal(std::string_view aText)
+{
+  double value = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [parsedEnd, error] = std::from_chars(aText.data(), end, value);
+  const bool isNumber = !aText.empty() && error == std::errc() &&
+                        parsedEnd == end && std::isfinite(value);
+  return isNumber ? std::optional<double>(value) : std::nullopt;
+}
+
 Duration
 ParseDuration(std::string_view aText)
 {
@@ -399,7 +408,7 @@
 double
 Settings::Number(const std::string& aSection, const std::string& aKey) const
 {
-  return ParseDecimal(Text(aSection, aKey));
+  return ParseNonNegative(Text(aSection, aKey));
 }
 
 double
