--- a/src/include/fulmarquay/serve/PartMap.h
+++ b/src/include/fulmarquay/serve/PartMap.h
@@ -71,7 +71,7 @@
                                      const RelayRequest& aRequest,
                                      DispatchParameters& aParameters);
 
-  /// Records the time to first event of a request and the stores that it
+  /// Records the time to first event of a request and the sources that it
   /// fetched from.
   void OnFirstEvent(Duration aTime, const std::set<std::string>& aStores);
 
--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -115,7 +115,7 @@
     PoolId m_pool;
     WorkerId m_worker;
     std::set<WorkerId> m_triedWorkers;
-    std::set<std::string> m_stores; ///< stores that the worker fetches from
+    std::set<std::string> m_stores; ///< stores and workers it fetches from
     TimePoint m_sentAt;
     CallId m_call;
     int m_sendCount = 0;           ///< workers that may have received it
--- a/src/include/fulmarquay/serve/StoreFetchLimiter.h
+++ b/src/include/fulmarquay/serve/StoreFetchLimiter.h
@@ -24,8 +24,8 @@
 class StoreFetchLimiter
 {
 public:
-  /// Records the time from sending a request to its first event, and the stores
-  /// that it fetched from; empty if it fetched nothing.
+  /// Records the time from sending a request to its first event, and the
+  /// sources that it fetched from; empty if it fetched nothing.
   void OnFirstEvent(Duration aTime, const std::set<std::string>& aStores);
 
   /// Reserves link time for a transfer; returns false if the backlog is too
