Log: the position that a worker is asked to continue from

The logs of a stream that repeated events could not tell whether the second worker was asked for the wrong position or ignored the right one. RequestSent gets after_event, RequestAnswered the last event forwarded.

--- a/src/libserve/RelayDispatch.cpp
+++ b/src/libserve/RelayDispatch.cpp
@@ -366,6 +366,7 @@
       { "worker", parameters.m_worker },
       { "list", std::to_string(m_workers.Number()) },
       { "send", std::to_string(aActive.m_sendCount) },
+      { "after_event", std::to_string(parameters.m_lastEventId) },
       { "uncached", std::to_string(aActive.m_pendingPrefillTokens) },
       { "fetch", std::to_string(FetchTokens(parameters)) },
       { "stores", boost::algorithm::join(aActive.m_stores, ",") },
--- a/src/libserve/RelayResponses.cpp
+++ b/src/libserve/RelayResponses.cpp
@@ -474,6 +474,7 @@
     { "id", aActive.m_request.m_id },
     { "status", std::to_string(aStatus) },
     { "worker", aActive.m_worker.Value() },
+    { "event", std::to_string(aActive.m_eventSplitter.LastId()) },
     { "age_ms", FormatMillis(Age(aActive)) }
   };
   if (aActive.m_firstEventAt != TimePoint()) {
