Failing test: the position of a resumed stream after a crash at the head

Callers got events again that they had. A caller resumes after event 46, the first worker sends the head and part of an event and crashes: the entry then asks the next worker for the whole stream (position -1 instead of 46).

--- a/src/libserve/relay_answers_test.cpp
+++ b/src/libserve/relay_answers_test.cpp
@@ -338,3 +338,16 @@
   entry.SendRequest("/once/x");
   cr_assert_eq(entry.m_status, 401);
 }
+
+Test(resumed_streams,
+     a_position_of_the_caller_is_kept_after_a_crash_at_the_head)
+{
+  Entry entry;
+  entry.SendResumedRequest("/resumable/x", 46);
+  cr_assert_eq(entry.m_protocol.m_sentParameters.back().m_lastEventId, 46);
+  entry.Head(200, "ps");
+  entry.Data("id: 47\nda");
+  entry.End(CallResult::Incomplete);
+  cr_assert_eq(entry.m_calls.size(), 2U);
+  cr_assert_eq(entry.m_protocol.m_sentParameters.back().m_lastEventId, 46);
+}
--- a/src/libserve/relay_test.h
+++ b/src/libserve/relay_test.h
@@ -33,6 +33,8 @@
     request.m_model = "m";
     request.m_promptTokens = 100;
     request.m_parts = { { "shared", 80 }, { "own", 20 } };
+    const std::string lastEventId = FindHeader(aRequest.m_headers, "last");
+    request.m_lastEventId = lastEventId.empty() ? -1 : std::stoi(lastEventId);
     return request;
   }
   HttpRequest Encode(const RelayRequest& aRequest,
@@ -187,14 +189,14 @@
 
   void SendRequest(const std::string& aPath, const std::string& aKey = "key")
   {
-    AdvanceClock(1);
-    HttpRequest request{ "POST",
-                         aPath,
-                         { { "id", "r" + std::to_string(++m_caller) },
-                           { "key", aKey } },
-                         "" };
-    m_flow.Start(CallerId(m_caller), request);
-    CollectEffects();
+    Start(aPath, { { "key", aKey } });
+  }
+
+  /// Sends a request of a caller that received events before.
+  void SendResumedRequest(const std::string& aPath, int aLastEventId)
+  {
+    Start(aPath,
+          { { "key", "key" }, { "last", std::to_string(aLastEventId) } });
   }
 
   void Head(int aStatus, const std::string& aFlags, int aPauseMs = 0)
@@ -262,6 +264,15 @@
   bool m_isComplete = false;
 
 private:
+  void Start(const std::string& aPath, std::vector<HttpHeader> aHeaders)
+  {
+    AdvanceClock(1);
+    aHeaders.push_back({ "id", "r" + std::to_string(++m_caller) });
+    m_flow.Start(CallerId(m_caller),
+                 { "POST", aPath, std::move(aHeaders), "" });
+    CollectEffects();
+  }
+
   static void Add(RouteDocument& aDocument,
                   const std::string& aPrefix,
                   RouteRule aRule)
