A stream that its caller resumed keeps its position across workers

Cause: a request had two positions, the caller's Last-Event-Id and that of the event splitter. From the head of the first answer on, the entry took the second one, which counts only the events of its own answers. If the worker crashed after the head and before its first whole event, the next worker was asked to begin at the beginning, and its events went to a caller that had 18 to 47 of them.

Evidence: the first worker ends in the ms of its start, and the repetition is the first event of the second worker; the test asked for -1 instead of 46.

The splitter now starts at the caller's position and is the only one.

--- a/src/include/fulmarquay/serve/EventStreamSplitter.h
+++ b/src/include/fulmarquay/serve/EventStreamSplitter.h
@@ -14,13 +14,18 @@
 class EventStreamSplitter
 {
 public:
+  /// Starts at a position: the id of the last event that the caller received
+  /// earlier.
+  void StartAfter(std::int64_t aEventId) { m_lastId = aEventId; }
+
   /// Adds bytes; returns the events that are now complete.
   std::string Feed(std::string_view aBytes);
 
   /// Discards the bytes of an incomplete event after its worker failed.
   void DropPartial() { m_partial.clear(); }
 
-  /// Id of the last complete event; -1 before the first one.
+  /// Id of the last complete event, of earlier answers too; -1 before the first
+  /// one.
   std::int64_t LastId() const { return m_lastId; }
   bool HasPartial() const { return !m_partial.empty(); }
   /// Size of the incomplete event that is held.
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -132,6 +132,7 @@
   m_byCaller[aCaller] = std::move(active);
   try {
     added.m_request = m_protocol.Decode(std::move(aRequest));
+    added.m_eventSplitter.StartAfter(added.m_request.m_lastEventId);
   } catch (const Error& e) {
     Refuse(added, kStatusBadRequest, e.Reason(), Duration(0));
     return;
