Streams: events that a caller has are never forwarded again

A worker that ignores the position, a second copy of an answer on a connection that delimits it by its end, or an answer that is no stream were forwarded.

Event ids increase over a whole stream, so the splitter stops at the first event that repeats an id; the call is ended and the stream goes on at another worker or breaks off. The position of the caller counts on resumable routes only; elsewhere a worker may begin again.

--- a/src/include/fulmarquay/serve/EventStreamSplitter.h
+++ b/src/include/fulmarquay/serve/EventStreamSplitter.h
@@ -9,8 +9,9 @@
 namespace fulmarquay {
 
 /// Splits a stream of server-sent events into complete events, so that an
-/// interrupted stream can be resumed after the last one. Parses only event ids.
-/// Not thread-safe.
+/// interrupted stream can be resumed after the last one. Parses only event ids,
+/// which increase from event to event across all answers of a stream. Not
+/// thread-safe.
 class EventStreamSplitter
 {
 public:
@@ -18,24 +19,34 @@
   /// earlier.
   void StartAfter(std::int64_t aEventId) { m_lastId = aEventId; }
 
-  /// Adds bytes; returns the events that are now complete.
+  /// Adds bytes; returns the events that are now complete, up to the first one
+  /// that repeats an earlier id.
   std::string Feed(std::string_view aBytes);
 
-  /// Discards the bytes of an incomplete event after its worker failed.
-  void DropPartial() { m_partial.clear(); }
+  /// Discards what is left of an answer after its worker failed.
+  void DropPartial()
+  {
+    m_partial.clear();
+    m_hasRepeatedId = false;
+  }
 
   /// Id of the last complete event, of earlier answers too; -1 before the first
   /// one.
   std::int64_t LastId() const { return m_lastId; }
+  /// Whether an event had the id of an earlier one or a lower one.
+  bool HasRepeatedId() const { return m_hasRepeatedId; }
   bool HasPartial() const { return !m_partial.empty(); }
   /// Size of the incomplete event that is held.
   std::size_t PartialBytes() const { return m_partial.size(); }
 
 private:
-  void ReadIds(std::string_view aEvents);
+  /// Reads the id of an event, if it has one. Returns whether the event
+  /// continues the stream.
+  bool ReadId(std::string_view aEvent);
 
   std::string m_partial;
   std::int64_t m_lastId = -1;
+  bool m_hasRepeatedId = false;
 };
 
 } // namespace fulmarquay
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -132,7 +132,6 @@
   m_byCaller[aCaller] = std::move(active);
   try {
     added.m_request = m_protocol.Decode(std::move(aRequest));
-    added.m_eventSplitter.StartAfter(added.m_request.m_lastEventId);
   } catch (const Error& e) {
     Refuse(added, kStatusBadRequest, e.Reason(), Duration(0));
     return;
@@ -214,6 +213,9 @@
   aActive.m_rule = *route.m_rule;
   aActive.m_routeName = std::string(route.m_name);
   aActive.m_priority = route.m_rule->m_priority;
+  if (MayResume(aActive)) {
+    aActive.m_eventSplitter.StartAfter(request.m_lastEventId);
+  }
   if (!Authenticate(aActive, *route.m_rule)) {
     return;
   }
--- a/src/libserve/RelayResponses.cpp
+++ b/src/libserve/RelayResponses.cpp
@@ -185,6 +185,9 @@
     return;
   }
   if (active->m_isStreaming) {
+    if (isSuccess && !workerHead.m_isStream) {
+      AbortCall(*active, "the answer does not continue the stream");
+    }
     return;
   }
   ReleaseBody(*active);
@@ -254,7 +257,9 @@
     RecordEvents(*active);
     m_context.Emit(WriteCallerStream{ active->m_caller, std::move(events) });
   }
-  if (active->m_eventSplitter.PartialBytes() > kMaxEventBytes) {
+  if (active->m_eventSplitter.HasRepeatedId()) {
+    AbortCall(*active, "an event comes again");
+  } else if (active->m_eventSplitter.PartialBytes() > kMaxEventBytes) {
     AbortCall(*active, "an event has no end");
   }
 }
--- a/src/libserve/relay_answers_test.cpp
+++ b/src/libserve/relay_answers_test.cpp
@@ -351,3 +351,74 @@
   cr_assert_eq(entry.m_calls.size(), 2U);
   cr_assert_eq(entry.m_protocol.m_sentParameters.back().m_lastEventId, 46);
 }
+
+Test(resumed_streams, events_that_a_caller_has_are_not_sent_again)
+{
+  const std::string event = "id: 2\ndata: b\n\n";
+  struct Case
+  {
+    const char* m_data; ///< of the second worker
+    const char* m_forwarded;
+  };
+  const std::vector<Case> cases = {
+    { "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", "" },
+    { "id: 3\ndata: c\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n",
+      "id: 3\ndata: c\n\n" },
+    { "weight-versions: 2\nid: 2\ndata: b\n\n", "" },
+  };
+  for (const Case& each : cases) {
+    Entry entry;
+    entry.SendResumedRequest("/resumable/x", 1);
+    entry.Head(200, "ps");
+    entry.Data(event);
+    entry.End(CallResult::Incomplete);
+    const CallId call = entry.m_calls.back().m_call;
+    entry.Head(200, "ps");
+    entry.Data(each.m_data);
+    entry.m_flow.OnEnd(call, CallResult::Complete, "");
+    entry.CollectEffects();
+    cr_assert_eq(entry.m_body, event + each.m_forwarded);
+    cr_assert_eq(entry.m_answers, 1);
+    cr_assert_not(entry.m_isComplete);
+  }
+}
+
+Test(resumed_streams, a_second_copy_of_an_answer_is_not_forwarded)
+{
+  Entry entry;
+  entry.SendRequest("/stream/x");
+  entry.Head(200, "ps");
+  entry.Data("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  entry.Data("HTTP/1.1 200 OK\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  cr_assert_eq(entry.m_body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  cr_assert_eq(entry.m_cancels, 1);
+  cr_assert_not(entry.m_isComplete);
+}
+
+Test(resumed_streams, an_answer_that_is_no_stream_does_not_continue_one)
+{
+  Entry entry;
+  entry.SendRequest("/resumable/x");
+  entry.Head(200, "ps");
+  entry.Data("id: 1\ndata: a\n\n");
+  entry.End(CallResult::Incomplete);
+  const CallId call = entry.m_calls.back().m_call;
+  entry.Head(200, "p");
+  entry.m_flow.OnData(call, "{}\n\n");
+  entry.m_flow.OnEnd(call, CallResult::Complete, "");
+  entry.CollectEffects();
+  cr_assert_eq(entry.m_body, "id: 1\ndata: a\n\n");
+  cr_assert_not(entry.m_isComplete);
+}
+
+Test(resumed_streams,
+     a_stream_that_restarts_on_a_route_without_resume_is_not_cut)
+{
+  Entry entry;
+  entry.SendResumedRequest("/stream/x", 5);
+  entry.Head(200, "ps");
+  entry.Data("id: 1\ndata: a\n\n");
+  entry.End(CallResult::Complete);
+  cr_assert(entry.m_isComplete);
+  cr_assert_eq(entry.m_body, "id: 1\ndata: a\n\n");
+}
