Streams without length or chunks: an end before the first event breaks them off

A worker that ends between the head of such a stream and its first event closes its connection, and the caller got an empty stream as a complete success. The head now says whether only the end of the connection delimits the answer; such a stream without an event counts as broken off and may go on at another worker. A resumed stream may have no event left and is complete as before.

--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -127,7 +127,8 @@
     std::int64_t m_pendingPrefillTokens = 0; ///< counted at the worker
     HttpResponse m_callerHead;
     WorkerResponseHead m_workerHead;
-    bool m_hasFirstEvent = false; ///< the worker has sent its first event
+    bool m_hasFirstEvent = false;      ///< the worker has sent its first event
+    bool m_endsWithConnection = false; ///< only its end delimits the answer
     TimePoint m_firstEventAt;
     TimePoint m_lastEventAt;
     Duration m_longestGap{};    ///< between two events
--- a/src/include/fulmarquay/wire/HttpMessage.h
+++ b/src/include/fulmarquay/wire/HttpMessage.h
@@ -28,6 +28,9 @@
   int m_status = 200;
   std::vector<HttpHeader> m_headers;
   std::string m_body;
+  /// The response had neither a length nor chunks when it was received: only
+  /// the end of its connection delimits it.
+  bool m_endsWithConnection = false;
 };
 
 /// Returns the value of the first header with this name (case-insensitive), or
--- a/src/libserve/RelayDispatch.cpp
+++ b/src/libserve/RelayDispatch.cpp
@@ -317,8 +317,8 @@
   parameters.m_worker = aWorker.m_info.m_id.Value();
   parameters.m_account = aActive.m_account;
   parameters.m_timeLeft = aActive.m_expiresAt - m_context.Now();
-  parameters.m_lastEventId = std::max(aActive.m_eventSplitter.LastId(),
-                                      aActive.m_request.m_lastEventId);
+  parameters.m_lastEventId =
+    std::max(aActive.m_eventSplitter.LastId(), aActive.m_request.m_lastEventId);
   if (aActive.m_rule.m_hasPrompt) {
     parameters.m_priority = aActive.m_priority;
     parameters.m_cacheScope = CacheScopeFor(aActive, aWorker);
--- a/src/libserve/RelayResponses.cpp
+++ b/src/libserve/RelayResponses.cpp
@@ -175,6 +175,7 @@
   }
   OnWorkerActivity(*active);
   active->m_workerHead = m_protocol.ReadHead(aHead);
+  active->m_endsWithConnection = aHead.m_endsWithConnection;
   RecordAnnouncements(*active);
   const WorkerResponseHead& workerHead = active->m_workerHead;
   const bool isSuccess =
@@ -320,8 +321,13 @@
   const bool isSuccess =
     workerHead.m_status >= kStatusOk && workerHead.m_status < kStatusRedirect;
   aActive.m_mayHaveRun = true;
-  if (isSuccess &&
-      (!workerHead.m_isSigned || aActive.m_eventSplitter.HasPartial())) {
+  // A worker that ends before its first event closes its connections too. Only
+  // a resumed stream may have no events left.
+  const bool isCutBeforeFirstEvent = aActive.m_isStreaming &&
+                                     aActive.m_endsWithConnection &&
+                                     aActive.m_eventSplitter.LastId() < 0;
+  if (isSuccess && (!workerHead.m_isSigned || isCutBeforeFirstEvent ||
+                    aActive.m_eventSplitter.HasPartial())) {
     OnBroken(aActive, "the answer is not the worker's whole one");
     return;
   }
--- a/src/libserve/relay_answers_test.cpp
+++ b/src/libserve/relay_answers_test.cpp
@@ -422,3 +422,38 @@
   cr_assert(entry.m_isComplete);
   cr_assert_eq(entry.m_body, "id: 1\ndata: a\n\n");
 }
+
+Test(undelimited_streams,
+     an_end_before_the_first_event_is_not_a_complete_answer)
+{
+  Entry entry;
+  entry.SendRequest("/stream/x");
+  entry.Head(200, "psc");
+  entry.End(CallResult::Complete);
+  cr_assert_eq(entry.m_answers, 1);
+  cr_assert_not(entry.m_isComplete);
+  Entry resumed;
+  resumed.SendRequest("/resumable/x");
+  resumed.Head(200, "psc");
+  resumed.End(CallResult::Complete);
+  cr_assert_eq(resumed.m_calls.size(), 2U);
+  // An end that the worker delimits itself is complete.
+  Entry delimited;
+  delimited.SendRequest("/stream/x");
+  delimited.Head(200, "ps");
+  delimited.End(CallResult::Complete);
+  cr_assert(delimited.m_isComplete);
+}
+
+Test(undelimited_streams, a_crash_after_the_last_event_ends_a_resumed_stream)
+{
+  Entry entry;
+  entry.SendRequest("/resumable/x");
+  entry.Head(200, "psc");
+  entry.Data("id: 1\ndata: a\n\n");
+  entry.End(CallResult::Incomplete);
+  entry.Head(200, "psc");
+  entry.End(CallResult::Complete);
+  cr_assert(entry.m_isComplete);
+  cr_assert_eq(entry.m_body, "id: 1\ndata: a\n\n");
+}
--- a/src/libserve/relay_test.h
+++ b/src/libserve/relay_test.h
@@ -16,7 +16,8 @@
 constexpr std::int64_t kTimeoutMs = 2'000;
 
 /// The status and a `flags` header encode a worker's response head: p signed, s
-/// stream, n not executed, m misdirected, l leaving.
+/// stream, n not executed, m misdirected, l leaving, c ends with its
+/// connection.
 class FakeProtocol : public RelayProtocol
 {
 public:
@@ -204,6 +205,7 @@
     AdvanceClock(1);
     HttpResponse head;
     head.m_status = aStatus;
+    head.m_endsWithConnection = aFlags.find('c') != std::string::npos;
     head.m_headers = { { "flags", aFlags },
                        { "pause_ms", std::to_string(aPauseMs) } };
     m_flow.OnHead(m_calls.back().m_call, head);
--- a/src/libwire/HttpClient.cpp
+++ b/src/libwire/HttpClient.cpp
@@ -354,6 +354,7 @@
       }
       HttpResponse head;
       head.m_status = static_cast<int>(aActive->m_parser->get().result_int());
+      head.m_endsWithConnection = aActive->m_parser->need_eof();
       for (const auto& field : aActive->m_parser->get()) {
         head.m_headers.push_back(
           { std::string(field.name_string()), std::string(field.value()) });
--- a/src/libwire/http_client_test.cpp
+++ b/src/libwire/http_client_test.cpp
@@ -144,6 +144,7 @@
   void OnHead(CallId, const HttpResponse& aHead) override
   {
     m_status = aHead.m_status;
+    m_endsWithConnection = aHead.m_endsWithConnection;
   }
   void OnData(CallId, std::string aData) override { m_body += aData; }
   void OnEnd(CallId, CallResult aEnd, const std::string&) override
@@ -156,6 +157,7 @@
   HttpClient m_client;
   std::uint64_t m_number = 0;
   int m_status = 0;
+  bool m_endsWithConnection = false;
   std::string m_body;
   CallResult m_end = CallResult::TimedOut;
 };
@@ -188,6 +190,7 @@
   client.Call(CallTo(server, "new"));
   cr_assert_eq(client.m_end, CallResult::Complete);
   cr_assert_eq(client.m_body, "own");
+  cr_assert_not(client.m_endsWithConnection);
 }
 
 Test(http_client, connection_with_surplus_bytes_is_not_reused)
@@ -419,6 +422,7 @@
                  isReset ? CallResult::Incomplete : CallResult::Complete,
                  "%d",
                  static_cast<int>(isReset));
+    cr_assert(client.m_endsWithConnection);
   }
 }
 
