Crash analysis: bounded reports and bounded work on the leader

When many workers crash at once, every entry repeated up to 100 failed calls with each new one, and the leader evaluated all crashes for each report: at the target size hundreds of KB/s and tens of ms per report. An entry now sends a failure at once and all of the last 5 s, 40 at most, once a second; answers that had begun are kept first. The leader evaluates at most 200 crashes of 16 prompts, at most every 50 ms.

--- a/src/include/fulmarquay/control/CrashAnalysis.h
+++ b/src/include/fulmarquay/control/CrashAnalysis.h
@@ -42,19 +42,13 @@
   void SetOnProbation(PromptPartId aPart) { m_onProbation.insert(aPart); }
 
 private:
-  /// A prompt that a worker was working on when it crashed.
-  struct Start
-  {
-    std::uint64_t m_prompt = 0;
-    bool m_hasHead = false;
-    std::vector<PromptPartId> m_parts;
-  };
-
   struct Crash
   {
     TimePoint m_at;
     std::string m_worker;
-    std::map<std::uint64_t, Start> m_starts; ///< by prompt
+    bool m_hasHead = false; ///< the worker had begun to answer the prompts
+    /// Parts of the prompts that it may have crashed under, by prompt.
+    std::map<std::uint64_t, std::vector<PromptPartId>> m_starts;
   };
 
   /// What speaks against a part.
--- a/src/include/fulmarquay/control/FleetManager.h
+++ b/src/include/fulmarquay/control/FleetManager.h
@@ -132,8 +132,8 @@
   void UpdateRoutes();
   void UpdateWeights();
   void UpdateBlockedParts();
-  /// Proposes to block the parts found and to release those that are sound or
-  /// have been blocked for long.
+  /// Asks the entries about suspected parts; proposes to block the parts found
+  /// and to release those that are sound or have been blocked for long.
   void ReviewBlockedParts();
   void FetchListPage(const std::string& aToken);
   void OnListPage(const UpstreamCallEnded& aAnswer);
@@ -172,6 +172,7 @@
   CrashAnalysis m_crashes;
   /// Blocked parts processed in this term, and since when.
   std::map<PromptPartId, TimePoint> m_blockedSince;
+  TimePoint m_nextPartReview;
   Rollout m_rollout;
   Configuration m_desired; ///< input of m_rollout: workers, named weights
   std::map<CallId, Call> m_calls;
--- a/src/include/fulmarquay/serve/PartWatch.h
+++ b/src/include/fulmarquay/serve/PartWatch.h
@@ -47,6 +47,7 @@
   {
     TimePoint m_at;
     FailedStart m_start;
+    bool m_isSent = false;
   };
 
   void Expire(TimePoint aNow);
@@ -56,7 +57,6 @@
   std::unordered_map<PromptPartId, TimePoint> m_watchedUntil; ///< after queries
   std::set<PromptPartId> m_unreportedSound;
   std::set<PromptPartId> m_blocked;
-  bool m_hasNewFailure = false;
   TimePoint m_nextRepeat;
   TimePoint m_nextExpiry;
 };
--- a/src/libcontrol/CrashAnalysis.cpp
+++ b/src/libcontrol/CrashAnalysis.cpp
@@ -20,8 +20,9 @@
 constexpr Duration kSameCrashTime(1'000'000);
 /// Prompts with a part may be rare.
 constexpr Duration kCrashMemory(600'000'000);
-constexpr std::size_t kMaxCrashes = 500;
-constexpr std::size_t kMaxStartsPerCrash = 200;
+/// These bound the work of an evaluation.
+constexpr std::size_t kMaxCrashes = 200;
+constexpr std::size_t kMaxStartsPerCrash = 16;
 
 } // namespace
 
@@ -36,7 +37,7 @@
   if (known != m_crashes.end()) {
     return *known;
   }
-  m_crashes.push_back({ aAt, aWorker, {} });
+  m_crashes.push_back({ aAt, aWorker, false, {} });
   if (m_crashes.size() > kMaxCrashes) {
     m_crashes.pop_front();
   }
@@ -54,12 +55,14 @@
   for (const FailedStart& failure : aReport.m_failures) {
     Crash& crash =
       FindOrAdd(failure.m_worker, aNow - Duration(failure.m_ageUs));
-    if (crash.m_starts.size() < kMaxStartsPerCrash &&
-        crash.m_starts
-          .try_emplace(
-            failure.m_prompt,
-            Start{ failure.m_prompt, failure.m_hasHead, failure.m_parts })
-          .second) {
+    if (failure.m_hasHead && !crash.m_hasHead) {
+      crash.m_hasHead = true;
+      crash.m_starts.clear();
+    }
+    const bool isSuspect = failure.m_hasHead == crash.m_hasHead &&
+                           crash.m_starts.size() < kMaxStartsPerCrash;
+    if (isSuspect &&
+        crash.m_starts.try_emplace(failure.m_prompt, failure.m_parts).second) {
       m_hasNewCrash = true;
     }
   }
@@ -81,17 +84,10 @@
 {
   std::map<PromptPartId, Evidence> evidence;
   for (const Crash& crash : m_crashes) {
-    const bool hasHead =
-      std::any_of(crash.m_starts.begin(),
-                  crash.m_starts.end(),
-                  [](const auto& aEach) { return aEach.second.m_hasHead; });
     std::map<PromptPartId, std::set<std::uint64_t>> suspects;
     bool isExplained = false;
-    for (const auto& [prompt, start] : crash.m_starts) {
-      if (start.m_hasHead != hasHead) {
-        continue;
-      }
-      for (const PromptPartId part : start.m_parts) {
+    for (const auto& [prompt, parts] : crash.m_starts) {
+      for (const PromptPartId part : parts) {
         isExplained = isExplained || aBlocked.count(part) != 0;
         const auto sound = m_soundAt.find(part);
         if (sound == m_soundAt.end() || sound->second < crash.m_at) {
@@ -158,8 +154,13 @@
     }
     found.push_back(part);
   }
-  const bool isTied = found.size() > 1 && mostCrashes < kMinCrashesIfTied;
-  return isTied ? std::vector<PromptPartId>() : found;
+  if (found.size() > 1 && mostCrashes < kMinCrashesIfTied) {
+    return {};
+  }
+  for (const PromptPartId part : found) {
+    m_onProbation.erase(part);
+  }
+  return found;
 }
 
 std::optional<TimePoint>
--- a/src/libcontrol/FleetManager.cpp
+++ b/src/libcontrol/FleetManager.cpp
@@ -25,6 +25,7 @@
 /// A blocked part is released after this time and blocked again at the next
 /// crash: its cause may have been mended.
 constexpr Duration kPartBlockTime(600'000'000);
+constexpr Duration kPartReviewInterval(50'000);
 /// The bits below the term count the changes of the worker list in that term.
 constexpr unsigned kTermShiftBits = 24;
 
@@ -230,24 +231,24 @@
 FleetManager::OnPartReport(const PartReport& aReport)
 {
   m_crashes.OnReport(m_context.Now(), aReport);
-  const std::vector<PromptPartId> parts =
-    m_crashes.TakeQuery(m_context.Now(), m_context.Published().BlockedParts());
-  if (parts.empty()) {
-    return;
-  }
-  for (const auto& [vm, session] : m_context.Entries().All()) {
-    if (session.m_connection != ConnectionId()) {
-      m_context.Push(session.m_connection, PartQuery{ parts });
-    }
-  }
 }
 
 void
 FleetManager::ReviewBlockedParts()
 {
   const TimePoint now = m_context.Now();
-  const std::vector<PromptPartId> found =
-    m_crashes.TakeFound(now, m_context.Published().BlockedParts());
+  if (now < m_nextPartReview) {
+    return;
+  }
+  m_nextPartReview = now + kPartReviewInterval;
+  const std::set<PromptPartId>& blocked = m_context.Published().BlockedParts();
+  const std::vector<PromptPartId> suspected = m_crashes.TakeQuery(now, blocked);
+  for (const auto& [vm, session] : m_context.Entries().All()) {
+    if (!suspected.empty() && session.m_connection != ConnectionId()) {
+      m_context.Push(session.m_connection, PartQuery{ suspected });
+    }
+  }
+  const std::vector<PromptPartId> found = m_crashes.TakeFound(now, blocked);
   for (const PromptPartId part : found) {
     m_context.ProposeFor(CallerId(0), BlockPartCommand{ part, true });
   }
--- a/src/libcontrol/fleet_test.cpp
+++ b/src/libcontrol/fleet_test.cpp
@@ -279,6 +279,7 @@
     cr_assert(fixture.m_context.m_proposed.empty());
     if (isSound) {
       fixture.m_manager.OnPartReport({ {}, { { part, 0 } } });
+      fixture.m_context.m_now += 100 * kMillisecond;
     } else {
       fixture.m_context.m_now += 700'000 * kMillisecond;
     }
--- a/src/libserve/PartWatch.cpp
+++ b/src/libserve/PartWatch.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-constexpr Duration kFailureMemory(10'000'000);
+constexpr Duration kFailureMemory(5'000'000);
 constexpr Duration kRepeatInterval(1'000'000);
-/// Bounds a report; a crash ends a few dozen calls of an entry.
-constexpr std::size_t kMaxFailures = 100;
+/// Bounds a report to a few KB, while many workers crash too.
+constexpr std::size_t kMaxFailures = 40;
 /// The leader decides within this time after a query.
 constexpr Duration kWatchTime(1'000'000);
 constexpr Duration kSoundMemory(60'000'000);
@@ -80,17 +80,27 @@
                          bool aHasHead,
                          const std::vector<PromptPart>& aParts)
 {
-  if (aParts.size() < 2 || m_failures.size() >= kMaxFailures) {
+  if (aParts.size() < 2) {
     return;
   }
+  if (m_failures.size() >= kMaxFailures) {
+    // Those with a head tell more.
+    const auto headless = std::find_if(
+      m_failures.begin(), m_failures.end(), [](const Failure& aEach) {
+        return !aEach.m_start.m_hasHead;
+      });
+    if (!aHasHead || headless == m_failures.end()) {
+      return;
+    }
+    m_failures.erase(headless);
+  }
   FailedStart start;
   start.m_worker = aWorker.m_id.Value();
   start.m_createdMs = aWorker.m_createdMs;
   start.m_hasHead = aHasHead;
   start.m_prompt = PromptHash(aParts);
   start.m_parts = SharedParts(aParts);
-  m_failures.push_back({ aNow, std::move(start) });
-  m_hasNewFailure = true;
+  m_failures.push_back({ aNow, std::move(start), false });
 }
 
 void
@@ -133,26 +143,27 @@
          aNow >= m_failures.front().m_at + kFailureMemory) {
     m_failures.pop_front();
   }
-  const bool isRepeatDue = !m_failures.empty() && aNow >= m_nextRepeat;
-  if (!m_hasNewFailure && m_unreportedSound.empty() && !isRepeatDue) {
-    return std::nullopt;
-  }
+  const bool isRepeatDue = aNow >= m_nextRepeat;
   PartReport report;
-  if (m_hasNewFailure || isRepeatDue) {
-    for (const Failure& failure : m_failures) {
-      FailedStart start = failure.m_start;
-      start.m_ageUs = (aNow - failure.m_at).count();
-      report.m_failures.push_back(std::move(start));
+  for (Failure& failure : m_failures) {
+    if (isRepeatDue || !failure.m_isSent) {
+      failure.m_isSent = true;
+      report.m_failures.push_back(failure.m_start);
+      report.m_failures.back().m_ageUs = (aNow - failure.m_at).count();
     }
+  }
+  if (isRepeatDue) {
     m_nextRepeat = aNow + kRepeatInterval;
   }
-  m_hasNewFailure = false;
   for (const PromptPartId part : std::exchange(m_unreportedSound, {})) {
     const auto sound = m_soundAt.find(part);
     if (sound != m_soundAt.end()) {
       report.m_sound.push_back({ part, (aNow - sound->second).count() });
     }
   }
+  if (report.m_failures.empty() && report.m_sound.empty()) {
+    return std::nullopt;
+  }
   return report;
 }
 
--- a/src/libserve/parts_test.cpp
+++ b/src/libserve/parts_test.cpp
@@ -588,3 +588,33 @@
   cr_assert_neq(entry.m_status, 503);
   cr_assert_not(entry.m_isComplete);
 }
+
+Test(part_reports, they_are_bounded_and_repeated_for_a_new_leader)
+{
+  PartWatch watch;
+  TimePoint now(Duration(1'000'000'000));
+  const auto addFailure = [&](int aNumber, bool aHasHead) {
+    watch.OnFailedStart(
+      now,
+      Worker("w1", 1),
+      aHasHead,
+      { { "shared", 10 }, { "own" + std::to_string(aNumber), 10 } });
+  };
+  for (int i = 0; i < 1'000; ++i) {
+    addFailure(i, false);
+  }
+  addFailure(1'000, true);
+  const auto first = watch.TakeReport(now);
+  cr_assert(first.has_value());
+  cr_assert_leq(Pack(*first).size(), 4'000U);
+  // A call whose answer had begun is not crowded out.
+  cr_assert(first->m_failures.back().m_hasHead);
+  now += 100 * kMillisecond;
+  cr_assert_not(watch.TakeReport(now).has_value());
+  now += 1'000 * kMillisecond;
+  const auto repeated = watch.TakeReport(now);
+  cr_assert_eq(repeated->m_failures.size(), first->m_failures.size());
+  cr_assert_eq(repeated->m_failures.back().m_ageUs, 1'100'000);
+  now += 5'000 * kMillisecond;
+  cr_assert_not(watch.TakeReport(now).has_value());
+}
