Blocked parts in metrics and state dumps; joined answers are tested

The tests of joined bodies pass on the code as it is: a body that a reset cut off and the body of a refusal leave no bytes in the answer of the next worker.

--- a/src/include/fulmarquay/serve/PartWatch.h
+++ b/src/include/fulmarquay/serve/PartWatch.h
@@ -37,6 +37,7 @@
   /// Replaces the blocked parts; returns whether one was added.
   bool SetBlocked(const std::vector<PromptPartId>& aParts);
   bool IsBlocked(const std::vector<PromptPart>& aParts) const;
+  std::size_t BlockedCount() const { return m_blocked.size(); }
 
   /// The report that is due. Failures are repeated for some time, because the
   /// leader may change or a message may be lost.
--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -109,6 +109,8 @@
   /// Whether routes and workers are loaded and the key lease is valid.
   bool IsReady() const;
   std::size_t Running() const { return m_byCaller.size(); }
+  /// Number of parts whose prompts are refused.
+  std::size_t BlockedParts() const { return m_partWatch.BlockedCount(); }
 
 private:
   /// A caller's request from arrival to completion.
--- a/src/libcontrol/ControlNodeStatus.cpp
+++ b/src/libcontrol/ControlNodeStatus.cpp
@@ -105,6 +105,7 @@
   addNumber("revision", m_state.Config().Current().Value());
   addText("digest", m_state.Config().Digest());
   addNumber("once_records", m_state.Once().Size());
+  addNumber("blocked_parts", m_state.Published().BlockedParts().size());
   addNumber("entries", m_entries.All().size());
   addNumber("pending", m_appendedProposals.size());
   addNumber("waiters", m_waiters.size());
--- a/src/libserve/EntryNode.cpp
+++ b/src/libserve/EntryNode.cpp
@@ -241,6 +241,10 @@
 EntryNode::RenderMetrics()
 {
   m_context.Counters().Gauge("running", static_cast<double>(Running()));
+  if (m_relay) {
+    m_context.Counters().Gauge("blocked_parts",
+                               static_cast<double>(m_relay->BlockedParts()));
+  }
   return m_context.Counters().Render();
 }
 
@@ -486,6 +490,7 @@
     dump["workers"] = m_relay->Workers().All().size();
     dump["keys_confirmed"] = m_relay->HasKeyLease();
     dump["requests_running"] = m_relay->Running();
+    dump["blocked_parts"] = m_relay->BlockedParts();
   }
   dump["peers"] = nlohmann::ordered_json::array();
   for (const auto& [vm, address] : m_config.Peers()) {
--- a/src/libserve/relay_answers_test.cpp
+++ b/src/libserve/relay_answers_test.cpp
@@ -457,3 +457,30 @@
   cr_assert(entry.m_isComplete);
   cr_assert_eq(entry.m_body, "id: 1\ndata: a\n\n");
 }
+
+Test(joined_answers, a_body_contains_bytes_of_one_worker_only)
+{
+  Entry entry;
+  entry.SendRequest("/idempotent/x");
+  entry.Head(200, "pc");
+  entry.Data("first ha");
+  entry.End(CallResult::Incomplete);
+  entry.Head(200, "pc");
+  entry.Data("second");
+  entry.End(CallResult::Complete);
+  cr_assert_eq(entry.m_status, 200);
+  cr_assert_eq(entry.m_body, "second");
+}
+
+Test(joined_answers, a_refusal_of_the_first_worker_leaves_no_bytes)
+{
+  Entry entry;
+  entry.SendRequest("/once/x");
+  entry.Head(503, "n");
+  entry.Data("busy");
+  entry.End(CallResult::Complete);
+  entry.Head(200, "p");
+  entry.Data("answer");
+  entry.End(CallResult::Complete);
+  cr_assert_eq(entry.m_body, "answer");
+}
