Crash analysis: many workers that end together accuse no waiting prompt

With a data centre that is cut off or VMs that die together, dozens of prompts without a head fail at once, and a part of medium popularity can be among several of them. Such crashes count only if at most three workers end within 200 ms; crashes under a begun answer count as before. A query names 64 parts at most, one query at a time. Reports no longer carry the worker's start time, which nothing read. The new test of coincident crashes fails without the change.

--- a/src/include/fulmarquay/control/CrashAnalysis.h
+++ b/src/include/fulmarquay/control/CrashAnalysis.h
@@ -26,7 +26,8 @@
 public:
   void OnReport(TimePoint aNow, const PartReport& aReport);
 
-  /// Parts that the entries are to be asked about because of new crashes.
+  /// Parts that the entries are to be asked about because of new crashes; none
+  /// while the answers to an earlier query are awaited.
   std::vector<PromptPartId> TakeQuery(TimePoint aNow,
                                       const std::set<PromptPartId>& aBlocked);
 
@@ -63,6 +64,8 @@
   std::map<PromptPartId, Evidence> Evaluate(
     const std::set<PromptPartId>& aBlocked) const;
   bool IsSufficient(PromptPartId aPart, const Evidence& aEvidence) const;
+  /// Whether many workers crashed at about the same time.
+  bool IsCoincident(const Crash& aCrash) const;
 
   std::deque<Crash> m_crashes; ///< in order of arrival
   std::map<PromptPartId, TimePoint> m_soundAt;
--- a/src/include/fulmarquay/control/PartReports.h
+++ b/src/include/fulmarquay/control/PartReports.h
@@ -27,12 +27,11 @@
 struct FailedStart
 {
   std::string m_worker;
-  std::int64_t m_createdMs = 0;      ///< start time of the worker's incarnation
   std::int64_t m_ageUs = 0;          ///< since the call ended
   bool m_hasHead = false;            ///< the worker had begun to answer
   std::uint64_t m_prompt = 0;        ///< hash of the whole prompt
   std::vector<PromptPartId> m_parts; ///< those that prompts share
-  MSGPACK_DEFINE(m_worker, m_createdMs, m_ageUs, m_hasHead, m_prompt, m_parts)
+  MSGPACK_DEFINE(m_worker, m_ageUs, m_hasHead, m_prompt, m_parts)
 };
 
 /// A part with which a worker has sent a whole event.
--- a/src/include/fulmarquay/serve/PartWatch.h
+++ b/src/include/fulmarquay/serve/PartWatch.h
@@ -27,7 +27,7 @@
   /// The connection to a worker ended before the first whole event.
   /// `aHasHead`: the worker had begun to answer.
   void OnFailedStart(TimePoint aNow,
-                     const WorkerInfo& aWorker,
+                     const WorkerId& aWorker,
                      bool aHasHead,
                      const std::vector<PromptPart>& aParts);
 
--- a/src/libcontrol/CrashAnalysis.cpp
+++ b/src/libcontrol/CrashAnalysis.cpp
@@ -1,6 +1,7 @@
 #include "fulmarquay/control/CrashAnalysis.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace fulmarquay {
 
@@ -23,6 +24,11 @@
 /// These bound the work of an evaluation.
 constexpr std::size_t kMaxCrashes = 200;
 constexpr std::size_t kMaxStartsPerCrash = 16;
+constexpr std::size_t kMaxQueriedParts = 64;
+/// If more workers end within this time, for example with their VMs or a link,
+/// the prompts that had not begun say nothing about the cause.
+constexpr Duration kCoincidenceTime(200'000);
+constexpr int kMaxCoincidentCrashes = 3;
 
 } // namespace
 
@@ -95,7 +101,7 @@
         }
       }
     }
-    if (isExplained) {
+    if (isExplained || (!crash.m_hasHead && IsCoincident(crash))) {
       continue;
     }
     for (const auto& [part, prompts] : suspects) {
@@ -107,22 +113,40 @@
   return evidence;
 }
 
+bool
+CrashAnalysis::IsCoincident(const Crash& aCrash) const
+{
+  return std::count_if(
+           m_crashes.begin(), m_crashes.end(), [&](const Crash& aEach) {
+             return aCrash.m_at < aEach.m_at + kCoincidenceTime &&
+                    aEach.m_at < aCrash.m_at + kCoincidenceTime;
+           }) > kMaxCoincidentCrashes;
+}
+
 std::vector<PromptPartId>
 CrashAnalysis::TakeQuery(TimePoint aNow, const std::set<PromptPartId>& aBlocked)
 {
-  std::vector<PromptPartId> parts;
-  if (!m_hasNewCrash) {
-    return parts;
+  if (!m_hasNewCrash || m_answersBy) {
+    return {};
   }
   m_hasNewCrash = false;
+  std::vector<std::pair<int, PromptPartId>> suspected; // by crashes
   for (const auto& [part, against] : Evaluate(aBlocked)) {
     if (against.m_crashes >= kMinCrashesForQuery ||
         m_onProbation.count(part) != 0) {
-      parts.push_back(part);
+      suspected.emplace_back(against.m_crashes, part);
     }
   }
-  if (!parts.empty() && !m_answersBy) {
-    m_answersBy = aNow + kAnswerTime;
+  if (suspected.empty()) {
+    return {};
+  }
+  m_answersBy = aNow + kAnswerTime;
+  std::sort(suspected.rbegin(), suspected.rend());
+  suspected.resize(std::min(suspected.size(), kMaxQueriedParts));
+  std::vector<PromptPartId> parts;
+  parts.reserve(suspected.size());
+  for (const auto& [crashes, part] : suspected) {
+    parts.push_back(part);
   }
   return parts;
 }
--- a/src/libcontrol/crash_analysis_test.cpp
+++ b/src/libcontrol/crash_analysis_test.cpp
@@ -130,10 +130,34 @@
   Analysis analysis;
   for (int i = 0; i < 3; ++i) {
     analysis.Crash({ "bad", "x" + std::to_string(i) }, false);
+    analysis.Advance(500);
   }
   cr_assert_eq(analysis.Found(), Parts{ Part("bad") });
 }
 
+Test(crash_analysis, workers_that_end_together_accuse_no_waiting_prompts)
+{
+  Analysis analysis;
+  for (int i = 0; i < 10; ++i) {
+    analysis.Crash({ "topic", "x" + std::to_string(i) }, false);
+    analysis.Advance(10);
+  }
+  cr_assert(analysis.Found().empty());
+  cr_assert(analysis.Found().empty());
+}
+
+Test(crash_analysis, a_query_is_bounded)
+{
+  Analysis analysis;
+  std::vector<std::string> parts;
+  for (int i = 0; i < 500; ++i) {
+    parts.push_back("p" + std::to_string(i));
+  }
+  analysis.Crash(parts);
+  analysis.Crash(parts);
+  cr_assert_eq(analysis.m_query.size(), 64U);
+}
+
 Test(crash_analysis, a_part_that_workers_answer_is_not_found)
 {
   Analysis analysis;
--- a/src/libserve/PartWatch.cpp
+++ b/src/libserve/PartWatch.cpp
@@ -76,7 +76,7 @@
 
 void
 PartWatch::OnFailedStart(TimePoint aNow,
-                         const WorkerInfo& aWorker,
+                         const WorkerId& aWorker,
                          bool aHasHead,
                          const std::vector<PromptPart>& aParts)
 {
@@ -95,8 +95,7 @@
     m_failures.erase(headless);
   }
   FailedStart start;
-  start.m_worker = aWorker.m_id.Value();
-  start.m_createdMs = aWorker.m_createdMs;
+  start.m_worker = aWorker.Value();
   start.m_hasHead = aHasHead;
   start.m_prompt = PromptHash(aParts);
   start.m_parts = SharedParts(aParts);
--- a/src/libserve/RelayResponses.cpp
+++ b/src/libserve/RelayResponses.cpp
@@ -222,14 +222,12 @@
 void
 RelayFlow::RecordFailedStart(const ActiveRequest& aActive)
 {
-  const WorkerState* worker = m_workers.Find(aActive.m_worker);
-  if (aActive.m_hasFirstEvent || !aActive.m_rule.m_hasPrompt ||
-      worker == nullptr) {
+  if (aActive.m_hasFirstEvent || !aActive.m_rule.m_hasPrompt) {
     return;
   }
   const std::vector<PromptPart>& parts = aActive.m_request.m_parts;
   const bool hasHead = aActive.m_workerHead.m_status != 0;
-  m_partWatch.OnFailedStart(m_context.Now(), worker->m_info, hasHead, parts);
+  m_partWatch.OnFailedStart(m_context.Now(), aActive.m_worker, hasHead, parts);
   std::vector<std::string> ids;
   for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
     ids.push_back(HexOf(MakePromptPartId(parts[i].m_id).Value()));
--- a/src/libserve/parts_test.cpp
+++ b/src/libserve/parts_test.cpp
@@ -596,7 +596,7 @@
   const auto addFailure = [&](int aNumber, bool aHasHead) {
     watch.OnFailedStart(
       now,
-      Worker("w1", 1),
+      WorkerId("w1"),
       aHasHead,
       { { "shared", 10 }, { "own" + std::to_string(aNumber), 10 } });
   };
