Part reports: only failures of begun answers are repeated

When a data centre of workers ends, every entry repeated dozens of failures for 5 s, which a new leader would not count anyway: prompts that were waiting say nothing when many workers end together. An entry now sends them once.

--- a/src/include/fulmarquay/serve/PartWatch.h
+++ b/src/include/fulmarquay/serve/PartWatch.h
@@ -39,8 +39,8 @@
   bool IsBlocked(const std::vector<PromptPart>& aParts) const;
   std::size_t BlockedCount() const { return m_blocked.size(); }
 
-  /// The report that is due. Failures are repeated for some time, because the
-  /// leader may change or a message may be lost.
+  /// The report that is due. Failures of answers that had begun are repeated
+  /// for some time, because the leader may change or a message may be lost.
   std::optional<PartReport> TakeReport(TimePoint aNow);
 
 private:
--- a/src/libserve/PartWatch.cpp
+++ b/src/libserve/PartWatch.cpp
@@ -145,7 +145,9 @@
   const bool isRepeatDue = aNow >= m_nextRepeat;
   PartReport report;
   for (Failure& failure : m_failures) {
-    if (isRepeatDue || !failure.m_isSent) {
+    // Only answers that had begun are repeated: one or two for a crash.
+    const bool mustRepeat = isRepeatDue && failure.m_start.m_hasHead;
+    if (mustRepeat || !failure.m_isSent) {
       failure.m_isSent = true;
       report.m_failures.push_back(failure.m_start);
       report.m_failures.back().m_ageUs = (aNow - failure.m_at).count();
