Crash analysis: evidence outlives a leader for a minute, several parts at a time

Failures of begun answers are repeated for a minute instead of 5 s, so that a rare part is found when the leader changes between its crashes; those that were sent and are not repeated no longer take the place of new ones. All parts with sufficient evidence are found in one decision, the worst first, instead of one for each crash.

--- a/src/include/fulmarquay/control/CrashAnalysis.h
+++ b/src/include/fulmarquay/control/CrashAnalysis.h
@@ -63,6 +63,9 @@
   void Expire(TimePoint aNow);
   std::map<PromptPartId, Evidence> Evaluate(
     const std::set<PromptPartId>& aBlocked) const;
+  /// The parts with the most evidence, if it is sufficient.
+  std::vector<PromptPartId> FindWorst(
+    const std::set<PromptPartId>& aBlocked) const;
   bool IsSufficient(PromptPartId aPart, const Evidence& aEvidence) const;
   /// Whether many workers crashed at about the same time.
   bool IsCoincident(const Crash& aCrash) const;
--- a/src/libcontrol/CrashAnalysis.cpp
+++ b/src/libcontrol/CrashAnalysis.cpp
@@ -167,6 +167,24 @@
     return found;
   }
   m_answersBy.reset();
+  std::set<PromptPartId> blocked = aBlocked;
+  for (;;) {
+    const std::vector<PromptPartId> next = FindWorst(blocked);
+    if (next.empty()) {
+      return found;
+    }
+    for (const PromptPartId part : next) {
+      m_onProbation.erase(part);
+      blocked.insert(part);
+      found.push_back(part);
+    }
+  }
+}
+
+std::vector<PromptPartId>
+CrashAnalysis::FindWorst(const std::set<PromptPartId>& aBlocked) const
+{
+  std::vector<PromptPartId> worst;
   int mostCrashes = 0;
   for (const auto& [part, against] : Evaluate(aBlocked)) {
     if (!IsSufficient(part, against) || against.m_crashes < mostCrashes) {
@@ -174,17 +192,12 @@
     }
     if (against.m_crashes > mostCrashes) {
       mostCrashes = against.m_crashes;
-      found.clear();
+      worst.clear();
     }
-    found.push_back(part);
-  }
-  if (found.size() > 1 && mostCrashes < kMinCrashesIfTied) {
-    return {};
-  }
-  for (const PromptPartId part : found) {
-    m_onProbation.erase(part);
+    worst.push_back(part);
   }
-  return found;
+  const bool isTied = worst.size() > 1 && mostCrashes < kMinCrashesIfTied;
+  return isTied ? std::vector<PromptPartId>() : worst;
 }
 
 std::optional<TimePoint>
--- a/src/libcontrol/crash_analysis_test.cpp
+++ b/src/libcontrol/crash_analysis_test.cpp
@@ -201,6 +201,17 @@
   cr_assert_eq(found, expected);
 }
 
+Test(crash_analysis, parts_with_sufficient_evidence_are_found_together)
+{
+  Analysis analysis;
+  for (int i = 0; i < 4; ++i) {
+    analysis.Crash({ "bad", "a" + std::to_string(i) });
+    analysis.Crash({ "worse", "b" + std::to_string(i) });
+    analysis.Crash({ "worse", "c" + std::to_string(i) });
+  }
+  cr_assert_eq(analysis.Found(), (Parts{ Part("worse"), Part("bad") }));
+}
+
 Test(crash_analysis, a_part_on_probation_is_found_at_its_next_crash)
 {
   Analysis analysis;
--- a/src/libserve/PartWatch.cpp
+++ b/src/libserve/PartWatch.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-constexpr Duration kFailureMemory(5'000'000);
-constexpr Duration kRepeatInterval(1'000'000);
+/// Prompts with a part may be rare, and leaders may change.
+constexpr Duration kFailureMemory(60'000'000);
+constexpr Duration kRepeatInterval(2'000'000);
 /// Bounds a report to a few KB, while many workers crash too.
 constexpr std::size_t kMaxFailures = 40;
 /// The leader decides within this time after a query.
@@ -84,15 +85,16 @@
     return;
   }
   if (m_failures.size() >= kMaxFailures) {
+    if (!aHasHead) {
+      return;
+    }
     // Those with a head tell more.
     const auto headless = std::find_if(
       m_failures.begin(), m_failures.end(), [](const Failure& aEach) {
         return !aEach.m_start.m_hasHead;
       });
-    if (!aHasHead || headless == m_failures.end()) {
-      return;
-    }
-    m_failures.erase(headless);
+    m_failures.erase(headless == m_failures.end() ? m_failures.begin()
+                                                  : headless);
   }
   FailedStart start;
   start.m_worker = aWorker.Value();
@@ -145,14 +147,16 @@
   const bool isRepeatDue = aNow >= m_nextRepeat;
   PartReport report;
   for (Failure& failure : m_failures) {
-    // Only answers that had begun are repeated: one or two for a crash.
-    const bool mustRepeat = isRepeatDue && failure.m_start.m_hasHead;
-    if (mustRepeat || !failure.m_isSent) {
+    if (isRepeatDue || !failure.m_isSent) {
       failure.m_isSent = true;
       report.m_failures.push_back(failure.m_start);
       report.m_failures.back().m_ageUs = (aNow - failure.m_at).count();
     }
   }
+  // Only answers that had begun are repeated: one or two for a crash.
+  std::erase_if(m_failures, [](const Failure& aEach) {
+    return aEach.m_isSent && !aEach.m_start.m_hasHead;
+  });
   if (isRepeatDue) {
     m_nextRepeat = aNow + kRepeatInterval;
   }
--- a/src/libserve/parts_test.cpp
+++ b/src/libserve/parts_test.cpp
@@ -607,15 +607,20 @@
   const auto first = watch.TakeReport(now);
   cr_assert(first.has_value());
   cr_assert_leq(Pack(*first).size(), 4'000U);
+  // The next ones are not crowded out by those that were sent.
+  addFailure(1'001, false);
+  const auto second = watch.TakeReport(now);
+  cr_assert(second.has_value());
+  cr_assert_eq(second->m_failures.size(), 1U);
   // A call whose answer had begun is not crowded out.
   cr_assert(first->m_failures.back().m_hasHead);
   now += 100 * kMillisecond;
   cr_assert_not(watch.TakeReport(now).has_value());
-  now += 1'000 * kMillisecond;
+  now += 2'000 * kMillisecond;
   const auto repeated = watch.TakeReport(now);
   cr_assert_eq(repeated->m_failures.size(), 1U);
   cr_assert(repeated->m_failures.back().m_hasHead);
-  cr_assert_eq(repeated->m_failures.back().m_ageUs, 1'100'000);
-  now += 5'000 * kMillisecond;
+  cr_assert_eq(repeated->m_failures.back().m_ageUs, 2'100'000);
+  now += 60'000 * kMillisecond;
   cr_assert_not(watch.TakeReport(now).has_value());
 }
