--- a/src/libcontrol/crash_analysis_test.cpp
+++ b/src/libcontrol/crash_analysis_test.cpp
@@ -60,7 +60,7 @@
   Parts Found()
   {
     Advance(250);
-    const Parts found = m_analysis.TakeFound(m_now, m_blocked);
+    Parts found = m_analysis.TakeFound(m_now, m_blocked);
     m_blocked.insert(found.begin(), found.end());
     return found;
   }
@@ -150,6 +150,7 @@
 {
   Analysis analysis;
   std::vector<std::string> parts;
+  parts.reserve(500);
   for (int i = 0; i < 500; ++i) {
     parts.push_back("p" + std::to_string(i));
   }
