Outdated worker lists are recognized in one place

Cause: RelayFlow compared the number of a list before WorkerTable::Apply did the same. Change: Apply returns whether it applied the list, and the blocked parts follow it.

--- a/src/include/fulmarquay/serve/WorkerTable.h
+++ b/src/include/fulmarquay/serve/WorkerTable.h
@@ -36,8 +36,9 @@
 {
 public:
   /// Applies a worker list from the leader. A list with a lower number than the
-  /// current one comes from an earlier leader and is ignored.
-  void Apply(TimePoint aNow, const WorkerList& aList);
+  /// current one comes from an earlier leader and is ignored; returns whether
+  /// it was applied.
+  bool Apply(TimePoint aNow, const WorkerList& aList);
 
   std::uint64_t Number() const { return m_number; }
 
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -52,11 +52,8 @@
 void
 RelayFlow::OnWorkerList(const WorkerList& aList)
 {
-  if (aList.m_number < m_workers.Number()) {
-    return; // of an earlier leader
-  }
-  m_workers.Apply(m_context.Now(), aList);
-  if (m_partWatch.SetBlocked(aList.m_blockedParts)) {
+  if (m_workers.Apply(m_context.Now(), aList) &&
+      m_partWatch.SetBlocked(aList.m_blockedParts)) {
     EndBlockedQueued();
   }
 }
--- a/src/libserve/WorkerTable.cpp
+++ b/src/libserve/WorkerTable.cpp
@@ -23,11 +23,11 @@
 
 } // namespace
 
-void
+bool
 WorkerTable::Apply(TimePoint aNow, const WorkerList& aList)
 {
   if (aList.m_number < m_number) {
-    return;
+    return false;
   }
   m_number = aList.m_number;
   std::erase_if(m_announcements, [&](const auto& aEach) {
@@ -63,6 +63,7 @@
       known.m_since = aNow - Duration(named.m_ageUs);
     }
   }
+  return true;
 }
 
 bool
