Part watch: one list of shared parts, comments in the field's terms

Cause: the log line of a failed start listed the shared parts of a prompt by a loop of its own beside that of PartWatch, OnFirstEvent stored a time twice, and a comment spoke of events where the leader queries parts. Change: SharedPartIds is used by both; one assignment; comments say what the functions do.

--- a/src/include/fulmarquay/serve/PartWatch.h
+++ b/src/include/fulmarquay/serve/PartWatch.h
@@ -14,6 +14,10 @@
 
 namespace fulmarquay {
 
+/// Ids of the parts of a prompt that other prompts share: all but the last one.
+std::vector<PromptPartId>
+SharedPartIds(const std::vector<PromptPart>& aParts);
+
 /// What an entry knows of parts of prompts that crash workers: its own
 /// observations, which it reports to the leader, and the parts that the leader
 /// has blocked. The last part of a prompt belongs to that prompt alone and is
@@ -21,17 +25,18 @@
 class PartWatch
 {
 public:
-  /// A worker has sent the first whole event of an answer.
+  /// Records that a worker has sent the first whole event of an answer.
   void OnFirstEvent(TimePoint aNow, const std::vector<PromptPart>& aParts);
 
-  /// The connection to a worker ended before the first whole event.
-  /// `aHasHead`: the worker had begun to answer.
+  /// Records that the connection to a worker ended before the first whole
+  /// event. `aHasHead`: the worker had begun to answer.
   void OnFailedStart(TimePoint aNow,
                      const WorkerId& aWorker,
                      bool aHasHead,
                      const std::vector<PromptPart>& aParts);
 
-  /// The leader asks for events with these parts.
+  /// Handles a PartQuery: the next reports contain those of the parts that are
+  /// sound, or turn out to be soon.
   void OnQuery(TimePoint aNow, const std::vector<PromptPartId>& aParts);
 
   /// Replaces the blocked parts; returns whether one was added.
@@ -39,8 +44,9 @@
   bool IsBlocked(const std::vector<PromptPart>& aParts) const;
   std::size_t BlockedCount() const { return m_blocked.size(); }
 
-  /// The report that is due. Failures of answers that had begun are repeated
-  /// for some time, because the leader may change or a message may be lost.
+  /// Returns the report that is due. Failures of answers that had begun are
+  /// repeated for some time, because the leader may change or a message may be
+  /// lost.
   std::optional<PartReport> TakeReport(TimePoint aNow);
 
 private:
--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -91,7 +91,7 @@
     m_exchange.SetPeers(aPeers);
   }
   void OnLoads(const WorkerLoads& aLoads);
-  /// The leader asks whether workers have answered prompts with these parts.
+  /// Handles the leader's query about parts that may crash workers.
   void OnPartQuery(const PartQuery& aQuery)
   {
     m_partWatch.OnQuery(m_context.Now(), aQuery.m_parts);
--- a/src/libserve/PartWatch.cpp
+++ b/src/libserve/PartWatch.cpp
@@ -18,17 +18,6 @@
 constexpr Duration kExpiryInterval(5'000'000);
 constexpr std::size_t kMaxSoundParts = 50'000;
 
-/// Ids of the parts that prompts share.
-std::vector<PromptPartId>
-SharedParts(const std::vector<PromptPart>& aParts)
-{
-  std::vector<PromptPartId> shared;
-  for (std::size_t i = 0; i + 1 < aParts.size(); ++i) {
-    shared.push_back(MakePromptPartId(aParts[i].m_id));
-  }
-  return shared;
-}
-
 std::uint64_t
 PromptHash(const std::vector<PromptPart>& aParts)
 {
@@ -41,6 +30,16 @@
 
 } // namespace
 
+std::vector<PromptPartId>
+SharedPartIds(const std::vector<PromptPart>& aParts)
+{
+  std::vector<PromptPartId> shared;
+  for (std::size_t i = 0; i + 1 < aParts.size(); ++i) {
+    shared.push_back(MakePromptPartId(aParts[i].m_id));
+  }
+  return shared;
+}
+
 void
 PartWatch::Expire(TimePoint aNow)
 {
@@ -59,15 +58,16 @@
 PartWatch::OnFirstEvent(TimePoint aNow, const std::vector<PromptPart>& aParts)
 {
   Expire(aNow);
-  for (const PromptPartId part : SharedParts(aParts)) {
-    if (m_soundAt.size() < kMaxSoundParts || m_soundAt.count(part) != 0) {
-      m_soundAt[part] = aNow;
-    }
+  for (const PromptPartId part : SharedPartIds(aParts)) {
     const auto watched = m_watchedUntil.find(part);
-    const bool isWatched =
-      watched != m_watchedUntil.end() && aNow < watched->second;
-    if (isWatched || m_blocked.count(part) != 0) {
+    const bool mustReport =
+      (watched != m_watchedUntil.end() && aNow < watched->second) ||
+      m_blocked.count(part) != 0;
+    if (mustReport || m_soundAt.size() < kMaxSoundParts ||
+        m_soundAt.count(part) != 0) {
       m_soundAt[part] = aNow;
+    }
+    if (mustReport) {
       m_unreportedSound.insert(part);
       // One event answers the query.
       m_watchedUntil.erase(part);
@@ -100,7 +100,7 @@
   start.m_worker = aWorker.Value();
   start.m_hasHead = aHasHead;
   start.m_prompt = PromptHash(aParts);
-  start.m_parts = SharedParts(aParts);
+  start.m_parts = SharedPartIds(aParts);
   m_failures.push_back({ aNow, std::move(start), false });
 }
 
@@ -131,7 +131,7 @@
   if (m_blocked.empty()) {
     return false;
   }
-  const std::vector<PromptPartId> shared = SharedParts(aParts);
+  const std::vector<PromptPartId> shared = SharedPartIds(aParts);
   return std::any_of(shared.begin(), shared.end(), [&](PromptPartId aEach) {
     return m_blocked.count(aEach) != 0;
   });
--- a/src/libserve/RelayResponses.cpp
+++ b/src/libserve/RelayResponses.cpp
@@ -229,8 +229,8 @@
   const bool hasHead = aActive.m_workerHead.m_status != 0;
   m_partWatch.OnFailedStart(m_context.Now(), aActive.m_worker, hasHead, parts);
   std::vector<std::string> ids;
-  for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
-    ids.push_back(HexOf(MakePromptPartId(parts[i].m_id).Value()));
+  for (const PromptPartId part : SharedPartIds(parts)) {
+    ids.push_back(HexOf(part.Value()));
   }
   m_context.Log(LogEvent::AnswerFailedAtStart,
                 { { "id", aActive.m_request.m_id },
@@ -245,7 +245,7 @@
   const TimePoint now = m_context.Now();
   if (!aActive.m_hasFirstEvent) {
     aActive.m_hasFirstEvent = true;
-    m_partWatch.OnFirstEvent(m_context.Now(), aActive.m_request.m_parts);
+    m_partWatch.OnFirstEvent(now, aActive.m_request.m_parts);
     OnPrefillDone(aActive);
   }
   // A stream resumed at another worker already has its first event.
