Success of a worker's answer is decided in one place

Cause: three functions of RelayFlow compared the status with the same two bounds. Change: WorkerResponseHead::IsSuccess.

--- a/src/libserve/RelayResponses.cpp
+++ b/src/libserve/RelayResponses.cpp
@@ -181,8 +181,7 @@
   active->m_endsWithConnection = aHead.m_endsWithConnection;
   RecordAnnouncements(*active);
   const WorkerResponseHead& workerHead = active->m_workerHead;
-  const bool isSuccess =
-    workerHead.m_status >= kStatusOk && workerHead.m_status < kStatusRedirect;
+  const bool isSuccess = workerHead.IsSuccess();
   if (isSuccess && !workerHead.m_isSigned) {
     // Not the worker's answer; its body may have no end.
     AbortCall(*active, "the answer is not signed");
@@ -266,15 +265,13 @@
     return;
   }
   OnWorkerActivity(*active);
-  const bool isSuccess = active->m_workerHead.m_status >= kStatusOk &&
-                         active->m_workerHead.m_status < kStatusRedirect;
   if (!active->m_isStreaming) {
     if (!HoldBody(*active, aData)) {
       AbortCall(*active, "the answer is too large");
     }
     return;
   }
-  if (!isSuccess) {
+  if (!active->m_workerHead.IsSuccess()) {
     return;
   }
   std::string events = active->m_eventSplitter.Feed(aData);
@@ -343,8 +340,7 @@
 RelayFlow::OnComplete(ActiveRequest& aActive)
 {
   const WorkerResponseHead& workerHead = aActive.m_workerHead;
-  const bool isSuccess =
-    workerHead.m_status >= kStatusOk && workerHead.m_status < kStatusRedirect;
+  const bool isSuccess = workerHead.IsSuccess();
   aActive.m_mayHaveRun = true;
   // A worker that ends before its first event closes its connections too. Only
   // a resumed stream may have no events left.
