Relay: a request that no worker is to serve is given up in one place

Cause: three places chose between a refusal as not run and a failure by the same test; the one for blocked parts was the third. Change: RelayFlow::GiveUp. OnNotExecuted keeps its own choice, as it gives a reason of its own to each outcome.

--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -171,9 +171,9 @@
   /// Sends queued requests as far as workers have room.
   void DispatchQueued();
   void RemoveFromQueue(ActiveRequest& aActive);
-  /// Ends a request whose prompt has a blocked part.
-  void EndBlocked(ActiveRequest& aActive);
-  void EndBlockedQueued();
+  /// Gives up a request whose prompt has a blocked part.
+  void GiveUpBlocked(ActiveRequest& aActive);
+  void GiveUpBlockedQueued();
   void Send(ActiveRequest& aActive, WorkerState& aWorker);
   std::string CacheScopeFor(const ActiveRequest& aActive,
                             const WorkerState& aWorker) const;
@@ -226,6 +226,11 @@
               const std::string& aReason,
               Duration aRetryAfter);
   void Fail(ActiveRequest& aActive, int aStatus, const std::string& aReason);
+  /// Ends a request that no worker is to serve: refuses it as not run if that
+  /// is true, otherwise fails it.
+  void GiveUp(ActiveRequest& aActive,
+              const std::string& aReason,
+              Duration aRetryAfter);
   void Finish(ActiveRequest& aActive, int aStatus);
   void Expire(ActiveRequest& aActive);
   void Remove(ActiveRequest& aActive);
--- a/src/libserve/RelayDispatch.cpp
+++ b/src/libserve/RelayDispatch.cpp
@@ -74,18 +74,14 @@
 }
 
 void
-RelayFlow::EndBlocked(ActiveRequest& aActive)
+RelayFlow::GiveUpBlocked(ActiveRequest& aActive)
 {
-  const std::string reason = "a part of the prompt crashes workers";
-  if (aActive.m_isStreaming || aActive.m_mayHaveRun) {
-    Fail(aActive, kStatusBadGateway, reason);
-  } else {
-    Refuse(aActive, kStatusUnavailable, reason, kBlockedPartRetryAfter);
-  }
+  GiveUp(
+    aActive, "a part of the prompt crashes workers", kBlockedPartRetryAfter);
 }
 
 void
-RelayFlow::EndBlockedQueued()
+RelayFlow::GiveUpBlockedQueued()
 {
   std::vector<ActiveRequest*> blocked;
   for (const auto& [caller, active] : m_byCaller) {
@@ -95,7 +91,7 @@
     }
   }
   for (ActiveRequest* active : blocked) {
-    EndBlocked(*active);
+    GiveUpBlocked(*active);
   }
 }
 
@@ -103,7 +99,7 @@
 RelayFlow::Place(ActiveRequest& aActive)
 {
   if (m_partWatch.IsBlocked(aActive.m_request.m_parts)) {
-    EndBlocked(aActive);
+    GiveUpBlocked(aActive);
     return;
   }
   const Placement::Criteria criteria = CriteriaFor(aActive);
@@ -131,12 +127,9 @@
     Enqueue(aActive, criteria.m_neededTokens);
     return;
   }
-  const std::string reason = isLate ? "no time left" : "no worker";
-  if (aActive.m_isStreaming || aActive.m_mayHaveRun) {
-    Fail(aActive, kStatusBadGateway, reason);
-  } else {
-    Refuse(aActive, kStatusUnavailable, reason, RetryAfterFor(aActive.m_pool));
-  }
+  GiveUp(aActive,
+         isLate ? "no time left" : "no worker",
+         RetryAfterFor(aActive.m_pool));
 }
 
 void
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -54,7 +54,7 @@
 {
   if (m_workers.Apply(m_context.Now(), aList) &&
       m_partWatch.SetBlocked(aList.m_blockedParts)) {
-    EndBlockedQueued();
+    GiveUpBlockedQueued();
   }
 }
 
--- a/src/libserve/RelayResponses.cpp
+++ b/src/libserve/RelayResponses.cpp
@@ -404,11 +404,7 @@
   // The worker received nothing: this counts neither as a send nor as a retry.
   --aActive.m_sendCount;
   if (++aActive.m_unreachedCount > kMaxUnreachedWorkers) {
-    if (aActive.m_isStreaming || aActive.m_mayHaveRun) {
-      Fail(aActive, kStatusBadGateway, "no worker reached");
-    } else {
-      Refuse(aActive, kStatusUnavailable, "no worker reached", kBusyRetryAfter);
-    }
+    GiveUp(aActive, "no worker reached", kBusyRetryAfter);
     return;
   }
   Place(aActive);
@@ -500,6 +496,18 @@
   Remove(aActive);
 }
 
+void
+RelayFlow::GiveUp(ActiveRequest& aActive,
+                  const std::string& aReason,
+                  Duration aRetryAfter)
+{
+  if (aActive.m_isStreaming || aActive.m_mayHaveRun) {
+    Fail(aActive, kStatusBadGateway, aReason);
+  } else {
+    Refuse(aActive, kStatusUnavailable, aReason, aRetryAfter);
+  }
+}
+
 void
 RelayFlow::LogAnswered(const ActiveRequest& aActive, int aStatus)
 {
