--- a/src/include/fulmarquay/control/FleetManager.h
+++ b/src/include/fulmarquay/control/FleetManager.h
@@ -1,8 +1,8 @@
 #ifndef FULMARQUAY_CONTROL_FLEETMANAGER_H
 #define FULMARQUAY_CONTROL_FLEETMANAGER_H
 
+#include "fulmarquay/control/BlockedPartManager.h"
 #include "fulmarquay/control/ControlMessages.h"
-#include "fulmarquay/control/CrashAnalysis.h"
 #include "fulmarquay/control/FleetProtocol.h"
 #include "fulmarquay/control/OperatorProtocol.h"
 #include "fulmarquay/control/PublishedState.h"
@@ -98,7 +98,10 @@
   void PushTo(EntrySession& aSession);
 
   /// Applies an entry's observations of parts that may crash workers.
-  void OnPartReport(const PartReport& aReport);
+  void OnPartReport(const PartReport& aReport)
+  {
+    m_blockedParts.OnReport(aReport);
+  }
 
   /// Handles the answer of a call; returns false if this object did not start
   /// it.
@@ -131,10 +134,6 @@
   void On(CallerId aCaller, const UnknownEndpoint&);
   void UpdateRoutes();
   void UpdateWeights();
-  void UpdateBlockedParts();
-  /// Asks the entries about suspected parts; proposes to block the parts found
-  /// and to release those that are sound or have been blocked for long.
-  void ReviewBlockedParts();
   void FetchListPage(const std::string& aToken);
   void OnListPage(const UpstreamCallEnded& aAnswer);
   void OnObservationAnswer(const Call& aCall, const UpstreamCallEnded& aAnswer);
@@ -169,10 +168,7 @@
   std::map<std::string, NamedVersion> m_namedVersions; ///< by model
   /// Named versions processed in this term, by model.
   std::map<std::string, std::int64_t> m_announcedWeights;
-  CrashAnalysis m_crashes;
-  /// Blocked parts processed in this term, and since when.
-  std::map<PromptPartId, TimePoint> m_blockedSince;
-  TimePoint m_nextPartReview;
+  BlockedPartManager m_blockedParts;
   Rollout m_rollout;
   Configuration m_desired; ///< input of m_rollout: workers, named weights
   std::map<CallId, Call> m_calls;
--- a/src/libcontrol/FleetManager.cpp
+++ b/src/libcontrol/FleetManager.cpp
@@ -2,7 +2,6 @@
 
 #include "fulmarquay/control/ControlNode.h"
 #include "fulmarquay/control/EntryRegistry.h"
-#include "fulmarquay/core/Digest.h"
 #include "fulmarquay/core/Error.h"
 #include "fulmarquay/wire/HttpStatus.h"
 
@@ -22,10 +21,6 @@
 constexpr Duration kRolloutInterval(50'000);
 /// Entries that lag by more documents get the whole document.
 constexpr std::size_t kMaxRouteDeltas = 32;
-/// A blocked part is released after this time and blocked again at the next
-/// crash: its cause may have been mended.
-constexpr Duration kPartBlockTime(600'000'000);
-constexpr Duration kPartReviewInterval(50'000);
 /// The bits below the term count the changes of the worker list in that term.
 constexpr unsigned kTermShiftBits = 24;
 
@@ -38,6 +33,7 @@
   : m_context(aContext)
   , m_options(std::move(aOptions))
   , m_protocol(std::move(aProtocol))
+  , m_blockedParts(aContext)
   , m_rollout(m_options.m_rollout)
 {
   if (aStores) {
@@ -150,7 +146,9 @@
   if (m_context.HoldsLeaderLease()) {
     UpdateRoutes();
     UpdateWeights();
-    UpdateBlockedParts();
+    if (m_blockedParts.OnStateApplied()) {
+      UpdateWorkers();
+    }
   }
 }
 
@@ -203,67 +201,6 @@
   StepRollout();
 }
 
-void
-FleetManager::UpdateBlockedParts()
-{
-  const std::set<PromptPartId>& blocked = m_context.Published().BlockedParts();
-  bool isChanged = false;
-  for (const PromptPartId part : blocked) {
-    if (m_blockedSince.try_emplace(part, m_context.Now()).second) {
-      isChanged = true;
-      m_context.Log(LogEvent::PartBlocked, { { "part", HexOf(part.Value()) } });
-    }
-  }
-  isChanged |= std::erase_if(m_blockedSince, [&](const auto& aEach) {
-                 const bool isReleased = blocked.count(aEach.first) == 0;
-                 if (isReleased) {
-                   m_context.Log(LogEvent::PartReleased,
-                                 { { "part", HexOf(aEach.first.Value()) } });
-                 }
-                 return isReleased;
-               }) != 0;
-  if (isChanged) {
-    UpdateWorkers();
-  }
-}
-
-void
-FleetManager::OnPartReport(const PartReport& aReport)
-{
-  m_crashes.OnReport(m_context.Now(), aReport);
-}
-
-void
-FleetManager::ReviewBlockedParts()
-{
-  const TimePoint now = m_context.Now();
-  if (now < m_nextPartReview) {
-    return;
-  }
-  m_nextPartReview = now + kPartReviewInterval;
-  const std::set<PromptPartId>& blocked = m_context.Published().BlockedParts();
-  const std::vector<PromptPartId> suspected = m_crashes.TakeQuery(now, blocked);
-  for (const auto& [vm, session] : m_context.Entries().All()) {
-    if (!suspected.empty() && session.m_connection != ConnectionId()) {
-      m_context.Push(session.m_connection, PartQuery{ suspected });
-    }
-  }
-  const std::vector<PromptPartId> found = m_crashes.TakeFound(now, blocked);
-  for (const PromptPartId part : found) {
-    m_context.ProposeFor(CallerId(0), BlockPartCommand{ part, true });
-  }
-  for (const auto& [part, since] : m_blockedSince) {
-    const std::optional<TimePoint> soundAt = m_crashes.SoundAt(part);
-    const bool isSound = soundAt && *soundAt > since;
-    if (isSound || now >= since + kPartBlockTime) {
-      if (!isSound) {
-        m_crashes.SetOnProbation(part);
-      }
-      m_context.ProposeFor(CallerId(0), BlockPartCommand{ part, false });
-    }
-  }
-}
-
 void
 FleetManager::OnLeadership(bool aIsLeader, Duration aOldLease)
 {
@@ -272,8 +209,7 @@
   m_isFetchingList = false;
   m_hasList = false;
   m_announcedWeights.clear();
-  m_crashes = CrashAnalysis();
-  m_blockedSince.clear();
+  m_blockedParts.OnLeadership();
   m_desired = Configuration();
   m_nextListFetch = m_context.Now();
   m_workerListNumber = m_context.CurrentTerm() << kTermShiftBits;
@@ -295,7 +231,7 @@
   if (m_stores) {
     m_stores->OnTick();
   }
-  ReviewBlockedParts();
+  m_blockedParts.OnTick();
   const TimePoint now = m_context.Now();
   if (!m_isFetchingList && now >= m_nextListFetch) {
     m_nextListFetch = now + m_options.m_listInterval;
