--- a/src/libserve/relay_answers_test.cpp
+++ b/src/libserve/relay_answers_test.cpp
@@ -82,8 +82,7 @@
   Entry entry;
   entry.SetWorkers({ Worker("w1", 1) });
   entry.SendRequest("/open/x", "");
-  entry.Head(421, "ml");
-  entry.End(CallResult::Complete);
+  entry.Answer(421, "ml", "");
   entry.AdvanceTicks(3'100);
   const std::size_t calls = entry.m_calls.size();
   entry.SendRequest("/open/x", "");
@@ -97,8 +96,7 @@
                              { VmId("third"), BootId(2), "10.0.0.9:2" } });
   first.SendRequest("/open/x", "");
   const std::string leaving = first.LastWorker();
-  first.Head(200, "pl");
-  first.End(CallResult::Complete);
+  first.Answer(200, "pl", "");
   std::vector<LeavingWorker> reported;
   for (int i = 0; i < 50; ++i) {
     first.AdvanceClock(20);
@@ -133,8 +131,7 @@
   entry.End(CallResult::Complete);
   // The refused request itself goes to another worker.
   cr_assert_neq(entry.LastWorker(), paused);
-  entry.Head(200, "p");
-  entry.End(CallResult::Complete);
+  entry.Answer(200, "p", "");
   cr_assert_eq(ServingWorkers(entry).count(paused), 0U);
   // A list does not end the pause, neither does one without the worker.
   entry.SetWorkers({});
@@ -201,9 +198,7 @@
 {
   Entry entry;
   entry.SendRequest("/resumable/x");
-  entry.Head(200, "ps");
-  entry.Data("id: 1\ndata: a\n\n");
-  entry.End(CallResult::Incomplete);
+  entry.Answer(200, "ps", "id: 1\ndata: a\n\n", CallResult::Incomplete);
   const CallId call = entry.m_calls.back().m_call;
   entry.Head(200, "s");
   entry.m_flow.OnData(call, "id: 2\ndata: forged\n\n");
@@ -229,9 +224,7 @@
     entry.AdvanceTicks(20);
     entry.Confirm();
     entry.SendRequest("/open/x", "");
-    entry.Head(200, "p");
-    entry.Data(data);
-    entry.End(CallResult::Complete);
+    entry.Answer(200, "p", data);
     cr_assert_eq(entry.m_status, 200);
   }
 }
@@ -345,9 +338,7 @@
   Entry entry;
   entry.SendResumedRequest("/resumable/x", 46);
   cr_assert_eq(entry.m_protocol.m_sentParameters.back().m_lastEventId, 46);
-  entry.Head(200, "ps");
-  entry.Data("id: 47\nda");
-  entry.End(CallResult::Incomplete);
+  entry.Answer(200, "ps", "id: 47\nda", CallResult::Incomplete);
   cr_assert_eq(entry.m_calls.size(), 2U);
   cr_assert_eq(entry.m_protocol.m_sentParameters.back().m_lastEventId, 46);
 }
@@ -399,9 +390,7 @@
 {
   Entry entry;
   entry.SendRequest("/resumable/x");
-  entry.Head(200, "ps");
-  entry.Data("id: 1\ndata: a\n\n");
-  entry.End(CallResult::Incomplete);
+  entry.Answer(200, "ps", "id: 1\ndata: a\n\n", CallResult::Incomplete);
   const CallId call = entry.m_calls.back().m_call;
   entry.Head(200, "p");
   entry.m_flow.OnData(call, "{}\n\n");
@@ -416,9 +405,7 @@
 {
   Entry entry;
   entry.SendResumedRequest("/stream/x", 5);
-  entry.Head(200, "ps");
-  entry.Data("id: 1\ndata: a\n\n");
-  entry.End(CallResult::Complete);
+  entry.Answer(200, "ps", "id: 1\ndata: a\n\n");
   cr_assert(entry.m_isComplete);
   cr_assert_eq(entry.m_body, "id: 1\ndata: a\n\n");
 }
@@ -428,20 +415,17 @@
 {
   Entry entry;
   entry.SendRequest("/stream/x");
-  entry.Head(200, "psc");
-  entry.End(CallResult::Complete);
+  entry.Answer(200, "psc", "");
   cr_assert_eq(entry.m_answers, 1);
   cr_assert_not(entry.m_isComplete);
   Entry resumed;
   resumed.SendRequest("/resumable/x");
-  resumed.Head(200, "psc");
-  resumed.End(CallResult::Complete);
+  resumed.Answer(200, "psc", "");
   cr_assert_eq(resumed.m_calls.size(), 2U);
   // An end that the worker delimits itself is complete.
   Entry delimited;
   delimited.SendRequest("/stream/x");
-  delimited.Head(200, "ps");
-  delimited.End(CallResult::Complete);
+  delimited.Answer(200, "ps", "");
   cr_assert(delimited.m_isComplete);
 }
 
@@ -449,11 +433,8 @@
 {
   Entry entry;
   entry.SendRequest("/resumable/x");
-  entry.Head(200, "psc");
-  entry.Data("id: 1\ndata: a\n\n");
-  entry.End(CallResult::Incomplete);
-  entry.Head(200, "psc");
-  entry.End(CallResult::Complete);
+  entry.Answer(200, "psc", "id: 1\ndata: a\n\n", CallResult::Incomplete);
+  entry.Answer(200, "psc", "");
   cr_assert(entry.m_isComplete);
   cr_assert_eq(entry.m_body, "id: 1\ndata: a\n\n");
 }
@@ -462,12 +443,8 @@
 {
   Entry entry;
   entry.SendRequest("/idempotent/x");
-  entry.Head(200, "pc");
-  entry.Data("first ha");
-  entry.End(CallResult::Incomplete);
-  entry.Head(200, "pc");
-  entry.Data("second");
-  entry.End(CallResult::Complete);
+  entry.Answer(200, "pc", "first ha", CallResult::Incomplete);
+  entry.Answer(200, "pc", "second");
   cr_assert_eq(entry.m_status, 200);
   cr_assert_eq(entry.m_body, "second");
 }
@@ -476,11 +453,7 @@
 {
   Entry entry;
   entry.SendRequest("/once/x");
-  entry.Head(503, "n");
-  entry.Data("busy");
-  entry.End(CallResult::Complete);
-  entry.Head(200, "p");
-  entry.Data("answer");
-  entry.End(CallResult::Complete);
+  entry.Answer(503, "n", "busy");
+  entry.Answer(200, "p", "answer");
   cr_assert_eq(entry.m_body, "answer");
 }
--- a/src/libserve/relay_test.cpp
+++ b/src/libserve/relay_test.cpp
@@ -28,14 +28,12 @@
 void
 NotExecuted(Entry& aEntry)
 {
-  aEntry.Head(503, "n");
-  aEntry.End(CallResult::Complete);
+  aEntry.Answer(503, "n", "");
 }
 void
 Failure(Entry& aEntry)
 {
-  aEntry.Head(500, "p");
-  aEntry.End(CallResult::Complete);
+  aEntry.Answer(500, "p", "");
 }
 void
 Unsigned(Entry& aEntry)
@@ -165,9 +163,7 @@
   Incomplete(entry);
   cr_assert_eq(entry.m_calls.size(), 2U);
   cr_assert_eq(entry.m_protocol.m_sentParameters.back().m_lastEventId, 2);
-  entry.Head(200, "ps");
-  entry.Data("id: 3\ndata: c\n\n");
-  entry.End(CallResult::Complete);
+  entry.Answer(200, "ps", "id: 3\ndata: c\n\n");
   cr_assert(entry.m_isComplete);
   cr_assert_eq(entry.m_heads, 1);
   cr_assert_eq(entry.m_body,
@@ -195,9 +191,7 @@
 {
   Entry entry;
   entry.SendRequest("/stream/x");
-  entry.Head(200, "ps");
-  entry.Data("id: 1\ndata: a\n\nid: 2\n");
-  entry.End(CallResult::Complete);
+  entry.Answer(200, "ps", "id: 1\ndata: a\n\nid: 2\n");
   cr_assert_eq(entry.m_answers, 1);
   cr_assert_not(entry.m_isComplete);
 }
@@ -251,10 +245,7 @@
   const std::string failedWorker =
     entry.m_protocol.m_sentParameters.back().m_worker;
   NotSent(entry);
-  const auto serve = [&] {
-    entry.Head(200, "p");
-    entry.End(CallResult::Complete);
-  };
+  const auto serve = [&] { entry.Answer(200, "p", ""); };
   serve();
   entry.AdvanceTicks(1'000);
   // The suspect period is over; without load the worker must not attract
@@ -288,12 +279,8 @@
   entry.SendRequest("/once/x");
   const std::string misdirected =
     entry.m_protocol.m_sentParameters.back().m_worker;
-  entry.Head(421, "m");
-  entry.End(CallResult::Complete);
-  const auto serve = [&] {
-    entry.Head(200, "p");
-    entry.End(CallResult::Complete);
-  };
+  entry.Answer(421, "m", "");
+  const auto serve = [&] { entry.Answer(200, "p", ""); };
   serve();
   for (int i = 0; i < 10; ++i) {
     entry.AdvanceTicks(100);
@@ -456,8 +443,6 @@
   }
   cr_assert_eq(entry.m_calls.size(), 6U);
   cr_assert_eq(entry.m_flow.Running(), 10U);
-  entry.Head(200, "ps");
-  entry.Data("id: 1\ndata: a\n\n");
-  entry.End(CallResult::Complete);
+  entry.Answer(200, "ps", "id: 1\ndata: a\n\n");
   cr_assert_eq(entry.m_calls.size(), 7U, "a queued request is sent");
 }
--- a/src/libserve/relay_test.h
+++ b/src/libserve/relay_test.h
@@ -155,6 +155,7 @@
     WorkerList list;
     list.m_number = ++m_list;
     list.m_workers = std::move(aWorkers);
+    list.m_blockedParts = m_blockedParts;
     if (aLatestVersion >= 0) {
       list.m_weights = { { "m", aLatestVersion, 0 } };
     }
@@ -224,6 +225,19 @@
     CollectEffects();
   }
 
+  /// A whole answer of the worker, with a body unless it is empty.
+  void Answer(int aStatus,
+              const std::string& aFlags,
+              const std::string& aData,
+              CallResult aEnd = CallResult::Complete)
+  {
+    Head(aStatus, aFlags);
+    if (!aData.empty()) {
+      Data(aData);
+    }
+    End(aEnd);
+  }
+
   void CollectEffects()
   {
     for (EntryEffect& effect : m_context.TakeEffects()) {
@@ -254,6 +268,7 @@
   RelayFlow m_flow;
   TimePoint m_now{ Duration(1'000'000'000) };
   std::uint64_t m_list = 0;
+  std::vector<PromptPartId> m_blockedParts; ///< of the next worker lists
   std::uint64_t m_caller = 0;
   std::vector<HttpCall> m_calls;
   std::vector<HttpCall> m_probes;
