Tests of cached parts and of slow callers share their set-up

Cause: two tests of expiry built the same table, worker and cache, and two tests of the HTTP server read a large response by the same loop. Change: OnePart and LargeResponse::ReadWhole.

--- a/src/libserve/caches_test.cpp
+++ b/src/libserve/caches_test.cpp
@@ -47,6 +47,16 @@
   return table;
 }
 
+/// A worker that has read part 1 at the start.
+struct OnePart
+{
+  OnePart() { m_caches.OnRead(kStart, m_worker, { { 1, 100 } }, 0); }
+
+  WorkerTable m_table = Table({ WorkerIn("w1", "a") });
+  const WorkerState& m_worker = *m_table.Find(WorkerId("w1"));
+  WorkerCaches m_caches;
+};
+
 RelayRequest
 PromptOf(const std::string& aSubject, std::int64_t aTokens)
 {
@@ -107,27 +117,21 @@
 
 Test(worker_caches, parts_expire_after_their_last_use)
 {
-  WorkerTable table = Table({ WorkerIn("w1", "a") });
-  const WorkerState& worker = *table.Find(WorkerId("w1"));
-  WorkerCaches caches;
-  caches.OnRead(kStart, worker, { { 1, 100 } }, 0);
+  OnePart one;
   const TimePoint later = kStart + Duration(60'000'000);
-  cr_assert_not(caches.Holds(later, worker, 1));
-  caches.Sweep(later, table);
-  cr_assert(caches.Holders(later, table, 1).empty());
-  cr_assert_eq(caches.PartCount(), 0U);
+  cr_assert_not(one.m_caches.Holds(later, one.m_worker, 1));
+  one.m_caches.Sweep(later, one.m_table);
+  cr_assert(one.m_caches.Holders(later, one.m_table, 1).empty());
+  cr_assert_eq(one.m_caches.PartCount(), 0U);
 }
 
 Test(worker_caches, parts_expire_sooner_if_reads_of_some_entries_are_unknown)
 {
-  WorkerTable table = Table({ WorkerIn("w1", "a") });
-  const WorkerState& worker = *table.Find(WorkerId("w1"));
-  WorkerCaches caches;
-  caches.OnRead(kStart, worker, { { 1, 100 } }, 0);
+  OnePart one;
   const TimePoint later = kStart + Duration(10'000'000);
-  cr_assert(caches.Holds(later, worker, 1));
-  caches.SetComplete(false);
-  cr_assert_not(caches.Holds(later, worker, 1));
+  cr_assert(one.m_caches.Holds(later, one.m_worker, 1));
+  one.m_caches.SetComplete(false);
+  cr_assert_not(one.m_caches.Holds(later, one.m_worker, 1));
 }
 
 Test(part_sources, a_part_is_fetched_from_another_worker_without_stores)
--- a/src/libwire/wire_test.cpp
+++ b/src/libwire/wire_test.cpp
@@ -278,6 +278,20 @@
     return { size, !error || error == asio::error::would_block };
   }
 
+  /// Reads a piece after each interval until the response, of which some bytes
+  /// may have been received, is complete or 400 pieces were read. Returns the
+  /// number of bytes received.
+  std::size_t ReadWhole(Duration aInterval,
+                        std::size_t aPieceBytes,
+                        std::size_t aReceived = 0)
+  {
+    for (int i = 0; i < 400 && aReceived <= kBytes; ++i) {
+      Run(aInterval);
+      aReceived += Read(aPieceBytes).first;
+    }
+    return aReceived;
+  }
+
   asio::io_context m_context;
   HttpServer m_server;
   asio::io_context m_callerContext;
@@ -304,13 +318,9 @@
 Test(http_server, a_caller_that_reads_slowly_gets_its_whole_response)
 {
   LargeResponse fixture;
-  std::size_t received = 0;
   // Longer than the read timeout in all, with a piece in each part of it.
-  for (int i = 0; i < 400 && received <= LargeResponse::kBytes; ++i) {
-    fixture.Run(Duration(15'000));
-    received += fixture.Read(64U << 10U).first;
-  }
-  cr_assert_gt(received, LargeResponse::kBytes);
+  cr_assert_gt(fixture.ReadWhole(Duration(15'000), 64U << 10U),
+               LargeResponse::kBytes);
 }
 
 Test(http_server, a_pause_of_the_process_disconnects_no_caller)
@@ -320,12 +330,9 @@
   std::this_thread::sleep_for(LargeResponse::kReadTimeout * 2);
   // The check is due before the caller's reading is noticed.
   fixture.Run(Duration(1'000));
-  std::size_t received = fixture.Read(1U << 20U).first;
-  for (int i = 0; i < 400 && received <= LargeResponse::kBytes; ++i) {
-    fixture.Run(Duration(5'000));
-    received += fixture.Read(1U << 20U).first;
-  }
-  cr_assert_gt(received, LargeResponse::kBytes);
+  const std::size_t received = fixture.Read(1U << 20U).first;
+  cr_assert_gt(fixture.ReadWhole(Duration(5'000), 1U << 20U, received),
+               LargeResponse::kBytes);
 }
 
 Test(http_server, is_idle_only_after_the_last_byte_of_a_response)
