Comment: the caller's position on routes without resume

A reader of Send saw a maximum of two positions, the cause of the incident, without the reason why the second one is still there.

--- a/src/libserve/RelayDispatch.cpp
+++ b/src/libserve/RelayDispatch.cpp
@@ -343,6 +343,7 @@
   parameters.m_worker = aWorker.m_info.m_id.Value();
   parameters.m_account = aActive.m_account;
   parameters.m_timeLeft = aActive.m_expiresAt - m_context.Now();
+  // On a route without resume, the position of the caller is only forwarded.
   parameters.m_lastEventId =
     std::max(aActive.m_eventSplitter.LastId(), aActive.m_request.m_lastEventId);
   if (aActive.m_rule.m_hasPrompt) {
