--- a/src/libcontrol/rollout_test.cpp
+++ b/src/libcontrol/rollout_test.cpp
@@ -259,3 +259,28 @@
   cr_assert(std::holds_alternative<RequestOrderNumber>(
     rollout.Step(At(520), setup.m_desired).at(0)));
 }
+
+Test(rollout, newer_weights_reach_an_engine_that_was_loading_older_ones)
+{
+  SingleEngineSetup setup;
+  Rollout rollout(setup.m_options);
+  rollout.Start(At(0), Duration(0));
+  rollout.Step(At(10), setup.m_desired);
+  rollout.OnObserved(At(20), setup.m_engine.m_id, { "1", false, 4 });
+  rollout.Step(At(30), setup.m_desired);
+  rollout.OnOrderNumberAssigned(At(40), setup.m_engine.m_id, "2", 9);
+  rollout.OnOrderEnded(At(50), setup.m_engine.m_id, OrderOutcome::Accepted);
+  // Other engines' loads reach the limit of concurrent loads for a while.
+  setup.m_desired.m_models["m"] = { "m", "3", "3", "" };
+  rollout.OnObserved(At(300), setup.m_engine.m_id, { "2", false, 5 });
+  bool isOrdered = false;
+  for (std::int64_t now = 5'000; now < 8'000 && !isOrdered; now += 50) {
+    for (const RolloutAction& action : rollout.Step(At(now), setup.m_desired)) {
+      isOrdered |= std::holds_alternative<RequestOrderNumber>(action);
+      if (std::holds_alternative<ObserveEngine>(action)) {
+        rollout.OnObserved(At(now), setup.m_engine.m_id, { "2", false, 5 });
+      }
+    }
+  }
+  cr_assert(isOrdered);
+}
--- a/src/libserve/relay_test.cpp
+++ b/src/libserve/relay_test.cpp
@@ -368,6 +368,23 @@
   }
 }
 
+Test(relay, naming_newer_weights_does_not_readmit_superseded_ones)
+{
+  Entry entry;
+  const std::vector<WorkerInfo> workers = { Worker("w1", 2),
+                                            Worker("w2", 3),
+                                            Worker("w3", 3) };
+  entry.SetWorkers(workers, 2);
+  entry.SetWorkers(workers, 3);
+  entry.AdvanceTicks(25'000);
+  entry.Confirm();
+  entry.SetWorkers(workers, 4);
+  for (int i = 0; i < 20; ++i) {
+    entry.SendRequest("/resumable/x");
+    cr_assert_eq(entry.m_protocol.m_sentParameters.back().m_weights, 3);
+  }
+}
+
 Test(relay, retries_are_bounded_by_the_budget)
 {
   Entry entry;
--- a/src/libserve/simulated_fleet_test.h
+++ b/src/libserve/simulated_fleet_test.h
@@ -104,6 +104,10 @@
   const std::vector<WorkerInfo>& m_workers;
 };
 
+/// Makes the control replica's protocol from the workers that a test sets.
+using MakeFleetProtocol =
+  std::function<std::unique_ptr<FleetProtocol>(const std::vector<WorkerInfo>&)>;
+
 struct FleetSize
 {
   std::size_t m_entries = 6;
@@ -118,9 +122,11 @@
 public:
   SimulatedFleet(FleetSize aSize,
                  std::shared_ptr<const RelayProtocol> aProtocol,
-                 std::uint64_t aSeed)
+                 std::uint64_t aSeed,
+                 MakeFleetProtocol aMakeFleetProtocol = {})
     : m_random(aSeed)
     , m_protocol(std::move(aProtocol))
+    , m_makeFleetProtocol(std::move(aMakeFleetProtocol))
     , m_entries(aSize.m_entries)
     , m_frozenUntil(aSize.m_entries)
     , m_cutUntil(aSize.m_entries)
@@ -229,6 +235,13 @@
                             const HttpCall& aCall) = 0;
   virtual void OnAnswer(CallerId aCaller, const HttpResponse& aAnswer) = 0;
   virtual void OnStreamEnd(CallerId aCaller, bool aIsComplete) = 0;
+  /// Answers a call of the control replica to the list or to a worker. Called
+  /// when it has arrived there.
+  virtual UpstreamCallEnded AnswerControlCall(const HttpCall& aCall)
+  {
+    return { aCall.m_call, CallResult::Complete, 200, "" };
+  }
+  virtual void OnOperatorAnswer(CallerId, const OperatorAnswer&) {}
 
   std::size_t Below(std::size_t aLimit) { return m_random() % aLimit; }
   TimePoint Now() const { return m_now; }
@@ -277,6 +290,34 @@
     }
   }
 
+  void ToControl(const ControlEvent& aEvent)
+  {
+    if (!m_control) {
+      return;
+    }
+    for (const ControlEffect& effect :
+         m_control->Reduce(m_now, WallTime(), aEvent)) {
+      if (const auto* batch = std::get_if<PersistBatch>(&effect)) {
+        Persist(*batch);
+        const DiskSynced synced{ batch->m_number };
+        Schedule(kMillisecond,
+                 [this, synced] { ToControl(ReplicaEvent(synced)); });
+      } else if (const auto* send = std::get_if<SendControl>(&effect)) {
+        const std::size_t entry = send->m_connection.Value() - 1;
+        m_limitPushes += std::holds_alternative<LimitPush>(send->m_message);
+        Schedule(ControlDelay(entry), [this, entry, message = send->m_message] {
+          ToEntry(entry, ControlReply{ 0, message });
+        });
+      } else if (const auto* call = std::get_if<StartUpstreamCall>(&effect)) {
+        Schedule(kNetworkDelay, [this, sent = call->m_call] {
+          ToControl(AnswerControlCall(sent));
+        });
+      } else if (const auto* answer = std::get_if<RespondToOperator>(&effect)) {
+        OnOperatorAnswer(answer->m_caller, answer->m_answer);
+      }
+    }
+  }
+
   bool IsRunning(const RunningCall& aRunning) const
   {
     return std::any_of(
@@ -296,6 +337,10 @@
   }
 
   bool IsUp(std::size_t aWorker) const { return m_isUp[aWorker]; }
+  std::size_t WorkerAt(const Endpoint& aAddress) const
+  {
+    return m_workerAt.at(aAddress.ToString());
+  }
 
   /// Ends a probe, or a call to a worker that is down. Returns whether the call
   /// was one of these.
@@ -381,8 +426,10 @@
     options.m_self = Self();
     m_control = std::make_unique<ControlNode>(
       ControlOptions(), std::make_unique<Replica>(options, m_disk, m_now));
-    m_control->AddFleet(
-      FleetOptions(), std::make_unique<ListProtocol>(m_workers), nullptr);
+    auto protocol = m_makeFleetProtocol
+                      ? m_makeFleetProtocol(m_workers)
+                      : std::make_unique<ListProtocol>(m_workers);
+    m_control->AddFleet(FleetOptions(), std::move(protocol), nullptr);
   }
 
   void Tick()
@@ -403,33 +450,6 @@
     return std::max(m_cutUntil[aEntry] - m_now, Duration(0)) + kNetworkDelay;
   }
 
-  void ToControl(const ControlEvent& aEvent)
-  {
-    if (!m_control) {
-      return;
-    }
-    for (const ControlEffect& effect :
-         m_control->Reduce(m_now, WallTime(), aEvent)) {
-      if (const auto* batch = std::get_if<PersistBatch>(&effect)) {
-        Persist(*batch);
-        const DiskSynced synced{ batch->m_number };
-        Schedule(kMillisecond,
-                 [this, synced] { ToControl(ReplicaEvent(synced)); });
-      } else if (const auto* send = std::get_if<SendControl>(&effect)) {
-        const std::size_t entry = send->m_connection.Value() - 1;
-        m_limitPushes += std::holds_alternative<LimitPush>(send->m_message);
-        Schedule(ControlDelay(entry), [this, entry, message = send->m_message] {
-          ToEntry(entry, ControlReply{ 0, message });
-        });
-      } else if (const auto* call = std::get_if<StartUpstreamCall>(&effect)) {
-        const CallId id = call->m_call.m_call;
-        Schedule(kNetworkDelay, [this, id] {
-          ToControl(UpstreamCallEnded{ id, CallResult::Complete, 200, "" });
-        });
-      }
-    }
-  }
-
   void Persist(const PersistBatch& aBatch)
   {
     if (aBatch.m_hardState) {
@@ -456,6 +476,7 @@
   TimePoint m_now{ Duration(1'000'000'000) };
   std::multimap<TimePoint, std::function<void()>> m_steps;
   std::shared_ptr<const RelayProtocol> m_protocol;
+  MakeFleetProtocol m_makeFleetProtocol;
   std::vector<WorkerInfo> m_workers;
   std::vector<bool> m_isUp;                      ///< by worker
   std::map<std::string, std::size_t> m_workerAt; ///< by address
