VERSION: a worker that loaded weights which are no longer the newest is observed soon

What callers saw: two of 18 workers kept version 2 for 30 s after version 3 had been named, and took requests when version 4 was named. Cause: Rollout::OnObserved set the next observation 30 s ahead when a load had reached the target of its order. A newer version had been named meanwhile. The worker never had the newest target, so that the change from 'has its target' to 'lacks it', which brings an observation at once, did not occur; and an order needs an observation of the last 3 s. Change: the long interval begins when a worker reaches the current target, in SyncEngine. A worker without it is observed at least every observation interval. Measured: rollout/newer_weights_reach_an_engine_that_was_loading_older_ones failed before and passes; weights/engines_that_were_loading_older_weights_get_the_newest_in_time got 58 of 60 workers to the newest before, 60 with this change. control_test: 66 of 66.

--- a/src/libcontrol/Rollout.cpp
+++ b/src/libcontrol/Rollout.cpp
@@ -66,6 +66,7 @@
                    engine.m_weights == model->second.m_target;
   if (hasTarget && !engine.m_hasTarget) {
     engine.m_targetReachedAt = aNow;
+    engine.m_nextObservation = aNow + kIdleObserveInterval;
   }
   // The VM list still contradicts the known version after its maximum lag: the
   // engine restarted.
@@ -77,11 +78,13 @@
     engine.m_needsObservation = true;
     hasTarget = false;
   }
-  if (isNew) {
-    engine.m_nextObservation =
-      hasTarget && !listed.empty() ? aNow + kIdleObserveInterval : aNow;
-  } else if (engine.m_hasTarget && !hasTarget) {
+  if (engine.m_hasTarget && !hasTarget) {
     engine.m_nextObservation = aNow;
+  } else if (!hasTarget) {
+    // An observation permits an order for a short time only.
+    const TimePoint latest =
+      std::max(aNow, engine.m_earliestOrder) + m_options.m_observeInterval;
+    engine.m_nextObservation = std::min(engine.m_nextObservation, latest);
   }
   engine.m_hasTarget = hasTarget;
 }
@@ -218,9 +221,6 @@
     }
     engine.m_order = OrderState::None;
     engine.m_failures = hasTarget ? 0 : engine.m_failures + 1;
-    if (hasTarget) {
-      engine.m_nextObservation = aNow + kIdleObserveInterval;
-    }
   }
   engine.m_weights = aObservation.m_weights;
   engine.m_sequence = aObservation.m_sequence;
