VERSION: weights expire by the first newer naming, as far as it can be proved

Cause: an entry knew only when the newest version was named. Naming version 4 started the age of all older versions anew, so that workers with version 2, excluded for 19 s, were eligible again. The same class: when a version was named is a fact of the control group, which a restart or the ignorance of one process made untrue. A replica took its own clock when it applied a naming, so that a replay of the log began the age anew; a list that was held up made a naming look recent; a worker without a known version, and requests on routes without prompts, were sent without a required version.

Change: NewestWeights keeps, for each version, the last time before which certainly no newer one had been named, proved by leases and answered heartbeats. What can't be proved counts as long ago. WeightsAdmission owns the decision; Placement asks it for new, queued and repeated requests, and requests that still wait at a worker when its weights expire go to another one if they may be repeated. Every request names the version that its worker must have.

--- a/src/include/fulmarquay/control/ControlMessages.h
+++ b/src/include/fulmarquay/control/ControlMessages.h
@@ -39,6 +39,7 @@
   std::vector<std::uint64_t> m_recentlyReadParts;
   std::int64_t m_sentAtUs = 0; ///< on the entry's monotonic clock
   LimitReport m_limits;
+  std::uint64_t m_weightsRevision = 0; ///< of the named weights it knows
   MSGPACK_DEFINE(m_vm,
                  m_dataCentre,
                  m_boot,
@@ -53,7 +54,8 @@
                  m_heldTokens,
                  m_heldLoadPeersVersion,
                  m_sentAtUs,
-                 m_limits)
+                 m_limits,
+                 m_weightsRevision)
 };
 
 /// The identity and address of an entry, as other entries receive it.
@@ -101,6 +103,7 @@
   /// Of the heartbeat that this answers, on the entry's monotonic clock.
   std::int64_t m_heartbeatSentAtUs = 0;
   std::uint64_t m_term = 0; ///< of the leader
+  WeightsReport m_weights;
   MSGPACK_DEFINE(m_revision,
                  m_leaseUs,
                  m_liveEntries,
@@ -115,7 +118,8 @@
                  m_loadPeersVersion,
                  m_loadPeers,
                  m_heartbeatSentAtUs,
-                 m_term)
+                 m_term,
+                 m_weights)
 };
 
 /// Updates an entry to the accepted configuration.
--- a/src/include/fulmarquay/control/FleetManager.h
+++ b/src/include/fulmarquay/control/FleetManager.h
@@ -93,7 +93,8 @@
   void OnLeadership(bool aIsLeader, Duration aOldLease);
   void OnTick();
   /// Sets the fleet fields of the reply to an entry's heartbeat.
-  void FillReply(HeartbeatReply& aReply) const;
+  void FillReply(const EntryHeartbeat& aHeartbeat,
+                 HeartbeatReply& aReply) const;
   /// Pushes the routes, workers and stores that an entry lacks according to its
   /// last heartbeat, and marks the parts that it reported as used.
   void PushTo(EntrySession& aSession);
@@ -167,13 +168,7 @@
   WorkerDirectory m_workers;
   bool m_hasList = false;
   std::uint64_t m_workerListNumber = 0;
-  /// A named version and when this replica first saw it in the state.
-  struct NamedVersion
-  {
-    std::int64_t m_version = 0;
-    TimePoint m_since;
-  };
-  std::map<std::string, NamedVersion> m_namedVersions; ///< by model
+  NewestWeights m_newestWeights;
   /// Named versions processed in this term, by model.
   std::map<std::string, std::int64_t> m_announcedWeights;
   BlockedPartManager m_blockedParts;
--- a/src/include/fulmarquay/control/WorkerList.h
+++ b/src/include/fulmarquay/control/WorkerList.h
@@ -1,6 +1,7 @@
 #ifndef FULMARQUAY_CONTROL_WORKERLIST_H
 #define FULMARQUAY_CONTROL_WORKERLIST_H
 
+#include "fulmarquay/control/NewestWeights.h"
 #include "fulmarquay/control/PartReports.h"
 #include "fulmarquay/route/RouteDocument.h"
 #include "fulmarquay/wire/Codec.h"
@@ -52,15 +53,6 @@
   std::size_t m_skipped = 0; ///< entries without a usable worker
 };
 
-/// The newest named weight version of a model.
-struct NamedWeights
-{
-  std::string m_model;
-  std::int64_t m_version = 1;
-  std::int64_t m_ageUs = 0; ///< since the sender first observed it
-  MSGPACK_DEFINE(m_model, m_version, m_ageUs)
-};
-
 /// All workers, named weights and blocked parts, as the leader pushes them to
 /// entries.
 struct WorkerList
--- a/src/include/fulmarquay/serve/Placement.h
+++ b/src/include/fulmarquay/serve/Placement.h
@@ -5,6 +5,7 @@
 #include "fulmarquay/serve/PartMap.h"
 #include "fulmarquay/serve/RelayRequest.h"
 #include "fulmarquay/serve/RequestLimiter.h"
+#include "fulmarquay/serve/WeightsAdmission.h"
 #include "fulmarquay/serve/WorkerCaches.h"
 #include "fulmarquay/serve/WorkerTable.h"
 
@@ -40,7 +41,8 @@
     RequestLimiter* m_limiter = nullptr;    ///< null: no worker is limited
     DataCentreId m_dataCentre;              ///< of this entry
     std::uint32_t m_entryCount = 1;         ///< entries that share the workers
-    Duration m_maxOldWeightsAge{};
+    /// Null: all weight versions are treated as the newest ones.
+    const WeightsAdmission* m_weights = nullptr;
     /// Memory, in tokens, that the request needs and that one worker has for
     /// the requests of all entries; capacity 0: unlimited.
     std::int64_t m_neededTokens = 0;
@@ -101,9 +103,8 @@
                         const Criteria& aCriteria,
                         const WorkerLoad& aOthersLoad,
                         std::uint64_t aAffinityKey) const;
-  std::int64_t OldWeightsCost(const WorkerTable& aWorkers,
-                              const WorkerState& aWorker,
-                              const Criteria& aCriteria) const;
+  static std::int64_t OldWeightsCost(const WorkerState& aWorker,
+                                     const Criteria& aCriteria);
 };
 
 } // namespace fulmarquay
--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -13,6 +13,7 @@
 #include "fulmarquay/serve/RelayProtocol.h"
 #include "fulmarquay/serve/RequestLimiter.h"
 #include "fulmarquay/serve/StartupAdmission.h"
+#include "fulmarquay/serve/WeightsAdmission.h"
 #include "fulmarquay/serve/WorkerCaches.h"
 #include "fulmarquay/serve/WorkerTable.h"
 
@@ -27,6 +28,7 @@
 /// Settings of request relaying.
 struct RelayOptions
 {
+  /// How long after newer weights were named a request may begin on older ones.
   Duration m_maxOldWeightsAge = Duration(6'000'000);
   /// Retries at another worker: ratio to the requests of a pool, and the number
   /// that all entries together may save up.
@@ -48,7 +50,13 @@
   /// Applies a route delta or a worker list from the leader. Throws Error when
   /// the delta does not apply to the current revision.
   void OnRoutes(const RouteDelta& aDelta);
-  void OnWorkerList(const WorkerList& aList);
+  /// Returns whether the list names weights that were unknown here.
+  bool OnWorkerList(const WorkerList& aList);
+  /// Applies the leader's reply to a heartbeat that was sent at a time.
+  void OnWeightsReport(const WeightsReport& aReport, TimePoint aSentAt)
+  {
+    m_weights.OnReport(aReport, aSentAt);
+  }
   /// Applies a store update from the leader. Returns false if its base state
   /// does not match the current one.
   bool OnStoreUpdate(const StorePush& aPush);
@@ -78,6 +86,7 @@
 
   const RouteTable& Routes() const { return m_routes; }
   const WorkerTable& Workers() const { return m_workers; }
+  const WeightsAdmission& Weights() const { return m_weights; }
   const PartMap& Parts() const { return m_partMap; }
   /// Worker memory held by the requests of this entry, in tokens by pool, as a
   /// moving average; OnOtherEntriesHeldTokens sets that of the other entries.
@@ -151,6 +160,7 @@
     std::set<WorkerId> m_triedWorkers;
     std::set<std::string> m_stores; ///< stores and workers it fetches from
     TimePoint m_sentAt;
+    std::int64_t m_sentWeights = -1; ///< version that its worker must have
     CallId m_call;
     int m_sendCount = 0;           ///< workers that may have received it
     int m_unreachedCount = 0;      ///< workers that could not be reached
@@ -196,6 +206,14 @@
   void GiveUpBlocked(ActiveRequest& aActive);
   void GiveUpBlockedQueued();
   void Send(ActiveRequest& aActive, WorkerState& aWorker);
+  /// The weight version that the worker has to have to run the request.
+  std::int64_t RequiredWeights(const ActiveRequest& aActive,
+                               const WorkerState& aWorker) const;
+  /// Whether a request that still waits at its worker would begin on expired
+  /// weights, and another worker can run it.
+  bool MustRecall(const ActiveRequest& aActive);
+  /// Sends such requests to other workers.
+  void RecallExpired();
   std::string CacheScopeFor(const ActiveRequest& aActive,
                             const WorkerState& aWorker) const;
   std::int64_t WorkerClockMs() const;
@@ -251,6 +269,8 @@
   void OnNotSent(ActiveRequest& aActive, const std::string& aReason);
   void OnBroken(ActiveRequest& aActive, const std::string& aReason);
   bool MayResume(const ActiveRequest& aActive) const;
+  /// Whether the request may be sent again although it may have run.
+  bool MayRepeat(const ActiveRequest& aActive) const;
   bool TakeRetry(ActiveRequest& aActive);
 
   // Completion of a request; destroys `aActive`.
@@ -277,6 +297,7 @@
   WorkerTable m_workers;
   LoadExchange m_exchange;
   Placement m_placement;
+  WeightsAdmission m_weights;
   WorkerCaches m_caches;
   RequestLimiter m_limiter;
   TimePoint m_lastTickAt;
@@ -296,6 +317,7 @@
   std::unordered_map<CallId, ActiveRequest*> m_byCall;
   std::map<CallId, WorkerId> m_probes;
   TimePoint m_nextProbe;
+  TimePoint m_nextRecall;
   std::multimap<TimePoint, CallerId> m_expiries;
   std::map<PoolId, RetryBudget> m_budgets;
   std::map<PoolId, AdmissionQueue> m_queues;
--- a/src/include/fulmarquay/serve/WorkerTable.h
+++ b/src/include/fulmarquay/serve/WorkerTable.h
@@ -76,20 +76,9 @@
   /// none is paused.
   Duration ShortestPause(TimePoint aNow, const PoolId& aPool) const;
 
-  /// The newest weight version of a model and its release time; -1: none is
-  /// known.
-  std::int64_t LatestVersion(const std::string& aModel) const;
-  TimePoint LatestVersionSince(const std::string& aModel) const;
-
   const std::map<WorkerId, WorkerState>& All() const { return m_workers; }
 
 private:
-  struct LatestWeights
-  {
-    std::int64_t m_version = -1;
-    TimePoint m_since;
-  };
-
   /// What an incarnation stated about itself. Kept apart from the list, because
   /// a list may omit a worker for a while.
   struct Announcement
@@ -106,7 +95,6 @@
   std::uint64_t m_number = 0;
   std::map<WorkerId, WorkerState> m_workers;
   std::map<WorkerId, Announcement> m_announcements;
-  std::map<std::string, LatestWeights> m_latestWeights;
 };
 
 } // namespace fulmarquay
--- a/src/libcontrol/ControlNode.cpp
+++ b/src/libcontrol/ControlNode.cpp
@@ -107,7 +107,7 @@
   reply.m_revision = m_state.Config().Current();
   reply.m_term = CurrentTerm();
   if (m_fleet) {
-    m_fleet->FillReply(reply);
+    m_fleet->FillReply(aMessage, reply);
   }
   for (const Member& voter : m_replica->Members().m_voters) {
     reply.m_replicas.push_back(voter.m_address);
--- a/src/libcontrol/FleetManager.cpp
+++ b/src/libcontrol/FleetManager.cpp
@@ -138,13 +138,13 @@
 void
 FleetManager::OnStateApplied()
 {
-  for (const auto& [model, version] : m_context.Published().Weights()) {
-    NamedVersion& named = m_namedVersions[model];
-    if (named.m_version != version) {
-      named = { version, m_context.Now() };
-    }
-  }
   if (m_context.HoldsLeaderLease()) {
+    // Without the lease, versions may have been named that are not applied
+    // here yet.
+    for (const auto& [model, version] : m_context.Published().Weights()) {
+      m_newestWeights.OnNamed(model, version);
+    }
+    m_newestWeights.OnConfirmed(m_context.Now());
     UpdateRoutes();
     UpdateWeights();
     if (m_blockedParts.OnStateApplied()) {
@@ -486,8 +486,11 @@
 }
 
 void
-FleetManager::FillReply(HeartbeatReply& aReply) const
+FleetManager::FillReply(const EntryHeartbeat& aHeartbeat,
+                        HeartbeatReply& aReply) const
 {
+  aReply.m_weights =
+    m_newestWeights.MakeReport(m_context.Now(), aHeartbeat.m_weightsRevision);
   aReply.m_routes = m_context.Published().Current();
   if (m_stores) {
     aReply.m_workersClockMs = m_stores->WorkerClockMs();
@@ -561,12 +564,7 @@
   list.m_number = m_workerListNumber;
   list.m_workers = m_workers.Workers();
   for (const auto& [model, version] : m_context.Published().Weights()) {
-    NamedWeights named{ model, version, 0 };
-    const auto known = m_namedVersions.find(model);
-    if (known != m_namedVersions.end()) {
-      named.m_ageUs = (m_context.Now() - known->second.m_since).count();
-    }
-    list.m_weights.push_back(named);
+    list.m_weights.push_back({ model, version });
   }
   const auto& blocked = m_context.Published().BlockedParts();
   list.m_blockedParts.assign(blocked.begin(), blocked.end());
--- a/src/libserve/EntryNode.cpp
+++ b/src/libserve/EntryNode.cpp
@@ -94,6 +94,7 @@
     heartbeat.m_recentlyReadParts = m_relay->TakeUsedPartKeys();
     heartbeat.m_heldTokens = m_relay->HeldTokens();
     heartbeat.m_limits = m_relay->MakeLimitReport();
+    heartbeat.m_weightsRevision = m_relay->Weights().Revision();
   }
   return heartbeat;
 }
@@ -120,6 +121,7 @@
     m_leaderTerm = aReply.m_term;
     m_relay->OnNewLeader();
   }
+  m_relay->OnWeightsReport(aReply.m_weights, m_control.LastConfirmed());
   m_relay->OnOtherEntriesHeldTokens(aReply.m_otherEntriesHeldTokens);
   if (!aReply.m_loadPeers.empty()) {
     m_relay->OnLoadPeers(aReply.m_loadPeers);
@@ -176,8 +178,9 @@
 void
 EntryNode::OnWorkerPush(const WorkerPush& aPush)
 {
-  if (m_relay) {
-    m_relay->OnWorkerList(aPush.m_list);
+  if (m_relay && m_relay->OnWorkerList(aPush.m_list)) {
+    // The reply contains when the weights were named.
+    m_control.SendHeartbeat();
   }
 }
 
--- a/src/libserve/Placement.cpp
+++ b/src/libserve/Placement.cpp
@@ -22,13 +22,10 @@
 constexpr std::int64_t kLocalFetchPercent = 25;
 constexpr std::int64_t kRemoteFetchPercent = 50;
 constexpr std::int64_t kComputePercent = 100;
-/// Time after the release of newer weights during which old weights cost
-/// little; later they are worth less to the caller.
-constexpr Duration kOldWeightsGracePeriod(1'000'000);
 /// Cost of old weights as the number of prompt tokens that a caller would
-/// rather wait for: within the grace period, and after it.
-constexpr std::int64_t kOldWeightsGraceTokens = 1'000;
-constexpr std::int64_t kOldWeightsTokens = 30'000;
+/// rather wait for: just after newer ones were named, and later.
+constexpr std::int64_t kJustSupersededTokens = 1'000;
+constexpr std::int64_t kSupersededTokens = 30'000;
 /// Share of an engine's memory that running requests may hold. All of it can be
 /// used, because prompts with common parts hold those parts once.
 constexpr std::int64_t kUsableMemoryPercent = 100;
@@ -195,22 +192,25 @@
 }
 
 std::int64_t
-Placement::OldWeightsCost(const WorkerTable& aWorkers,
-                          const WorkerState& aWorker,
-                          const Criteria& aCriteria) const
+Placement::OldWeightsCost(const WorkerState& aWorker, const Criteria& aCriteria)
 {
-  const std::string& model = aCriteria.m_request->m_model;
-  const std::int64_t latest = aWorkers.LatestVersion(model);
-  const std::int64_t version = aWorker.m_info.VersionOf(model);
-  if (version < 0 || version >= latest) {
+  if (aCriteria.m_weights == nullptr) {
     return 0;
   }
-  const Duration age = aCriteria.m_now - aWorkers.LatestVersionSince(model);
-  if (age >= aCriteria.m_maxOldWeightsAge) {
-    return kIneligible;
+  const std::string& model = aCriteria.m_request->m_model;
+  switch (aCriteria.m_weights->AgeOf(
+    aCriteria.m_now, model, aWorker.m_info.VersionOf(model))) {
+    case WeightsAge::Newest:
+      return 0;
+    case WeightsAge::JustSuperseded:
+      return kJustSupersededTokens;
+    case WeightsAge::Superseded:
+    case WeightsAge::Unknown:
+      return kSupersededTokens;
+    case WeightsAge::Expired:
+      break;
   }
-  return age < kOldWeightsGracePeriod ? kOldWeightsGraceTokens
-                                      : kOldWeightsTokens;
+  return kIneligible;
 }
 
 Placement::Choice
@@ -235,8 +235,7 @@
   PartsByVersion partsByVersion;
   std::int64_t bestCost = kIneligible;
   for (WorkerState* worker : available) {
-    const std::int64_t oldWeightsCost =
-      OldWeightsCost(aWorkers, *worker, aCriteria);
+    const std::int64_t oldWeightsCost = OldWeightsCost(*worker, aCriteria);
     if (oldWeightsCost == kIneligible) {
       continue;
     }
--- a/src/libserve/RelayDispatch.cpp
+++ b/src/libserve/RelayDispatch.cpp
@@ -66,7 +66,7 @@
   criteria.m_caches = &m_caches;
   criteria.m_limiter = &m_limiter;
   criteria.m_dataCentre = m_context.Self().m_dataCentre;
-  criteria.m_maxOldWeightsAge = m_options.m_maxOldWeightsAge;
+  criteria.m_weights = &m_weights;
   const PoolRule* pool = m_routes.FindPool(aActive.m_pool);
   if (criteria.m_hasPrompt && pool != nullptr) {
     criteria.m_neededTokens =
@@ -314,9 +314,8 @@
 {
   // The scope contains the weight version, because workers and stores keep
   // parts of earlier versions and must not serve them.
-  const std::int64_t version =
-    aWorker.m_info.VersionOf(aActive.m_request.m_model);
-  return MakeCacheScope(version, aActive.m_cacheAccount);
+  return MakeCacheScope(RequiredWeights(aActive, aWorker),
+                        aActive.m_cacheAccount);
 }
 
 PartMap::PlanInput
@@ -419,10 +418,10 @@
   // On a route without resume, the position of the caller is only forwarded.
   parameters.m_lastEventId =
     std::max(aActive.m_eventSplitter.LastId(), aActive.m_request.m_lastEventId);
+  parameters.m_weights = RequiredWeights(aActive, aWorker);
   if (aActive.m_rule.m_hasPrompt) {
     parameters.m_priority = aActive.m_priority;
     parameters.m_cacheScope = CacheScopeFor(aActive, aWorker);
-    parameters.m_weights = aWorker.m_info.VersionOf(aActive.m_request.m_model);
     PartMap::PlanInput input = PlanInputFor(aActive, aWorker);
     input.m_peerCopies =
       FindPeerCopies(aActive, aWorker, parameters.m_cacheScope);
@@ -448,6 +447,7 @@
   aActive.m_worker = aWorker.m_info.m_id;
   aActive.m_triedWorkers.insert(aActive.m_worker);
   aActive.m_sentAt = m_context.Now();
+  aActive.m_sentWeights = parameters.m_weights;
   aActive.m_workerHead = WorkerResponseHead();
   aActive.m_hasFirstEvent = false;
   aActive.m_isInFlight = true;
@@ -469,8 +469,12 @@
       { "send", std::to_string(aActive.m_sendCount) },
       { "after_event", std::to_string(parameters.m_lastEventId) },
       { "weights", std::to_string(parameters.m_weights) },
+      { "weights", std::to_string(parameters.m_weights) },
       { "newest",
-        std::to_string(m_workers.LatestVersion(aActive.m_request.m_model)) },
+        std::to_string(m_weights.NewestOf(aActive.m_request.m_model)) },
+      { "superseded_ms",
+        m_weights.FormatAge(
+          m_context.Now(), aActive.m_request.m_model, parameters.m_weights) },
       { "uncached", std::to_string(aActive.m_pendingPrefillTokens) },
       { "fetch", std::to_string(FetchTokens(parameters)) },
       { "stores", boost::algorithm::join(aActive.m_stores, ",") },
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -32,6 +32,7 @@
   , m_protocol(aProtocol)
   , m_options(aOptions)
   , m_exchange(aContext.Self().m_vm)
+  , m_weights(aOptions.m_maxOldWeightsAge)
   , m_limiter(aContext.Self().m_vm)
 {
 }
@@ -50,16 +51,18 @@
       { "routes", std::to_string(m_routes.Document().m_routes.size()) } });
 }
 
-void
+bool
 RelayFlow::OnWorkerList(const WorkerList& aList)
 {
+  const bool hasNewWeights = m_weights.OnNamed(aList.m_weights);
   if (!m_workers.Apply(m_context.Now(), aList)) {
-    return;
+    return hasNewWeights;
   }
   m_limiter.Expire(m_context.Now(), aList.m_workers);
   if (m_partWatch.SetBlocked(aList.m_blockedParts)) {
     GiveUpBlockedQueued();
   }
+  return hasNewWeights;
 }
 
 void
@@ -333,6 +336,7 @@
     }
   }
   ProbeSilentWorkers();
+  RecallExpired();
   UpdateHeldAverages();
   m_exchange.OnTick(now);
   if (now >= m_nextCacheSweep) {
@@ -348,6 +352,12 @@
   }
 }
 
+bool
+RelayFlow::MayRepeat(const ActiveRequest& aActive) const
+{
+  return aActive.m_rule.IsIdempotent() || MayResume(aActive);
+}
+
 void
 RelayFlow::Remove(ActiveRequest& aActive)
 {
--- a/src/libserve/RelayResponses.cpp
+++ b/src/libserve/RelayResponses.cpp
@@ -491,8 +491,7 @@
   m_workers.OnFailure(m_context.Now(), aActive.m_worker);
   aActive.m_eventSplitter.DropPartial();
   ReleaseBody(aActive);
-  const bool mayContinue = aActive.m_rule.IsIdempotent() || MayResume(aActive);
-  if (mayContinue && TakeRetry(aActive)) {
+  if (MayRepeat(aActive) && TakeRetry(aActive)) {
     Place(aActive);
     return;
   }
--- a/src/libserve/WorkerTable.cpp
+++ b/src/libserve/WorkerTable.cpp
@@ -56,13 +56,6 @@
     workers[info.m_id] = std::move(state);
   }
   m_workers = std::move(workers);
-  for (const NamedWeights& named : aList.m_weights) {
-    LatestWeights& known = m_latestWeights[named.m_model];
-    if (named.m_version > known.m_version) {
-      known.m_version = named.m_version;
-      known.m_since = aNow - Duration(named.m_ageUs);
-    }
-  }
   return true;
 }
 
@@ -209,18 +202,4 @@
   }
 }
 
-std::int64_t
-WorkerTable::LatestVersion(const std::string& aModel) const
-{
-  const auto found = m_latestWeights.find(aModel);
-  return found == m_latestWeights.end() ? -1 : found->second.m_version;
-}
-
-TimePoint
-WorkerTable::LatestVersionSince(const std::string& aModel) const
-{
-  const auto found = m_latestWeights.find(aModel);
-  return found == m_latestWeights.end() ? TimePoint() : found->second.m_since;
-}
-
 } // namespace fulmarquay
--- a/src/libserve/relay_test.cpp
+++ b/src/libserve/relay_test.cpp
@@ -385,6 +385,53 @@
   }
 }
 
+Test(relay, requests_that_wait_at_a_worker_do_not_begin_on_expired_weights)
+{
+  for (const bool isResumable : { true, false }) {
+    Entry entry;
+    entry.SetWorkers({ Worker("w1", 1) }, 2);
+    entry.AdvanceTicks(3'000);
+    entry.Confirm();
+    entry.AdvanceTicks(2'000);
+    entry.SendRequest(isResumable ? "/resumable/x" : "/once/x");
+    cr_assert_eq(entry.LastWorker(), "w1");
+    entry.SetWorkers({ Worker("w1", 1), Worker("w2", 2) }, 2);
+    entry.AdvanceTicks(800);
+    cr_assert_eq(entry.m_cancels, 0, "not expired yet");
+    entry.AdvanceTicks(400);
+    // A request that may not be repeated is left to its worker.
+    cr_assert_eq(entry.m_cancels, isResumable ? 1 : 0);
+    cr_assert_eq(entry.LastWorker(), isResumable ? "w2" : "w1");
+  }
+}
+
+Test(relay, a_worker_of_unknown_weights_has_to_check_that_they_are_the_newest)
+{
+  Entry entry;
+  WorkerInfo worker = Worker("w1", 1);
+  worker.m_weights.clear();
+  entry.SetWorkers({ worker }, 3);
+  for (const char* path : { "/resumable/x", "/idempotent/x" }) {
+    entry.SendRequest(path);
+    cr_assert_eq(entry.m_protocol.m_sentParameters.back().m_weights, 3);
+  }
+}
+
+Test(relay, an_entry_that_starts_uses_old_weights_only_if_the_naming_is_recent)
+{
+  for (const bool isKnownToLeader : { true, false }) {
+    Entry entry(Entry::InitialState::Unconfigured);
+    if (isKnownToLeader) {
+      entry.m_leaderWeights.OnConfirmed(entry.m_now - 1'000 * kMillisecond);
+    }
+    entry.m_leaderWeights.OnNamed("m", 2);
+    entry.Configure();
+    entry.SendRequest("/resumable/x");
+    cr_assert_eq(entry.m_calls.size(), isKnownToLeader ? 1U : 0U);
+    cr_assert_eq(entry.m_status, isKnownToLeader ? 0 : 503);
+  }
+}
+
 Test(relay, retries_are_bounded_by_the_budget)
 {
   Entry entry;
--- a/src/libserve/relay_test.h
+++ b/src/libserve/relay_test.h
@@ -162,7 +162,8 @@
     list.m_workers = std::move(aWorkers);
     list.m_blockedParts = m_blockedParts;
     if (aLatestVersion >= 0) {
-      list.m_weights = { { "m", aLatestVersion, 0 } };
+      list.m_weights = { { "m", aLatestVersion } };
+      m_leaderWeights.OnNamed("m", aLatestVersion);
     }
     m_flow.OnWorkerList(list);
   }
@@ -170,6 +171,9 @@
   void Confirm(std::uint32_t aEntryCount = 1)
   {
     m_flow.OnConfirmed(m_now + 4'000 * kMillisecond, aEntryCount);
+    m_leaderWeights.OnConfirmed(m_now);
+    m_flow.OnWeightsReport(
+      m_leaderWeights.MakeReport(m_now, m_flow.Weights().Revision()), m_now);
   }
 
   void AdvanceClock(std::int64_t aMillis)
@@ -272,6 +276,7 @@
   EntryContext m_context;
   RelayFlow m_flow;
   TimePoint m_now{ Duration(1'000'000'000) };
+  NewestWeights m_leaderWeights; ///< what the leader knows
   std::uint64_t m_list = 0;
   std::vector<RequestPartId> m_blockedParts; ///< of the next worker lists
   std::uint64_t m_caller = 0;
