Rollout: an engine that counts its orders is not given up for good

Cause: after m_maxFailures failures in a row an engine got no order for that target any more. The limit protects engines that can't tell a repeated order from a new one. Change: an engine that reports how many orders it accepted is ordered again every 5 s; the others are given up as before, and both are reported.

--- a/src/include/fulmarquay/control/Rollout.h
+++ b/src/include/fulmarquay/control/Rollout.h
@@ -78,7 +78,8 @@
   Duration m_takeoverWait{};
   /// Interval between observations of an engine that lacks its target.
   Duration m_observeInterval = Duration(1'000'000);
-  /// Consecutive failed orders after which an engine is given up.
+  /// Consecutive failed orders after which an engine is given up, or gets orders
+  /// less often if it counts them.
   int m_maxFailures = 3;
 };
 
@@ -116,8 +117,8 @@
                     const EngineId& aEngine,
                     OrderOutcome aOutcome);
 
-  /// Engines with m_maxFailures consecutive failures. They get no more orders
-  /// for the target that failed.
+  /// Engines with m_maxFailures consecutive failures. Unless they count orders,
+  /// they get no more orders for the target that failed.
   std::vector<EngineId> GivenUpEngines() const;
 
 private:
--- a/src/libcontrol/Rollout.cpp
+++ b/src/libcontrol/Rollout.cpp
@@ -15,6 +15,8 @@
 constexpr Duration kListLag(3'000'000);
 /// Delay after a failed order to an engine that counts orders.
 constexpr Duration kCountedRetryDelay(400'000);
+/// The same once it has failed RolloutOptions::m_maxFailures orders in a row.
+constexpr Duration kRepeatedFailureDelay(5'000'000);
 /// Observation interval of engines that have their target and need no order.
 constexpr Duration kIdleObserveInterval(30'000'000);
 /// Older observations do not permit an order.
@@ -143,7 +145,10 @@
   const bool isDue =
     aNow >= aEngine.m_earliestOrder &&
     (aEngine.m_checksFencing || aNow >= m_earliestUnfencedOrder);
-  const bool isGivenUp = aEngine.m_failures >= m_options.m_maxFailures &&
+  // An engine that counts orders executes none twice, so that it is safe to try
+  // again.
+  const bool isGivenUp = aEngine.m_sequence < 0 &&
+                         aEngine.m_failures >= m_options.m_maxFailures &&
                          aEngine.m_orderedTarget == aModel.m_target;
   return isObserved && isDue && !isGivenUp &&
          aEngine.m_order == OrderState::None &&
@@ -277,8 +282,11 @@
     ++engine.m_failures;
     // An engine that counts orders rejects a delayed one after a newer one.
     const bool isCounted = engine.m_sequence >= 0;
+    const Duration countedDelay = engine.m_failures < m_options.m_maxFailures
+                                    ? kCountedRetryDelay
+                                    : kRepeatedFailureDelay;
     engine.m_earliestOrder =
-      aNow + (isCounted ? kCountedRetryDelay : m_options.m_orderTimeout);
+      aNow + (isCounted ? countedDelay : m_options.m_orderTimeout);
     engine.m_nextObservation = engine.m_earliestOrder;
   }
 }
--- a/src/libcontrol/rollout_test.cpp
+++ b/src/libcontrol/rollout_test.cpp
@@ -284,3 +284,27 @@
   }
   cr_assert(isOrdered);
 }
+
+Test(rollout, an_engine_whose_orders_failed_is_ordered_again_later)
+{
+  const SingleEngineSetup setup;
+  Rollout rollout(setup.m_options);
+  rollout.Start(At(0), Duration(0));
+  int orders = 0;
+  std::int64_t lastOrder = 0;
+  for (std::int64_t now = 50; now < 30'000; now += 50) {
+    for (const RolloutAction& action : rollout.Step(At(now), setup.m_desired)) {
+      if (std::holds_alternative<ObserveEngine>(action)) {
+        rollout.OnObserved(At(now), setup.m_engine.m_id, { "1", false, 4 });
+        continue;
+      }
+      ++orders;
+      lastOrder = now;
+      rollout.OnOrderNumberAssigned(At(now), setup.m_engine.m_id, "2", 9);
+      rollout.OnOrderEnded(At(now), setup.m_engine.m_id, OrderOutcome::Failed);
+    }
+  }
+  cr_assert_geq(lastOrder, 20'000, "%lld", static_cast<long long>(lastOrder));
+  cr_assert_leq(orders, 12, "%d", orders);
+  cr_assert_eq(rollout.GivenUpEngines().size(), 1U);
+}
