Rollout: an order number that is never issued does not block the rollout

What users would see: workers keep superseded weights while one leader stays, although they are sound. Cause: a proposal that is refused, such as while leadership is transferred, brings no answer to the rollout. The engine waited for its number for ever, and counted as one of the loads that may run at a time. Change: the wait ends after 1 s.

--- a/src/libcontrol/Rollout.cpp
+++ b/src/libcontrol/Rollout.cpp
@@ -13,6 +13,9 @@
 constexpr Duration kLoadReportLag(1'500'000);
 /// The VM list may lag behind a load by this much.
 constexpr Duration kListLag(3'000'000);
+/// A number is issued within the time of a commit, or never if the proposal was
+/// refused.
+constexpr Duration kNumberTimeout(1'000'000);
 /// Delay after a failed order to an engine that counts orders.
 constexpr Duration kCountedRetryDelay(400'000);
 /// The same once it has failed RolloutOptions::m_maxFailures orders in a row.
@@ -101,6 +104,10 @@
         aNow >= engine.m_orderStarted + m_options.m_orderTimeout) {
       OnOrderEnded(aNow, id, OrderOutcome::Failed);
     }
+    if (engine.m_order == OrderState::AwaitingNumber &&
+        aNow >= engine.m_orderStarted + kNumberTimeout) {
+      engine.m_order = OrderState::None;
+    }
     const bool isLoading = engine.m_order == OrderState::Loading;
     const bool isIdle = engine.m_order == OrderState::None;
     if ((isIdle || isLoading) && aNow >= engine.m_nextObservation) {
--- a/src/libcontrol/rollout_test.cpp
+++ b/src/libcontrol/rollout_test.cpp
@@ -308,3 +308,25 @@
   cr_assert_leq(orders, 12, "%d", orders);
   cr_assert_eq(rollout.GivenUpEngines().size(), 1U);
 }
+
+Test(rollout, an_order_number_that_never_comes_does_not_block_the_rollout)
+{
+  SingleEngineSetup setup;
+  setup.m_options.m_maxConcurrentLoads = 1;
+  EngineConfig other = setup.m_engine;
+  other.m_id = EngineId("f");
+  setup.m_desired.m_engines[other.m_id] = other;
+  setup.m_desired.m_models["m"] = { "m", "3", "2", "" };
+  Rollout rollout(setup.m_options);
+  rollout.Start(At(0), Duration(0));
+  int requests = 0;
+  for (std::int64_t now = 50; now < 4'000; now += 50) {
+    for (const RolloutAction& action : rollout.Step(At(now), setup.m_desired)) {
+      if (const auto* observe = std::get_if<ObserveEngine>(&action)) {
+        rollout.OnObserved(At(now), observe->m_engine, { "1", false, 4 });
+      }
+      requests += std::holds_alternative<RequestOrderNumber>(action) ? 1 : 0;
+    }
+  }
+  cr_assert_geq(requests, 2, "%d", requests);
+}
