--- a/src/include/fulmarquay/control/Rollout.h
+++ b/src/include/fulmarquay/control/Rollout.h
@@ -78,8 +78,8 @@
   Duration m_takeoverWait{};
   /// Interval between observations of an engine that lacks its target.
   Duration m_observeInterval = Duration(1'000'000);
-  /// Consecutive failed orders after which an engine is given up, or gets orders
-  /// less often if it counts them.
+  /// Consecutive failed orders after which an engine is given up, or gets
+  /// orders less often if it counts them.
   int m_maxFailures = 3;
 };
 
