--- a/src/libcontrol/FleetManager.cpp
+++ b/src/libcontrol/FleetManager.cpp
@@ -312,15 +312,19 @@
     }
     WorkerPage page = m_protocol->ParsePage(aAnswer.m_body);
     const std::string next = page.m_next;
+    const std::size_t skipped = m_workers.Skipped();
     const bool isChanged = m_workers.AddPage(std::move(page));
     if (!next.empty()) {
       FetchListPage(next);
       return;
     }
-    if (isChanged || !m_hasList) {
+    const bool mustUpdate = isChanged || !m_hasList;
+    if (mustUpdate || skipped != m_workers.Skipped()) {
       m_context.Log(LogEvent::VmListChanged,
                     { { "workers", std::to_string(m_workers.Workers().size()) },
                       { "skipped", std::to_string(m_workers.Skipped()) } });
+    }
+    if (mustUpdate) {
       m_hasList = true;
       UpdateWorkers();
     }
--- a/src/libcontrol/fleet_test.cpp
+++ b/src/libcontrol/fleet_test.cpp
@@ -312,6 +312,24 @@
   cr_assert_eq(fixture.m_context.m_logged.count(LogEvent::VmListFailed), 1U);
 }
 
+Test(vm_list, entries_that_describe_no_worker_are_logged_when_they_appear)
+{
+  FleetFixture fixture;
+  fixture.m_protocol->m_page.m_workers = { MakeWorker("a", 1) };
+  const auto isLogged = [&](std::size_t aSkipped) {
+    fixture.m_protocol->m_page.m_skipped = aSkipped;
+    fixture.m_context.m_logged.clear();
+    fixture.m_context.m_now += 1'100 * kMillisecond;
+    fixture.m_manager.OnTick();
+    fixture.AnswerLast(200);
+    return fixture.m_context.m_logged.count(LogEvent::VmListChanged) == 1;
+  };
+  cr_assert(isLogged(0));
+  cr_assert_not(isLogged(0));
+  cr_assert(isLogged(1));
+  cr_assert_not(isLogged(1));
+}
+
 Test(vm_list, observed_version_overrides_an_older_list)
 {
   WorkerDirectory workers;
--- a/src/libcore/LogEvent.cpp
+++ b/src/libcore/LogEvent.cpp
@@ -295,7 +295,8 @@
     { LogEvent::VmListChanged,
       "VmListChanged",
       "info",
-      "The VM list added or removed workers or marked them as leaving.",
+      "The VM list added or removed workers or marked them as leaving, or the "
+      "number of its entries that describe no worker changed.",
       "None." },
     { LogEvent::VmListFailed,
       "VmListFailed",
