--- a/src/libcore/Endpoint.cpp
+++ b/src/libcore/Endpoint.cpp
@@ -14,6 +14,9 @@
 IsIp(const std::string& aText)
 {
   std::array<unsigned char, sizeof(in6_addr)> buffer{};
+  if (aText.find('\0') != std::string::npos) {
+    return false;
+  }
   return inet_pton(AF_INET, aText.c_str(), buffer.data()) == 1 ||
          inet_pton(AF_INET6, aText.c_str(), buffer.data()) == 1;
 }
--- a/src/libcore/core_test.cpp
+++ b/src/libcore/core_test.cpp
@@ -9,6 +9,7 @@
 
 #include <set>
 #include <stdexcept>
+#include <string_view>
 #include <unistd.h>
 
 // Included last because its macros clash with names in other headers.
@@ -58,6 +59,10 @@
   { "[one]\nname = a\nwait = 1e300h\n", "out of range" },
   { "[one]\nname = a\nslack = 1,5\n", "[one] slack" },
   { "[one]\nname = a\nslack = 1e9\n", "out of range" },
+  { "[one]\nname = a\nslack = 1e999\n", "[one] slack" },
+  { "[one]\nname = a\nshare = 1e999\n", "[one] share" },
+  { "[one]\nname = a\nroom = 99999999999999999999MiB\n", "[one] room" },
+  { "[one]\nname = a\n[peer.x]\naddress = 10.0.0.1:65536\n", "address" },
   { "[one]\nname = a\nslack = -3\n", "out of range" },
   { "[one]\nname = a\nslack = inf\n", "not a number" },
   { "[one]\nname = a\non = maybe\n", "yes or no" },
@@ -230,3 +235,23 @@
   cr_assert_eq(static_cast<std::size_t>(readBytes) + buffer.Size(),
                bufferedBytes);
 }
+
+Test(endpoint, addresses_with_a_port_out_of_range_or_a_nul_are_rejected)
+{
+  using namespace std::string_view_literals;
+  for (const std::string_view text : { "10.0.0.1:65536"sv,
+                                       "10.0.0.1:99999999999999999999"sv,
+                                       "10.0.0.1:-1"sv,
+                                       "10.0.0.1:+1"sv,
+                                       "10.0.0.1:"sv,
+                                       "10.0.0.1:8 "sv,
+                                       "10.0.0.1\0:8"sv,
+                                       "10.0.0.1\0x:8"sv,
+                                       "10.0.0.1:8\0"sv,
+                                       "[]:8"sv,
+                                       ":8"sv,
+                                       ""sv }) {
+    cr_assert_throw(Endpoint::Parse(text), std::invalid_argument);
+  }
+  cr_assert_eq(Endpoint::Parse("[::1]:65535").ToString(), "[::1]:65535");
+}
