VM list: a worker that is listed twice is one worker

An id that appears twice in the list, on one page or on two, was kept twice. The pushed list then held both entries, and entries and the rollout took whichever came last of an unstable sort: an outdated address or incarnation could replace the current one, and "changed" could alternate.

Cause: the pages were concatenated and sorted by id only.

Change: the newest incarnation of each id is kept; of equal ones, the one that was listed first.

Before the change: fleet_test.cpp: The expression (workers.Workers().size()) == (2U) is false. [FAIL] vm_list::a_worker_listed_twice_is_one_worker.

--- a/src/libcontrol/WorkerDirectory.cpp
+++ b/src/libcontrol/WorkerDirectory.cpp
@@ -5,6 +5,29 @@
 
 namespace fulmarquay {
 
+namespace {
+
+/// Sorts workers by id and keeps the newest incarnation of each; of equal ones,
+/// the one that was listed first.
+void
+SortAndRemoveDuplicates(std::vector<WorkerInfo>& aWorkers)
+{
+  std::stable_sort(aWorkers.begin(),
+                   aWorkers.end(),
+                   [](const WorkerInfo& aLeft, const WorkerInfo& aRight) {
+                     return aLeft.m_id != aRight.m_id
+                              ? aLeft.m_id < aRight.m_id
+                              : aLeft.m_createdMs > aRight.m_createdMs;
+                   });
+  const auto isSame = [](const WorkerInfo& aLeft, const WorkerInfo& aRight) {
+    return aLeft.m_id == aRight.m_id;
+  };
+  aWorkers.erase(std::unique(aWorkers.begin(), aWorkers.end(), isSame),
+                 aWorkers.end());
+}
+
+} // namespace
+
 void
 WorkerDirectory::BeginRefresh()
 {
@@ -23,11 +46,7 @@
     return false;
   }
   m_skipped = m_refreshedSkipped;
-  std::sort(m_refreshed.begin(),
-            m_refreshed.end(),
-            [](const WorkerInfo& aLeft, const WorkerInfo& aRight) {
-              return aLeft.m_id < aRight.m_id;
-            });
+  SortAndRemoveDuplicates(m_refreshed);
   ApplyObservedVersions(m_refreshed);
   const bool isChanged = m_refreshed != m_workers;
   m_workers = std::move(m_refreshed);
