VM list: pages without an end no longer stop the list

A page token that repeats, or ever new tokens, kept the leader in one refresh for ever: it fetched page after page without a pause, collected the workers of each, and never applied the list, so that memory grew and the fleet was not followed.

Cause: a refresh ended only at a page without a token.

The new event VmListCut (2403) is logged with the token.

--- a/src/include/fulmarquay/core/LogEvent.h
+++ b/src/include/fulmarquay/core/LogEvent.h
@@ -41,6 +41,7 @@
   OrderEnded = 2303,
   VmListChanged = 2401,
   VmListFailed = 2402,
+  VmListCut = 2403,
   PartBlocked = 2411,
   PartReleased = 2412,
   LimitDivided = 2413,
--- a/src/libcontrol/FleetManager.cpp
+++ b/src/libcontrol/FleetManager.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t kMaxRouteDeltas = 32;
 /// The bits below the term count the changes of the worker list in that term.
 constexpr unsigned kTermShiftBits = 24;
+/// A logged page token is cut to this length.
+constexpr std::size_t kMaxLoggedTokenBytes = 100;
 
 } // namespace
 
@@ -314,10 +316,15 @@
     const std::string next = page.m_next;
     const std::size_t skipped = m_workers.Skipped();
     const bool isChanged = m_workers.AddPage(std::move(page));
-    if (!next.empty()) {
+    if (m_workers.IsRefreshing()) {
       FetchListPage(next);
       return;
     }
+    if (m_workers.IsCut()) {
+      m_context.Log(LogEvent::VmListCut,
+                    { { "workers", std::to_string(m_workers.Workers().size()) },
+                      { "token", next.substr(0, kMaxLoggedTokenBytes) } });
+    }
     const bool mustUpdate = isChanged || !m_hasList;
     if (mustUpdate || skipped != m_workers.Skipped()) {
       m_context.Log(LogEvent::VmListChanged,
--- a/src/libcontrol/WorkerDirectory.cpp
+++ b/src/libcontrol/WorkerDirectory.cpp
@@ -33,6 +33,8 @@
 {
   m_refreshed.clear();
   m_refreshedSkipped = 0;
+  m_tokens.clear();
+  m_isRefreshing = true;
 }
 
 bool
@@ -42,9 +44,13 @@
   for (WorkerInfo& worker : aPage.m_workers) {
     m_refreshed.push_back(std::move(worker));
   }
-  if (!aPage.m_next.empty()) {
+  const bool hasNext = !aPage.m_next.empty();
+  m_isRefreshing = hasNext && m_tokens.size() + 1 < kMaxPages &&
+                   m_tokens.insert(aPage.m_next).second;
+  if (m_isRefreshing) {
     return false;
   }
+  m_isCut = hasNext;
   m_skipped = m_refreshedSkipped;
   SortAndRemoveDuplicates(m_refreshed);
   ApplyObservedVersions(m_refreshed);
--- a/src/libcontrol/fleet_test.cpp
+++ b/src/libcontrol/fleet_test.cpp
@@ -330,6 +330,38 @@
   cr_assert_not(isLogged(1));
 }
 
+Test(vm_list, pages_without_an_end_do_not_stop_the_list)
+{
+  constexpr std::size_t kCallLimit = 1'000;
+  for (const bool isRepeated : { true, false }) {
+    FleetFixture fixture;
+    fixture.m_protocol->m_page.m_workers = { MakeWorker("a", 1) };
+    for (int refresh = 0; refresh < 3; ++refresh) {
+      fixture.m_context.m_now += 1'100 * kMillisecond;
+      fixture.m_context.m_calls.clear();
+      fixture.m_manager.OnTick();
+      std::size_t answered = 0;
+      while (answered < fixture.m_context.m_calls.size() &&
+             answered < kCallLimit) {
+        ++answered;
+        fixture.m_protocol->m_page.m_next =
+          isRepeated ? "p" : "p" + std::to_string(answered);
+        fixture.AnswerLast(200);
+      }
+      cr_assert_lt(answered, kCallLimit);
+      cr_assert_geq(answered, 1U, "the list is fetched again");
+      cr_assert_eq(fixture.m_manager.Workers().Workers().size(), 1U);
+    }
+    cr_assert_eq(fixture.m_context.m_logged.count(LogEvent::VmListCut), 1U);
+    fixture.m_protocol->m_page.m_next = "";
+    fixture.m_protocol->m_page.m_workers = { MakeWorker("b", 1) };
+    fixture.m_context.m_now += 1'100 * kMillisecond;
+    fixture.m_manager.OnTick();
+    fixture.AnswerLast(200);
+    cr_assert_eq(fixture.m_manager.Workers().Workers()[0].m_id, WorkerId("b"));
+  }
+}
+
 Test(vm_list, observed_version_overrides_an_older_list)
 {
   WorkerDirectory workers;
--- a/src/libcontrol/vm_list_test.cpp
+++ b/src/libcontrol/vm_list_test.cpp
@@ -38,3 +38,24 @@
     cr_assert(workers.Workers()[0] == newer);
   }
 }
+
+Test(vm_list, pages_with_new_tokens_without_an_end_are_cut)
+{
+  WorkerDirectory workers;
+  for (int refresh = 0; refresh < 2; ++refresh) {
+    workers.BeginRefresh();
+    std::size_t pages = 0;
+    while (workers.IsRefreshing() && pages <= WorkerDirectory::kMaxPages) {
+      ++pages;
+      const std::string number = std::to_string(pages);
+      workers.AddPage({ { MakeWorker("w" + number, 1) }, "p" + number, 0 });
+    }
+    cr_assert_eq(pages, WorkerDirectory::kMaxPages);
+    cr_assert(workers.IsCut());
+    cr_assert_eq(workers.Workers().size(), WorkerDirectory::kMaxPages);
+  }
+  workers.BeginRefresh();
+  cr_assert(workers.AddPage({ { MakeWorker("a", 1) }, "", 0 }));
+  cr_assert_not(workers.IsCut() || workers.IsRefreshing());
+  cr_assert_eq(workers.Workers().size(), 1U);
+}
--- a/src/libcore/LogEvent.cpp
+++ b/src/libcore/LogEvent.cpp
@@ -303,6 +303,13 @@
       "warning",
       "The VM list could not be read; the previous one stays in use.",
       "Check the platform's VM list if it recurs." },
+    { LogEvent::VmListCut,
+      "VmListCut",
+      "warning",
+      "The pages of the VM list repeat or are too many; the workers of the "
+      "pages "
+      "that were read are used.",
+      "Check the page tokens of the platform's VM list." },
     { LogEvent::PartBlocked,
       "PartBlocked",
       "warning",
