Configurations: a store without a usable address is invalid

A configuration whose store had an address other than IP:PORT, or port 0, was accepted and committed.

Cause: FindProblems checked routes and keys, but not the addresses of stores. StoreManager parses them when it polls, and nothing there catches the exception: by reading, each leader would end, and again after each restart, as the configuration is committed. That was not run.

Change: such a configuration gets 400.

Before the change: malformed_test.cpp:215: The expression publish == nullptr || !FindProblems(publish->m_document).empty() is false. [FAIL] route_json::a_store_without_an_address_is_invalid.

--- a/src/libroute/RouteDocument.cpp
+++ b/src/libroute/RouteDocument.cpp
@@ -1,6 +1,9 @@
 #include "fulmarquay/route/RouteDocument.h"
 
+#include "fulmarquay/core/Endpoint.h"
+
 #include <set>
+#include <stdexcept>
 #include <utility>
 
 namespace fulmarquay {
@@ -40,6 +43,16 @@
   }
 }
 
+bool
+IsUsableAddress(const std::string& aText)
+{
+  try {
+    return Endpoint::Parse(aText).Port() != 0;
+  } catch (const std::invalid_argument&) {
+    return false;
+  }
+}
+
 } // namespace
 
 std::vector<std::string>
@@ -56,6 +69,11 @@
                          first->second);
     }
   }
+  for (const auto& [name, pool] : aDocument.m_pools) {
+    if (!pool.m_storeAddress.empty() && !IsUsableAddress(pool.m_storeAddress)) {
+      problems.push_back("store " + name + ": the address is not IP:PORT");
+    }
+  }
   std::map<std::string, std::string> owners;
   for (const auto& [name, account] : aDocument.m_accounts) {
     for (const std::string& hash : account.m_keyHashes) {
