Chat requests and engine answers: nesting is limited

A chat request, or an answer of an engine or store of the project's own interface, was parsed at any depth of nesting. Each level takes two bytes of text and an allocation: a trial program that parsed 4 MB of brackets grew by 143 MB. It did not overflow the stack: the parser and the destruction of its values are iterative.

Change: the depth is checked with CheckJsonDepth before parsing, as in the platform's adapter. A chat request beyond it is refused as malformed.

--- a/src/libserve/ChatRequest.cpp
+++ b/src/libserve/ChatRequest.cpp
@@ -1,6 +1,7 @@
 #include "fulmarquay/serve/ChatRequest.h"
 
 #include "fulmarquay/core/Error.h"
+#include "fulmarquay/wire/JsonText.h"
 
 #include <nlohmann/json.hpp>
 
@@ -72,6 +73,7 @@
 ChatRequest
 ParseChatRequest(const std::string& aBody)
 {
+  CheckJsonDepth(kStep, aBody);
   Json body;
   try {
     body = Json::parse(aBody);
--- a/src/libupstream/EngineProtocol.cpp
+++ b/src/libupstream/EngineProtocol.cpp
@@ -1,6 +1,7 @@
 #include "fulmarquay/upstream/EngineProtocol.h"
 
 #include "fulmarquay/core/Error.h"
+#include "fulmarquay/wire/JsonText.h"
 
 #include <nlohmann/json.hpp>
 
@@ -16,6 +17,7 @@
 Json
 ParseJson(std::string_view aText, const char* aStep)
 {
+  CheckJsonDepth(aStep, aText);
   try {
     return Json::parse(aText);
   } catch (const Json::exception& e) {
--- a/src/libupstream/StoreProtocol.cpp
+++ b/src/libupstream/StoreProtocol.cpp
@@ -1,6 +1,7 @@
 #include "fulmarquay/upstream/StoreProtocol.h"
 
 #include "fulmarquay/core/Error.h"
+#include "fulmarquay/wire/JsonText.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -62,6 +63,7 @@
                             const std::string& aBody) const override
   {
     try {
+      CheckJsonDepth("read store listing", aBody);
       const Json body = Json::parse(aBody);
       StoreListing listing;
       listing.m_nextPageAfter = body.at("after");
--- a/src/libupstream/upstream_test.cpp
+++ b/src/libupstream/upstream_test.cpp
@@ -139,3 +139,32 @@
   cr_assert_neq(StandinAnswer("a", 4), StandinAnswer("b", 4));
   cr_assert_neq(StandinTokenText("a", 0), StandinTokenText("a", 1));
 }
+
+Test(upstreams, deeply_nested_answers_are_errors)
+{
+  constexpr std::size_t kDepth = 200'000;
+  const std::string nested =
+    std::string(kDepth, '[') + std::string(kDepth, ']');
+  const auto engines = MakeJsonEngineProtocol();
+  const auto stores = MakeHttpStoreProtocol();
+  const auto stream = engines->OpenStream();
+  for (const std::string& value : { nested, std::string("1e999") }) {
+    const std::string line =
+      R"({"request":"r","attempt":1,"index":0,"text":"a",)"
+      R"("x":)" +
+      value + "}\n";
+    cr_assert_throw(stream->Feed(line), Error);
+    cr_assert_throw(engines->ParseExport(R"({"blocks":[],"x":)" + value + "}"),
+                    Error);
+    cr_assert_throw(
+      engines->ParseReport(
+        R"({"next":1,"first":1,"running":0,"queued_tokens":0,"weights":"w",)"
+        R"("leaving":false,"events":[],"x":)" +
+        value + "}"),
+      Error);
+    cr_assert_throw(
+      stores->ParseListing(StoreId("s"),
+                           R"({"after":"","blocks":[],"x":)" + value + "}"),
+      Error);
+  }
+}
