--- a/src/libcontrol/NewestWeights.cpp
+++ b/src/libcontrol/NewestWeights.cpp
@@ -61,12 +61,12 @@
                              const std::string& aModel,
                              std::int64_t aVersion) const
 {
-  if (aVersion >= NewestOf(aModel)) {
+  const auto found = m_models.find(aModel);
+  if (found == m_models.end() || aVersion >= found->second.m_newest) {
     return Duration(0);
   }
   std::optional<Duration> shortest;
-  for (const auto& [version, time] :
-       m_models.at(aModel).m_notSupersededBefore) {
+  for (const auto& [version, time] : found->second.m_notSupersededBefore) {
     if (version <= aVersion) {
       const Duration age = std::max(aNow - time, Duration(0));
       shortest = std::min(shortest.value_or(age), age);
--- a/src/libserve/relay_test.cpp
+++ b/src/libserve/relay_test.cpp
@@ -432,6 +432,21 @@
   }
 }
 
+Test(relay, a_service_without_models_is_served_while_weights_are_named)
+{
+  for (const std::int64_t named : { -1, 3 }) {
+    Entry entry;
+    entry.m_protocol.m_model = "";
+    WorkerInfo worker = Worker("w1", 1);
+    worker.m_weights.clear();
+    entry.SetWorkers({ worker }, named);
+    entry.SendRequest("/idempotent/x");
+    cr_assert_eq(entry.m_protocol.m_sentParameters.back().m_weights, -1);
+    entry.Answer(200, "p", "");
+    cr_assert_eq(entry.m_status, 200);
+  }
+}
+
 Test(relay, retries_are_bounded_by_the_budget)
 {
   Entry entry;
--- a/src/libserve/relay_test.h
+++ b/src/libserve/relay_test.h
@@ -31,7 +31,7 @@
     request.m_host = "h";
     request.m_path = aRequest.m_target;
     request.m_key = FindHeader(aRequest.m_headers, "key");
-    request.m_model = "m";
+    request.m_model = m_model;
     request.m_promptTokens = 100;
     request.m_parts = { { "shared", 80 }, { "own", 20 } };
     const std::string lastEventId = FindHeader(aRequest.m_headers, "last");
@@ -81,6 +81,7 @@
     return response;
   }
 
+  std::string m_model = "m"; ///< of the decoded requests
   mutable std::vector<DispatchParameters> m_sentParameters;
 };
 
