REFUSED: an answer without an id is no proof on a kept connection

Report of another operator: a faulty worker wrote an earlier refusal once more on a kept connection. Callers could be told "not run" for a request that the worker was running, or the entry sent it to a second worker.

Cause: on a kept connection HttpClient accepted an error answer without the correlation header as the answer of the current call, as a peer may send an error before it has read the headers. A late copy of an earlier refusal looks the same. The same holds after an answer to another request was skipped on a new connection, and for an answer with two ids.

Change: an answer is bound to its request by the header, or by being the first one on a new connection. Any other is skipped; if the connection ends with it, the outcome is unknown. A request whose caller sent no id uses a connection of its own, so that its refusal, which bears no id either, is still accepted at once.

--- a/src/include/fulmarquay/wire/HttpClient.h
+++ b/src/include/fulmarquay/wire/HttpClient.h
@@ -65,9 +65,10 @@
   /// (see SetPeerTimeout); 0 disables it.
   Duration m_peerTimeout{};
   /// Header that identifies the response to this request. A response with
-  /// another value belongs to an earlier request on the connection and is
-  /// dropped. One without the header is accepted, but on a kept connection only
-  /// if it reports an error. An empty name disables the check.
+  /// another value belongs to an earlier request and is dropped. One without
+  /// the header is accepted only as the first response on a new connection. An
+  /// empty name disables the check; an empty value, which identifies nothing,
+  /// keeps the call off kept connections.
   HttpHeader m_correlationHeader;
 };
 
--- a/src/libwire/HttpClient.cpp
+++ b/src/libwire/HttpClient.cpp
@@ -36,7 +36,6 @@
 /// call fails.
 constexpr int kMaxSkippedResponses = 4;
 constexpr unsigned kFirstFinalStatus = 200; ///< lower ones are interim
-constexpr unsigned kFirstErrorStatus = 400;
 /// An idle connection is reused only for this fraction of the keep-alive
 /// timeout announced by its peer, well before the peer may close it.
 constexpr int kIdleReuseDivisor = 2;
@@ -110,7 +109,8 @@
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::array<char, kReadBufferBytes> m_bodyBuffer{};
     bool m_isSendStarted = false;
-    bool m_isConnectionKept = false; ///< the connection had earlier calls
+    /// Responses to earlier requests may still arrive on the connection.
+    bool m_mayReceiveEarlierResponse = false;
     /// The response being read is interim or belongs to an earlier request.
     bool m_isSkippedResponse = false;
     int m_skippedResponses = 0;
@@ -120,8 +120,10 @@
     /// Whether a response to an earlier request would be recognized.
     bool MayUseKeptConnection() const
     {
-      return !m_call.m_correlationHeader.m_name.empty() ||
-             m_call.m_isContentChecked;
+      const HttpHeader& header = m_call.m_correlationHeader;
+      const bool isCorrelated =
+        !header.m_name.empty() && !header.m_value.empty();
+      return isCorrelated || m_call.m_isContentChecked;
     }
   };
   using ActiveCallPtr = std::shared_ptr<ActiveCall>;
@@ -212,7 +214,7 @@
   active->m_startedAt = MonotonicNow();
   if (active->MayUseKeptConnection() && !active->m_call.m_isProbe) {
     active->m_connection = TakeIdle(active->m_call.m_peer);
-    active->m_isConnectionKept = active->m_connection != nullptr;
+    active->m_mayReceiveEarlierResponse = active->m_connection != nullptr;
   }
   if (active->m_connection) {
     WriteRequest(active);
@@ -256,14 +258,15 @@
   if (expected.m_name.empty()) {
     return false;
   }
-  const auto found = response.find(expected.m_name);
-  if (found != response.end()) {
-    return found->value() != expected.m_value;
+  const auto [first, last] = response.equal_range(expected.m_name);
+  if (first != last) {
+    return std::any_of(first, last, [&](const auto& aField) {
+      return aField.value() != expected.m_value;
+    });
   }
-  // A peer may send an error before it has read the request headers. Any other
-  // response without the header may be a copy of an earlier one.
-  const bool isError = response.result_int() >= kFirstErrorStatus;
-  return aActive.m_isConnectionKept && !isError;
+  // A peer may send an error before it has read the request headers. Where an
+  // earlier response may arrive, nothing shows which request it answers.
+  return aActive.m_mayReceiveEarlierResponse;
 }
 
 void
@@ -345,6 +348,9 @@
       }
       aActive->m_isSkippedResponse = IsSkippedResponse(*aActive);
       if (aActive->m_isSkippedResponse) {
+        const bool isFinal =
+          aActive->m_parser->get().result_int() >= kFirstFinalStatus;
+        aActive->m_mayReceiveEarlierResponse |= isFinal;
         if (++aActive->m_skippedResponses > kMaxSkippedResponses) {
           self->Fail(aActive, http::error::unexpected_body);
         } else {
--- a/src/libwire/http_client_test.cpp
+++ b/src/libwire/http_client_test.cpp
@@ -310,6 +310,83 @@
   cr_assert_eq(client.m_body, "other");
 }
 
+Test(http_client, copy_of_an_earlier_refusal_is_not_the_answer_of_the_next_call)
+{
+  const auto refusal = [](const std::string& aHeader) {
+    return "HTTP/1.1 503 Busy\r\n" + aHeader +
+           "Not-Executed: 1\r\nContent-Length: 4\r\n\r\nbusy";
+  };
+  const std::vector<std::string> copies = {
+    refusal(""),
+    refusal("Request-Id: 1\r\n"),
+    refusal("Request-Id: 2\r\nRequest-Id: 1\r\n"),
+    "HTTP/1.1 100 Continue\r\n\r\n" + refusal(""),
+  };
+  for (const std::string& copy : copies) {
+    const ScriptedServer server(
+      { ResponseText("1", "a"), copy + ResponseText("2", "own") });
+    TestClient client;
+    client.Call(CallTo(server, "1"));
+    client.Call(CallTo(server, "2"));
+    cr_assert_eq(client.m_status, 200, "%s", copy.c_str());
+    cr_assert_eq(client.m_body, "own");
+    cr_assert_eq(server.Connections(), 1);
+  }
+  // An answer of another request shows that the peer repeats answers.
+  const ScriptedServer fresh(
+    { ResponseText("0", "late") + refusal("") + ResponseText("1", "own") });
+  TestClient client;
+  client.Call(CallTo(fresh, "1"));
+  cr_assert_eq(client.m_body, "own");
+}
+
+Test(http_client, unproved_refusal_that_ends_a_kept_connection_is_incomplete)
+{
+  const ScriptedServer server(
+    { ResponseText("1", "a"),
+      "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nConnection: close\r\n"
+      "Content-Length: 0\r\n\r\n" });
+  TestClient client;
+  client.Call(CallTo(server, "1"));
+  client.Call(CallTo(server, "2"));
+  cr_assert_eq(client.m_status, 0);
+  cr_assert_eq(client.m_end, CallResult::Incomplete);
+}
+
+Test(http_client, proved_refusal_is_delivered_at_once)
+{
+  const std::string ending = "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  const ScriptedServer kept(
+    { ResponseText("1", "a"),
+      "HTTP/1.1 503 Busy\r\nRequest-Id: 2\r\n" + ending });
+  TestClient client;
+  client.Call(CallTo(kept, "1"));
+  client.Call(CallTo(kept, "2"));
+  cr_assert_eq(client.m_status, 503);
+  cr_assert_eq(client.m_end, CallResult::Complete);
+  cr_assert_eq(kept.Connections(), 1);
+  const ScriptedServer fresh({ "HTTP/1.1 400 Bad Request\r\n" + ending });
+  client.Call(CallTo(fresh, "3"));
+  cr_assert_eq(client.m_status, 400);
+  cr_assert_eq(client.m_end, CallResult::Complete);
+}
+
+Test(http_client, request_without_an_id_uses_its_own_connection)
+{
+  const ScriptedServer server(
+    { ResponseText("1", "a", "Keep-Alive: timeout=60\r\n"), "" });
+  TestClient client;
+  client.Call(CallTo(server, "1"));
+  const ScriptedServer other({ "HTTP/1.1 400 Bad Request\r\n"
+                               "Content-Length: 0\r\n\r\n",
+                               ResponseText("2", "b") });
+  client.Call(CallTo(other, ""));
+  cr_assert_eq(client.m_status, 400);
+  client.Call(CallTo(other, "2"));
+  cr_assert_eq(other.Connections(), 2);
+  client.Call(CallTo(server, "3"));
+}
+
 Test(http_client, response_without_end_is_bounded_in_bytes)
 {
   constexpr std::size_t kLimit = 1U << 20U;
