REFUSED: a request returns to an address on a new connection

A request that was refused with 421 may be sent to the same address again: the lagging list contains the former worker of an address beside the present one. On the kept connection, a late copy of the first refusal has the id of the request and is taken for the answer of the second send, which the worker runs: the caller is told "not run", or a third worker gets the request.

Cause: the correlation header tells requests apart, not sends of one request. RelayFlow only excluded workers by their id, not connections.

Change: RelayFlow remembers the addresses that a request was sent to, and HttpCall states when a call needs a new connection. Refused requests that go to another address still use kept connections.

Measured: with the field but without its effect, refusals/a_request_returns_to_an_address_on_a_new_connection failed (the second call to the address asked for no new connection), and http_client/copy_of_a_refusal_is_not_the_answer_of_the_same_request_sent_again failed (the second call used the first connection and timed out after 5 s).

--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -149,6 +149,7 @@
     PoolId m_pool;
     WorkerId m_worker;
     std::set<WorkerId> m_triedWorkers;
+    std::set<Endpoint> m_triedAddresses;
     std::set<std::string> m_stores; ///< stores and workers it fetches from
     TimePoint m_sentAt;
     CallId m_call;
--- a/src/include/fulmarquay/wire/HttpClient.h
+++ b/src/include/fulmarquay/wire/HttpClient.h
@@ -58,6 +58,9 @@
   /// with neither this nor a correlation header use a connection of their own,
   /// because a second copy of an earlier response may arrive on a kept one.
   bool m_isContentChecked = false;
+  /// The same request may have been sent to this address before. On a kept
+  /// connection, a copy of its earlier response would look like the new one.
+  bool m_needsNewConnection = false;
   /// Checks only whether the peer accepts a connection, without sending the
   /// request. Ends as Complete or NotSent.
   bool m_isProbe = false;
--- a/src/libserve/RelayDispatch.cpp
+++ b/src/libserve/RelayDispatch.cpp
@@ -444,6 +444,9 @@
   call.m_connectTimeout = std::min(kConnectTimeout, parameters.m_timeLeft);
   call.m_peerTimeout = kPeerTimeout;
   call.m_correlationHeader = m_protocol.CorrelationHeader(aActive.m_request);
+  // The list may contain the former worker of an address beside the present.
+  call.m_needsNewConnection =
+    !aActive.m_triedAddresses.insert(aWorker.m_address).second;
   m_limiter.OnSent(m_context.Now(), aWorker.m_info);
   aActive.m_worker = aWorker.m_info.m_id;
   aActive.m_triedWorkers.insert(aActive.m_worker);
--- /dev/null
+++ b/src/libserve/relay_refusals_test.cpp
@@ -0,0 +1,53 @@
+// Tests of RelayFlow: which refusals of workers count as "not run".
+#include "relay_test.h"
+
+// Included last because its macros clash with names in other headers.
+#include <criterion/criterion.h>
+
+using namespace fulmarquay;
+using namespace fulmarquay::testing;
+
+namespace {
+
+/// A worker at the port that is given, with the address of Worker().
+WorkerInfo
+WorkerAt(const std::string& aId, const std::string& aAddress)
+{
+  WorkerInfo worker = Worker(aId, 1);
+  worker.m_address = aAddress;
+  return worker;
+}
+
+} // namespace
+
+Test(refusals, a_request_returns_to_an_address_on_a_new_connection)
+{
+  // The list still contains the former worker at this address.
+  Entry entry;
+  entry.SetWorkers(
+    { WorkerAt("w1", "10.0.0.1:1"), WorkerAt("w2", "10.0.0.1:1") });
+  entry.SendRequest("/once/x");
+  cr_assert_not(entry.m_calls.back().m_needsNewConnection);
+  entry.Answer(421, "m", "");
+  cr_assert_eq(entry.m_calls.size(), 2U);
+  cr_assert(entry.m_calls.back().m_needsNewConnection);
+  Entry other;
+  other.SetWorkers(
+    { WorkerAt("w1", "10.0.0.1:1"), WorkerAt("w2", "10.0.0.1:2") });
+  other.SendRequest("/once/x");
+  other.Answer(503, "n", "");
+  cr_assert_eq(other.m_calls.size(), 2U);
+  cr_assert_not(other.m_calls.back().m_needsNewConnection);
+}
+
+Test(refusals, a_broken_refusal_is_not_believed)
+{
+  for (const CallResult end :
+       { CallResult::Incomplete, CallResult::TimedOut }) {
+    Entry entry;
+    entry.SendRequest("/once/x");
+    entry.Answer(503, "n", "bu", end);
+    cr_assert_eq(entry.m_calls.size(), 1U);
+    cr_assert_eq(entry.m_status, 502);
+  }
+}
--- a/src/libwire/HttpClient.cpp
+++ b/src/libwire/HttpClient.cpp
@@ -212,7 +212,9 @@
   request.prepare_payload();
   m_activeCalls[active->m_call.m_call] = active;
   active->m_startedAt = MonotonicNow();
-  if (active->MayUseKeptConnection() && !active->m_call.m_isProbe) {
+  const bool needsNewConnection =
+    active->m_call.m_needsNewConnection || active->m_call.m_isProbe;
+  if (active->MayUseKeptConnection() && !needsNewConnection) {
     active->m_connection = TakeIdle(active->m_call.m_peer);
     active->m_mayReceiveEarlierResponse = active->m_connection != nullptr;
   }
--- a/src/libwire/http_client_test.cpp
+++ b/src/libwire/http_client_test.cpp
@@ -387,6 +387,42 @@
   client.Call(CallTo(server, "3"));
 }
 
+Test(http_client,
+     copy_of_a_refusal_is_not_the_answer_of_the_same_request_sent_again)
+{
+  asio::io_context context;
+  tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+  const Endpoint address("127.0.0.1", acceptor.local_endpoint().port());
+  const std::string refusal =
+    "HTTP/1.1 421 Misdirected\r\nRequest-Id: 1\r\n"
+    "Keep-Alive: timeout=60\r\nContent-Length: 0\r\n\r\n";
+  std::thread server([&] {
+    std::string input;
+    boost::system::error_code error;
+    tcp::socket first = acceptor.accept();
+    asio::read_until(first, asio::dynamic_buffer(input), "\r\n\r\n", error);
+    asio::write(first, asio::buffer(refusal), error);
+    tcp::socket second = acceptor.accept();
+    asio::read_until(second, asio::dynamic_buffer(input), "\r\n\r\n", error);
+    asio::write(second, asio::buffer(ResponseText("1", "ran")), error);
+  });
+  TestClient client;
+  HttpCall call;
+  call.m_peer = address;
+  call.m_correlationHeader = { "Request-Id", "1" };
+  client.Call(call);
+  cr_assert_eq(client.m_status, 421);
+  call.m_needsNewConnection = true;
+  call.m_idleTimeout = Duration(5'000'000);
+  client.Call(call);
+  cr_expect_eq(client.m_body, "ran");
+  // Lets the server end where the call used the first connection.
+  tcp::socket last(context);
+  last.connect({ asio::ip::make_address("127.0.0.1"), address.Port() });
+  last.close();
+  server.join();
+}
+
 Test(http_client, response_without_end_is_bounded_in_bytes)
 {
   constexpr std::size_t kLimit = 1U << 20U;
