TWICE: a success that claims not to have run is not sent again

A response with a success status and the "not run" header contradicts itself. RelayFlow believed the header at the end of the response: a request that may not be repeated went to a second worker although the first had sent its answer, and of a stream whose events the caller already had, a second run followed.

Cause: OnEnd looked at the statement only, not at the status that it came with.

Change: the statement counts with a failure only.

--- a/src/libserve/RelayResponses.cpp
+++ b/src/libserve/RelayResponses.cpp
@@ -310,7 +310,8 @@
   if (aEnd == CallResult::NotSent) {
     OnNotSent(*active, aReason);
   } else if (aEnd == CallResult::Complete &&
-             active->m_workerHead.m_isNotExecuted) {
+             active->m_workerHead.m_isNotExecuted &&
+             !active->m_workerHead.IsSuccess()) {
     OnNotExecuted(*active);
   } else if (aEnd == CallResult::Complete) {
     OnComplete(*active);
--- a/src/libserve/relay_refusals_test.cpp
+++ b/src/libserve/relay_refusals_test.cpp
@@ -40,6 +40,18 @@
   cr_assert_not(other.m_calls.back().m_needsNewConnection);
 }
 
+Test(refusals, a_success_that_claims_not_to_have_run_is_not_repeated)
+{
+  for (const char* flags : { "pn", "psn" }) {
+    Entry entry;
+    entry.SendRequest("/stream/x");
+    entry.Answer(200, flags, "id: 1\ndata: a\n\n");
+    cr_assert_eq(entry.m_calls.size(), 1U, "%s", flags);
+    cr_assert_eq(entry.m_answers, 1);
+    cr_assert_eq(entry.m_body, "id: 1\ndata: a\n\n");
+  }
+}
+
 Test(refusals, a_broken_refusal_is_not_believed)
 {
   for (const CallResult end :
