REFUSED: a refusal without its proof is no promise to the caller

A worker's 408, 429 or 503 without the statement that it did not run the request was passed on unchanged. Callers read these statuses as "not run, try again", while the protocol leaves open whether the worker ran it, so that a request that may not be repeated could run again.

Cause: OnComplete treats every failure without the statement as the worker's own answer.

Change: for a request that may not be repeated, such an answer ends as 502, which promises nothing. Requests that may be repeated get the worker's status as before, and refusals with the statement are still believed at once.

--- a/src/libserve/RelayResponses.cpp
+++ b/src/libserve/RelayResponses.cpp
@@ -22,6 +22,14 @@
 /// Unreachable workers tried per request before it is refused.
 constexpr int kMaxUnreachedWorkers = 3;
 
+/// Whether callers take a status as the statement that the request was not run.
+bool
+MeansNotRun(int aStatus)
+{
+  return aStatus == kStatusRequestTimeout || aStatus == kStatusMisdirected ||
+         aStatus == kStatusTooManyRequests || aStatus == kStatusUnavailable;
+}
+
 } // namespace
 
 RelayFlow::ActiveRequest*
@@ -356,6 +364,11 @@
     Place(aActive);
     return;
   }
+  const bool mayRepeat = aActive.m_rule.IsIdempotent() || MayResume(aActive);
+  if (!mayRepeat && MeansNotRun(workerHead.m_status)) {
+    Fail(aActive, kStatusBadGateway, "the worker may have run the request");
+    return;
+  }
   Finish(aActive, workerHead.m_status);
 }
 
--- a/src/libserve/relay_refusals_test.cpp
+++ b/src/libserve/relay_refusals_test.cpp
@@ -40,6 +40,25 @@
   cr_assert_not(other.m_calls.back().m_needsNewConnection);
 }
 
+Test(refusals, an_unproved_refusal_of_a_request_that_may_not_be_repeated)
+{
+  for (const char* path : { "/once/x", "/stream/x" }) {
+    for (const int status : { 408, 429, 503 }) {
+      Entry entry;
+      entry.SendRequest(path);
+      entry.Answer(status, "p", "busy");
+      cr_assert_eq(entry.m_status, 502, "%s %d", path, status);
+      cr_assert_eq(entry.m_calls.size(), 1U);
+      Entry refusing;
+      refusing.SendRequest(path);
+      refusing.Answer(status, "n", "busy");
+      cr_assert_eq(refusing.m_calls.size(), 2U);
+      refusing.Answer(status, "n", "busy");
+      cr_assert_eq(refusing.m_status, 503);
+    }
+  }
+}
+
 Test(refusals, a_success_that_claims_not_to_have_run_is_not_repeated)
 {
   for (const char* flags : { "pn", "psn" }) {
