REFUSED: a prompt that an engine may have run is not reported as not run

In the own interface, a caller was told "not_run" for a prompt whose engine had received it and then broke off, timed out or failed before the head of its answer.

Cause: ChatFlow took only the head of a success as evidence that the prompt may have run.

Change: after an attempt that reached an engine, "not run" needs a whole refusal. An error of the engine, a break and a timeout leave the outcome unknown, also where a later attempt is refused for its load.

Measured: before the change streams/a_prompt_that_may_have_run_is_not_reported_as_not_run failed at its first case ("no answer": outcome not_run, expected unknown); after it all six cases passed. A refusal and an unreached engine are reported as not run, as before.

--- a/src/libserve/ChatFlow.cpp
+++ b/src/libserve/ChatFlow.cpp
@@ -219,7 +219,7 @@
 {
   m_context.Refuse(aRun.m_caller,
                    { 503,
-                     "not_run",
+                     aRun.m_mayHaveRun ? "unknown" : "not_run",
                      "admit prompt",
                      "its first token would come after the deadline",
                      std::max(aExcess, kRetryAfter) });
@@ -468,6 +468,11 @@
   }
   const bool isRefused =
     aEnd == CallResult::Complete && run->m_status != kStatusOk;
+  // An engine that was reached has not run the prompt only if it refused it.
+  const bool isNotRun = aEnd == CallResult::NotSent ||
+                        (isRefused && (run->m_status < kStatusServerError ||
+                                       run->m_status == kStatusUnavailable));
+  run->m_mayHaveRun = run->m_mayHaveRun || !isNotRun;
   m_context.Log(LogEvent::UpstreamFailed,
                 { { "engine", run->m_engine.Value() },
                   { "why", aReason },
--- a/src/libserve/serve_test.cpp
+++ b/src/libserve/serve_test.cpp
@@ -701,6 +701,45 @@
   cr_assert_eq(result.m_text.find("[DONE]"), std::string::npos);
 }
 
+Test(streams, a_prompt_that_may_have_run_is_not_reported_as_not_run)
+{
+  struct Case
+  {
+    const char* m_name;
+    int m_status;
+    CallResult m_end;
+    const char* m_outcome;
+  };
+  const std::vector<Case> cases = {
+    { "no answer", 0, CallResult::Incomplete, "unknown" },
+    { "no answer in time", 0, CallResult::TimedOut, "unknown" },
+    { "refusal that is reset", 503, CallResult::Incomplete, "unknown" },
+    { "error", 500, CallResult::Complete, "unknown" },
+    { "refusal", 503, CallResult::Complete, "not_run" },
+    { "no connection", 0, CallResult::NotSent, "not_run" },
+  };
+  for (const Case& each : cases) {
+    EntryHarness entry;
+    entry.SendRequest(1, MakePrompt());
+    auto calls = entry.TakeCalls("/generate");
+    cr_assert_eq(calls.size(), 1U);
+    SimulateAttempt(entry, calls[0], each.m_status, "", each.m_end);
+    // The other attempts reach no engine.
+    for (calls = entry.TakeCalls("/generate"); !calls.empty();
+         calls = entry.TakeCalls("/generate")) {
+      SimulateAttempt(entry, calls[0], 0, "", CallResult::NotSent);
+      entry.AdvanceTime(3000);
+    }
+    const auto result = entry.ResultOf(1);
+    cr_assert_eq(result.m_status, 503, "%s", each.m_name);
+    cr_assert_neq(result.m_text.find(each.m_outcome),
+                  std::string::npos,
+                  "%s: %s",
+                  each.m_name,
+                  result.m_text.c_str());
+  }
+}
+
 Test(once, call_is_sent_once_after_its_grant)
 {
   EntryHarness entry;
