REFUSED: a service call that may have run is not reported as not run

A call of a safe method that broke off and was repeated was reported as "not_run" if the repetition reached no address of the service, although the first attempt may have run.

Cause: EndPlainCall judged the last attempt only.

Change: ServiceFlow remembers over all attempts whether one may have run.

Measured: before the change services/a_call_that_may_have_run_is_not_reported_as_not_run failed (outcome not_run, expected unknown); after it the test passed. Calls that may not be repeated were not affected: they have one attempt.

--- a/src/include/fulmarquay/serve/ServiceFlow.h
+++ b/src/include/fulmarquay/serve/ServiceFlow.h
@@ -56,6 +56,7 @@
     std::size_t m_addressIndex = 0; ///< modulo the number of addresses
     int m_attempts = 0;
     bool m_isSending = false; ///< a byte may have been sent
+    bool m_mayHaveRun = false;
     HttpResponse m_answer;
   };
 
--- a/src/libserve/ServiceFlow.cpp
+++ b/src/libserve/ServiceFlow.cpp
@@ -252,6 +252,7 @@
   m_context.Log(
     LogEvent::UpstreamFailed,
     { { "service", run.m_service.m_id.Value() }, { "why", aReason } });
+  run.m_mayHaveRun = run.m_mayHaveRun || aEnd != CallResult::NotSent;
   const bool mayRetry =
     aEnd == CallResult::NotSent || IsSafeMethod(run.m_request.m_method);
   const bool hasAttemptsLeft =
@@ -261,7 +262,7 @@
     Send(aId);
     return;
   }
-  const bool isNotRun = aEnd == CallResult::NotSent;
+  const bool isNotRun = !run.m_mayHaveRun;
   Refuse(run,
          { 502,
            isNotRun ? "not_run" : "unknown",
--- a/src/libserve/serve_test.cpp
+++ b/src/libserve/serve_test.cpp
@@ -804,6 +804,24 @@
   cr_assert_neq(result.m_text.find("\"not_run\""), std::string::npos);
 }
 
+Test(services, a_call_that_may_have_run_is_not_reported_as_not_run)
+{
+  EntryHarness entry;
+  HttpRequest request;
+  request.m_method = "GET";
+  request.m_target = "/v1/services/till/stock";
+  entry.SendRequest(1, std::move(request));
+  auto calls = entry.TakeCalls("/stock");
+  cr_assert_eq(calls.size(), 1U);
+  SimulateAttempt(entry, calls[0], 0, "", CallResult::Incomplete);
+  calls = entry.TakeCalls("/stock");
+  cr_assert_eq(calls.size(), 1U);
+  SimulateAttempt(entry, calls[0], 0, "", CallResult::NotSent);
+  const auto result = entry.ResultOf(1);
+  cr_assert_eq(result.m_status, 502);
+  cr_assert_neq(result.m_text.find("unknown"), std::string::npos);
+}
+
 Test(drain, stops_after_the_running_requests)
 {
   EntryHarness entry;
