--- a/src/include/fulmarquay/serve/EventStreamSplitter.h
+++ b/src/include/fulmarquay/serve/EventStreamSplitter.h
@@ -19,22 +19,23 @@
   /// earlier.
   void StartAfter(std::int64_t aEventId) { m_lastId = aEventId; }
 
-  /// Adds bytes; returns the events that are now complete, up to the first one
-  /// that repeats an earlier id.
+  /// Adds bytes; returns the events that are now complete, up to the first
+  /// invalid one.
   std::string Feed(std::string_view aBytes);
 
   /// Discards what is left of an answer after its worker failed.
   void DropPartial()
   {
     m_partial.clear();
-    m_hasRepeatedId = false;
+    m_hasInvalidEvent = false;
   }
 
   /// Id of the last complete event, of earlier answers too; -1 before the first
   /// one.
   std::int64_t LastId() const { return m_lastId; }
-  /// Whether an event had the id of an earlier one or a lower one.
-  bool HasRepeatedId() const { return m_hasRepeatedId; }
+  /// Whether an event had the id of an earlier one or a lower one, or contained
+  /// the head of another answer.
+  bool HasInvalidEvent() const { return m_hasInvalidEvent; }
   bool HasPartial() const { return !m_partial.empty(); }
   /// Size of the incomplete event that is held.
   std::size_t PartialBytes() const { return m_partial.size(); }
@@ -46,7 +47,7 @@
 
   std::string m_partial;
   std::int64_t m_lastId = -1;
-  bool m_hasRepeatedId = false;
+  bool m_hasInvalidEvent = false;
 };
 
 } // namespace fulmarquay
--- a/src/libserve/EventStreamSplitter.cpp
+++ b/src/libserve/EventStreamSplitter.cpp
@@ -8,6 +8,23 @@
 
 constexpr std::string_view kEventEnd = "\n\n";
 constexpr std::string_view kIdField = "id:";
+constexpr std::string_view kHttpVersion = "HTTP/1.";
+
+/// Whether a line ends with the status line of an HTTP response. The lines of
+/// events end without a carriage return, so that a quotation is none.
+bool
+ContainsResponseHead(std::string_view aEvent)
+{
+  std::size_t position = aEvent.find(kHttpVersion);
+  while (position != std::string_view::npos) {
+    const std::size_t lineEnd = aEvent.find('\n', position);
+    if (aEvent[lineEnd - 1] == '\r') {
+      return true;
+    }
+    position = aEvent.find(kHttpVersion, lineEnd);
+  }
+  return false;
+}
 
 } // namespace
 
@@ -18,16 +35,18 @@
   std::size_t searchFrom = m_partial.empty() ? 0 : m_partial.size() - 1;
   m_partial += aBytes;
   std::size_t complete = 0;
-  while (!m_hasRepeatedId) {
+  while (!m_hasInvalidEvent) {
     const std::size_t end = m_partial.find(kEventEnd, searchFrom);
     if (end == std::string::npos) {
       break;
     }
     const std::size_t next = end + kEventEnd.size();
-    if (ReadId(std::string_view(m_partial).substr(complete, next - complete))) {
+    const std::string_view event =
+      std::string_view(m_partial).substr(complete, next - complete);
+    if (!ContainsResponseHead(event) && ReadId(event)) {
       complete = next;
     } else {
-      m_hasRepeatedId = true;
+      m_hasInvalidEvent = true;
     }
     searchFrom = next;
   }
--- a/src/libserve/RelayResponses.cpp
+++ b/src/libserve/RelayResponses.cpp
@@ -273,8 +273,8 @@
     RecordEvents(*active);
     m_context.Emit(WriteCallerStream{ active->m_caller, std::move(events) });
   }
-  if (active->m_eventSplitter.HasRepeatedId()) {
-    AbortCall(*active, "an event comes again");
+  if (active->m_eventSplitter.HasInvalidEvent()) {
+    AbortCall(*active, "an event comes again, or is another answer");
   } else if (active->m_eventSplitter.PartialBytes() > kMaxEventBytes) {
     AbortCall(*active, "an event has no end");
   }
