--- a/src/libwire/HttpServer.cpp
+++ b/src/libwire/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include "fulmarquay/wire/HttpServer.h"
 
+#include "ResponseText.h"
 #include "fulmarquay/core/Error.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -34,35 +35,6 @@
 /// Above this the connection of a slowly reading caller is closed.
 constexpr std::size_t kMaxQueuedBytes = 8U << 20U;
 
-std::string
-StatusLine(int aStatus)
-{
-  const auto status = http::int_to_status(static_cast<unsigned>(aStatus));
-  const auto reason = http::obsolete_reason(status);
-  return "HTTP/1.1 " + std::to_string(aStatus) + " " +
-         std::string(reason.data(), reason.size()) + "\r\n";
-}
-
-std::string
-HeaderLines(const std::vector<HttpHeader>& aHeaders)
-{
-  std::string text;
-  for (const HttpHeader& header : aHeaders) {
-    text += header.m_name + ": " + header.m_value + "\r\n";
-  }
-  return text;
-}
-
-std::string
-EncodeChunk(const std::string& aData)
-{
-  std::string size;
-  for (std::size_t rest = aData.size(); rest > 0; rest >>= 4U) {
-    size.insert(size.begin(), "0123456789abcdef"[rest & 0xFU]);
-  }
-  return size + "\r\n" + aData + "\r\n";
-}
-
 } // namespace
 
 class HttpServer::Impl : public std::enable_shared_from_this<Impl>
