MIXED: an incomplete stream does not look complete to an HTTP/1.0 caller

HTTP/1.0 has no chunks: such a caller reads a response without a length until its connection ends. HttpServer sent it chunks, whose sizes the caller took for bytes of the stream, and closed an incomplete stream in the same way as a complete one.

Cause: the version of the request was not looked at.

Change: an HTTP/1.0 caller gets the bytes as they are and "Connection: close"; an incomplete stream ends with a reset. HTTP/1.1 callers get chunks as before; an incomplete stream ends without the final chunk.

--- a/src/include/fulmarquay/wire/HttpServer.h
+++ b/src/include/fulmarquay/wire/HttpServer.h
@@ -66,11 +66,13 @@
   /// Sends a complete response.
   void Respond(CallerId aCaller, const HttpResponse& aResponse);
 
-  /// Starts a chunked response.
+  /// Starts a response of unknown length: in chunks, or for an HTTP/1.0 caller
+  /// until the end of the connection.
   void StreamHead(CallerId aCaller, const HttpResponse& aHead);
   void StreamData(CallerId aCaller, const std::string& aData);
-  /// Ends a chunked response. When `aIsComplete` is false, the connection is
-  /// closed without the final chunk, which the caller detects as an error.
+  /// Ends such a response. When `aIsComplete` is false, the connection is
+  /// closed without the final chunk, or with a reset, which the caller detects
+  /// as an error.
   void StreamEnd(CallerId aCaller, bool aIsComplete);
 
   /// Whether no request is being received or answered and all bytes of the
--- a/src/libwire/HttpServer.cpp
+++ b/src/libwire/HttpServer.cpp
@@ -35,6 +35,9 @@
 /// Above this the connection of a slowly reading caller is closed.
 constexpr std::size_t kMaxQueuedBytes = 8U << 20U;
 
+/// HTTP/1.1, as Beast numbers versions.
+constexpr unsigned kFirstVersionWithChunks = 11;
+
 } // namespace
 
 class HttpServer::Impl : public std::enable_shared_from_this<Impl>
@@ -96,6 +99,13 @@
   void Queue(const std::string& aBytes);
   void Finish(bool aKeepOpen);
   void Close();
+  /// Closes the connection with a reset, which no caller takes for the end of a
+  /// complete response.
+  void Reset();
+  /// Ends a finished response that only the end of the connection delimits.
+  void CloseWhenWritten();
+  /// Whether the caller understands chunks; HTTP/1.0 has none.
+  bool UsesChunks() const { return m_usesChunks; }
   /// Closes the connection if no piece was written between several calls.
   void CloseIfStalled();
   /// Whether a request was received in part or bytes of a response are left.
@@ -107,6 +117,8 @@
   void Write();
   void WritePiece();
   void OnWritten(const error_code& aError);
+  /// Reads the next request or closes the connection.
+  void OnResponseWritten();
   HttpRequest TakeRequest();
   void DetectDisconnect();
 
@@ -122,6 +134,7 @@
   CallerId m_caller;
   bool m_isFinished = false;
   bool m_keepOpen = true;
+  bool m_usesChunks = true;
   bool m_isClosed = false;
 };
 
@@ -247,6 +260,7 @@
   m_stream.expires_never();
   m_caller = CallerId(m_server->m_nextCaller++);
   m_keepOpen = m_parser->get().keep_alive();
+  m_usesChunks = m_parser->get().version() >= kFirstVersionWithChunks;
   m_isFinished = false;
   m_server->m_activeRequests.emplace(m_caller, shared_from_this());
   m_server->m_handler.OnRequest(m_caller, TakeRequest());
@@ -409,9 +423,14 @@
     Write();
     return;
   }
-  if (!m_isFinished) {
-    return;
+  if (m_isFinished) {
+    OnResponseWritten();
   }
+}
+
+void
+HttpServer::Impl::Session::OnResponseWritten()
+{
   if (m_keepOpen && !m_server->m_isStopping) {
     ReadRequest();
   } else {
@@ -421,6 +440,22 @@
   }
 }
 
+void
+HttpServer::Impl::Session::CloseWhenWritten()
+{
+  if (m_writing.empty() && !m_isClosed) {
+    OnResponseWritten();
+  }
+}
+
+void
+HttpServer::Impl::Session::Reset()
+{
+  error_code ignored;
+  m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+  Close();
+}
+
 void
 HttpServer::Impl::Session::Finish(bool aKeepOpen)
 {
@@ -502,9 +537,12 @@
 {
   const auto session = m_impl->Find(aCaller);
   if (session) {
+    const std::string framing =
+      session->UsesChunks()
+        ? m_impl->CloseHeader() + "Transfer-Encoding: chunked\r\n\r\n"
+        : "Connection: close\r\n\r\n";
     session->Queue(StatusLine(aHead.m_status) + HeaderLines(aHead.m_headers) +
-                   m_impl->CloseHeader() +
-                   "Transfer-Encoding: chunked\r\n\r\n");
+                   framing);
   }
 }
 
@@ -513,7 +551,7 @@
 {
   const auto session = m_impl->Find(aCaller);
   if (session && !aData.empty()) {
-    session->Queue(EncodeChunk(aData));
+    session->Queue(session->UsesChunks() ? EncodeChunk(aData) : aData);
   }
 }
 
@@ -526,11 +564,19 @@
   }
   if (!aIsComplete) {
     m_impl->m_activeRequests.erase(aCaller);
-    session->Close();
+    if (session->UsesChunks()) {
+      session->Close();
+    } else {
+      session->Reset();
+    }
     return;
   }
-  session->Finish(!m_impl->m_closesAfterResponse);
-  session->Queue("0\r\n\r\n");
+  session->Finish(session->UsesChunks() && !m_impl->m_closesAfterResponse);
+  if (session->UsesChunks()) {
+    session->Queue("0\r\n\r\n");
+  } else {
+    session->CloseWhenWritten();
+  }
 }
 
 bool
--- a/src/libwire/wire_test.cpp
+++ b/src/libwire/wire_test.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <cstdint>
 #include <random>
@@ -181,6 +182,67 @@
   std::thread m_thread;
 };
 
+/// Sends the beginning of a stream for each request and ends it after a while,
+/// as complete or not.
+class StreamServer : public HttpHandler
+{
+public:
+  explicit StreamServer(bool aIsComplete)
+    : m_isComplete(aIsComplete)
+    , m_server(m_context,
+               *this,
+               HttpServerLimits{ 1024, 4096, Duration(5'000'000), 8 })
+    , m_timer(m_context)
+  {
+    tcp::acceptor portFinder(
+      m_context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    m_port = portFinder.local_endpoint().port();
+    portFinder.close();
+    m_server.Listen(Endpoint("127.0.0.1", m_port));
+    m_thread = std::thread([this] { m_context.run(); });
+  }
+  ~StreamServer() override
+  {
+    m_context.stop();
+    m_thread.join();
+  }
+
+  void OnRequest(CallerId aCaller, HttpRequest) override
+  {
+    HttpResponse head;
+    head.m_headers = { { "Content-Type", "text/event-stream" } };
+    m_server.StreamHead(aCaller, head);
+    m_server.StreamData(aCaller, "data: a\n\n");
+    m_timer.expires_after(std::chrono::milliseconds(50));
+    m_timer.async_wait([this, aCaller](const boost::system::error_code&) {
+      m_server.StreamEnd(aCaller, m_isComplete);
+    });
+  }
+  void OnCallerDisconnected(CallerId) override {}
+
+  /// Sends a request; returns what is received and how the connection ends.
+  std::pair<std::string, boost::system::error_code> Exchange(
+    const std::string& aRequest)
+  {
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({ asio::ip::make_address("127.0.0.1"), m_port });
+    asio::write(socket, asio::buffer(aRequest));
+    std::string response;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(response), error);
+    return { response, error };
+  }
+
+private:
+  bool m_isComplete;
+  asio::io_context m_context;
+  HttpServer m_server;
+  asio::steady_timer m_timer;
+  std::uint16_t m_port = 0;
+  std::thread m_thread;
+};
+
 std::string
 Post(const std::string& aBody, const std::string& aHeaders = "")
 {
@@ -398,6 +460,25 @@
                 std::string::npos);
 }
 
+Test(http_server, an_incomplete_stream_does_not_look_complete)
+{
+  const std::string chunkedEnd = "0\r\n\r\n";
+  const std::string close = "Host: x\r\nConnection: close\r\n\r\n";
+  for (const bool isComplete : { true, false }) {
+    StreamServer server(isComplete);
+    const auto [text, end] = server.Exchange("GET / HTTP/1.1\r\n" + close);
+    cr_assert_eq(text.ends_with(chunkedEnd), isComplete);
+    const auto [oldText, oldEnd] =
+      server.Exchange("GET / HTTP/1.0\r\nHost: x\r\n\r\n");
+    // Only the end of the connection delimits a response to HTTP/1.0.
+    cr_assert_eq(oldEnd == asio::error::eof, isComplete);
+    if (isComplete) {
+      cr_assert_eq(oldText.find("Transfer-Encoding"), std::string::npos);
+      cr_assert(oldText.ends_with("\r\n\r\ndata: a\n\n"));
+    }
+  }
+}
+
 namespace {
 
 /// Counts the closed connections of a hub.
