HttpClient: an error without checked content ends its connection

Control polls stores on kept connections and recognizes a copy of an earlier answer by the numbers of its events. An error has none: after a late copy of an earlier 429 or 503 the answer that was due stayed on the connection and was taken for that of the next poll, and so on.

Change: after an error of a call that only its content identifies, the connection is not kept. Orders, reports and lists are not affected: their calls have connections of their own.

--- a/src/include/fulmarquay/wire/HttpClient.h
+++ b/src/include/fulmarquay/wire/HttpClient.h
@@ -54,9 +54,10 @@
   std::size_t m_maxResponseBytes = 16U << 20U;
   /// Maximum time to open a connection.
   Duration m_connectTimeout = Duration(1'000'000);
-  /// The owner recognizes a copy of an earlier response by its content. Calls
-  /// with neither this nor a correlation header use a connection of their own,
-  /// because a second copy of an earlier response may arrive on a kept one.
+  /// The owner recognizes a copy of an earlier response by its content; after
+  /// an error, which has none, the connection is not kept. Calls with neither
+  /// this nor a correlation header use a connection of their own, because a
+  /// second copy of an earlier response may arrive on a kept one.
   bool m_isContentChecked = false;
   /// The same request may have been sent to this address before. On a kept
   /// connection, a copy of its earlier response would look like the new one.
--- a/src/libwire/HttpClient.cpp
+++ b/src/libwire/HttpClient.cpp
@@ -36,6 +36,7 @@
 /// call fails.
 constexpr int kMaxSkippedResponses = 4;
 constexpr unsigned kFirstFinalStatus = 200; ///< lower ones are interim
+constexpr unsigned kFirstErrorStatus = 400;
 /// An idle connection is reused only for this fraction of the keep-alive
 /// timeout announced by its peer, well before the peer may close it.
 constexpr int kIdleReuseDivisor = 2;
@@ -119,11 +120,13 @@
 
     /// Whether a response to an earlier request would be recognized.
     bool MayUseKeptConnection() const
+    {
+      return IsCorrelated() || m_call.m_isContentChecked;
+    }
+    bool IsCorrelated() const
     {
       const HttpHeader& header = m_call.m_correlationHeader;
-      const bool isCorrelated =
-        !header.m_name.empty() && !header.m_value.empty();
-      return isCorrelated || m_call.m_isContentChecked;
+      return !header.m_name.empty() && !header.m_value.empty();
     }
   };
   using ActiveCallPtr = std::shared_ptr<ActiveCall>;
@@ -473,8 +476,11 @@
   }
   // Bytes after the response belong to no request.
   const bool isBufferEmpty = connection.m_buffer.size() == 0;
-  if (aActive->m_parser->keep_alive() && isBufferEmpty &&
-      aActive->MayUseKeptConnection() && idle.size() < kMaxIdlePerPeer) {
+  const bool isIdentified =
+    aActive->IsCorrelated() || (aActive->m_call.m_isContentChecked &&
+                                response.result_int() < kFirstErrorStatus);
+  if (aActive->m_parser->keep_alive() && isBufferEmpty && isIdentified &&
+      idle.size() < kMaxIdlePerPeer) {
     idle.push_back(aActive->m_connection);
   } else {
     Close(*aActive->m_connection);
--- a/src/libwire/http_client_test.cpp
+++ b/src/libwire/http_client_test.cpp
@@ -371,6 +371,24 @@
   cr_assert_eq(client.m_end, CallResult::Complete);
 }
 
+Test(http_client, error_without_checked_content_ends_its_connection)
+{
+  // The response that is due may follow the copy of an earlier error.
+  const ScriptedServer server(
+    { ResponseText("", "1"),
+      "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+      ResponseText("", "3") });
+  TestClient client;
+  for (int i = 0; i < 3; ++i) {
+    HttpCall call = CallTo(server, "");
+    call.m_correlationHeader = {};
+    call.m_isContentChecked = true;
+    client.Call(call);
+  }
+  cr_assert_eq(client.m_body, "3");
+  cr_assert_eq(server.Connections(), 2);
+}
+
 Test(http_client, request_without_an_id_uses_its_own_connection)
 {
   const ScriptedServer server(
