HttpClient: a response to another request is logged

HttpClient skipped responses to earlier requests without a trace, so that a worker that repeats its answers showed only as slow calls. Each final response that is skipped now writes AnswerMismatch (3003) with its peer and status; interim responses write nothing.

--- a/src/libwire/HttpClient.cpp
+++ b/src/libwire/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include "fulmarquay/wire/HttpClient.h"
 
 #include "fulmarquay/core/Clock.h"
+#include "fulmarquay/core/LogEvent.h"
 #include "fulmarquay/wire/SocketOptions.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -353,9 +354,13 @@
       }
       aActive->m_isSkippedResponse = IsSkippedResponse(*aActive);
       if (aActive->m_isSkippedResponse) {
-        const bool isFinal =
-          aActive->m_parser->get().result_int() >= kFirstFinalStatus;
-        aActive->m_mayReceiveEarlierResponse |= isFinal;
+        const unsigned status = aActive->m_parser->get().result_int();
+        if (status >= kFirstFinalStatus) {
+          aActive->m_mayReceiveEarlierResponse = true;
+          WriteLog(LogEvent::AnswerMismatch,
+                   { { "peer", aActive->m_call.m_peer.ToString() },
+                     { "status", std::to_string(status) } });
+        }
         if (++aActive->m_skippedResponses > kMaxSkippedResponses) {
           self->Fail(aActive, http::error::unexpected_body);
         } else {
