--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -158,6 +158,7 @@
     PoolId m_pool;
     WorkerId m_worker;
     std::set<WorkerId> m_triedWorkers;
+    std::set<Endpoint> m_triedAddresses;
     std::set<std::string> m_stores; ///< stores and workers it fetches from
     TimePoint m_sentAt;
     std::int64_t m_sentWeights = -1; ///< version that its worker must have
--- a/src/libserve/RelayResponses.cpp
+++ b/src/libserve/RelayResponses.cpp
@@ -12,11 +12,6 @@
 
 namespace {
 
-/// A worker with running requests that has sent nothing for this long is probed
-/// with a connection. Silence alone does not end a request; a VM that is down
-/// accepts no connection.
-constexpr Duration kSilenceTimeout(400'000);
-constexpr Duration kProbeInterval(100'000);
 /// Limits of the memory for answers that are held until they are complete: of
 /// one answer, as for a caller's body, and of all. Together with the buffers of
 /// connections they stay well below the memory of an entry's VM.
@@ -27,6 +22,14 @@
 /// Unreachable workers tried per request before it is refused.
 constexpr int kMaxUnreachedWorkers = 3;
 
+/// Whether callers take a status as the statement that the request was not run.
+bool
+MeansNotRun(int aStatus)
+{
+  return aStatus == kStatusRequestTimeout || aStatus == kStatusMisdirected ||
+         aStatus == kStatusTooManyRequests || aStatus == kStatusUnavailable;
+}
+
 } // namespace
 
 RelayFlow::ActiveRequest*
@@ -44,61 +47,6 @@
   }
 }
 
-void
-RelayFlow::ProbeSilentWorkers()
-{
-  const TimePoint now = m_context.Now();
-  if (now < m_nextProbe) {
-    return;
-  }
-  m_nextProbe = now + kProbeInterval;
-  for (const auto& [id, state] : m_workers.All()) {
-    const bool isSilent =
-      state.m_running > 0 && now >= state.m_lastActivityAt + kSilenceTimeout;
-    const bool mayBeBack = state.m_needsProbe && now >= state.m_suspectUntil;
-    if (state.m_isProbeInFlight || !(isSilent || mayBeBack)) {
-      continue;
-    }
-    HttpCall call;
-    call.m_peer = state.m_address;
-    call.m_isProbe = true;
-    call.m_connectTimeout = kConnectTimeout;
-    m_workers.Find(id)->m_isProbeInFlight = true;
-    m_probes[m_context.Call(std::move(call), *this)] = id;
-  }
-}
-
-void
-RelayFlow::OnProbeEnd(const WorkerId& aWorker, CallResult aEnd)
-{
-  WorkerState* worker = m_workers.Find(aWorker);
-  if (worker != nullptr) {
-    worker->m_isProbeInFlight = false;
-    worker->m_lastActivityAt = m_context.Now();
-  }
-  if (aEnd == CallResult::Complete) {
-    m_workers.OnProbeSucceeded(aWorker);
-    return;
-  }
-  m_workers.OnFailure(m_context.Now(), aWorker);
-  m_context.Log(LogEvent::WorkerSuspected,
-                { { "worker", aWorker.Value() },
-                  { "why", "silent, and takes no connection" } });
-  std::vector<CallId> lost;
-  for (const auto& [call, active] : m_byCall) {
-    if (active->m_worker == aWorker) {
-      lost.push_back(call);
-    }
-  }
-  for (const CallId call : lost) {
-    ActiveRequest* active = Find(call);
-    m_context.Cancel(call);
-    ReleaseWorker(*active);
-    active->m_mayHaveRun = true;
-    OnBroken(*active, "the worker is gone");
-  }
-}
-
 void
 RelayFlow::LogLeaving(const WorkerId& aWorker, const std::string& aSource)
 {
@@ -325,8 +273,8 @@
     RecordEvents(*active);
     m_context.Emit(WriteCallerStream{ active->m_caller, std::move(events) });
   }
-  if (active->m_eventSplitter.HasRepeatedId()) {
-    AbortCall(*active, "an event comes again");
+  if (active->m_eventSplitter.HasInvalidEvent()) {
+    AbortCall(*active, "an event comes again, or is another answer");
   } else if (active->m_eventSplitter.PartialBytes() > kMaxEventBytes) {
     AbortCall(*active, "an event has no end");
   }
@@ -370,7 +318,8 @@
   if (aEnd == CallResult::NotSent) {
     OnNotSent(*active, aReason);
   } else if (aEnd == CallResult::Complete &&
-             active->m_workerHead.m_isNotExecuted) {
+             active->m_workerHead.m_isNotExecuted &&
+             !active->m_workerHead.IsSuccess()) {
     OnNotExecuted(*active);
   } else if (aEnd == CallResult::Complete) {
     OnComplete(*active);
@@ -415,6 +364,11 @@
     Place(aActive);
     return;
   }
+  const bool mayRepeat = aActive.m_rule.IsIdempotent() || MayResume(aActive);
+  if (!mayRepeat && MeansNotRun(workerHead.m_status)) {
+    Fail(aActive, kStatusBadGateway, "the worker may have run the request");
+    return;
+  }
   Finish(aActive, workerHead.m_status);
 }
 
--- a/src/libserve/serve_test.cpp
+++ b/src/libserve/serve_test.cpp
@@ -701,6 +701,45 @@
   cr_assert_eq(result.m_text.find("[DONE]"), std::string::npos);
 }
 
+Test(streams, a_prompt_that_may_have_run_is_not_reported_as_not_run)
+{
+  struct Case
+  {
+    const char* m_name;
+    int m_status;
+    CallResult m_end;
+    const char* m_outcome;
+  };
+  const std::vector<Case> cases = {
+    { "no answer", 0, CallResult::Incomplete, "unknown" },
+    { "no answer in time", 0, CallResult::TimedOut, "unknown" },
+    { "refusal that is reset", 503, CallResult::Incomplete, "unknown" },
+    { "error", 500, CallResult::Complete, "unknown" },
+    { "refusal", 503, CallResult::Complete, "not_run" },
+    { "no connection", 0, CallResult::NotSent, "not_run" },
+  };
+  for (const Case& each : cases) {
+    EntryHarness entry;
+    entry.SendRequest(1, MakePrompt());
+    auto calls = entry.TakeCalls("/generate");
+    cr_assert_eq(calls.size(), 1U);
+    SimulateAttempt(entry, calls[0], each.m_status, "", each.m_end);
+    // The other attempts reach no engine.
+    for (calls = entry.TakeCalls("/generate"); !calls.empty();
+         calls = entry.TakeCalls("/generate")) {
+      SimulateAttempt(entry, calls[0], 0, "", CallResult::NotSent);
+      entry.AdvanceTime(3000);
+    }
+    const auto result = entry.ResultOf(1);
+    cr_assert_eq(result.m_status, 503, "%s", each.m_name);
+    cr_assert_neq(result.m_text.find(each.m_outcome),
+                  std::string::npos,
+                  "%s: %s",
+                  each.m_name,
+                  result.m_text.c_str());
+  }
+}
+
 Test(once, call_is_sent_once_after_its_grant)
 {
   EntryHarness entry;
@@ -765,6 +804,24 @@
   cr_assert_neq(result.m_text.find("\"not_run\""), std::string::npos);
 }
 
+Test(services, a_call_that_may_have_run_is_not_reported_as_not_run)
+{
+  EntryHarness entry;
+  HttpRequest request;
+  request.m_method = "GET";
+  request.m_target = "/v1/services/till/stock";
+  entry.SendRequest(1, std::move(request));
+  auto calls = entry.TakeCalls("/stock");
+  cr_assert_eq(calls.size(), 1U);
+  SimulateAttempt(entry, calls[0], 0, "", CallResult::Incomplete);
+  calls = entry.TakeCalls("/stock");
+  cr_assert_eq(calls.size(), 1U);
+  SimulateAttempt(entry, calls[0], 0, "", CallResult::NotSent);
+  const auto result = entry.ResultOf(1);
+  cr_assert_eq(result.m_status, 502);
+  cr_assert_neq(result.m_text.find("unknown"), std::string::npos);
+}
+
 Test(drain, stops_after_the_running_requests)
 {
   EntryHarness entry;
--- a/src/libwire/HttpClient.cpp
+++ b/src/libwire/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include "fulmarquay/wire/HttpClient.h"
 
 #include "fulmarquay/core/Clock.h"
+#include "fulmarquay/core/LogEvent.h"
 #include "fulmarquay/wire/SocketOptions.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -110,7 +111,8 @@
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::array<char, kReadBufferBytes> m_bodyBuffer{};
     bool m_isSendStarted = false;
-    bool m_isConnectionKept = false; ///< the connection had earlier calls
+    /// Responses to earlier requests may still arrive on the connection.
+    bool m_mayReceiveEarlierResponse = false;
     /// The response being read is interim or belongs to an earlier request.
     bool m_isSkippedResponse = false;
     int m_skippedResponses = 0;
@@ -120,8 +122,12 @@
     /// Whether a response to an earlier request would be recognized.
     bool MayUseKeptConnection() const
     {
-      return !m_call.m_correlationHeader.m_name.empty() ||
-             m_call.m_isContentChecked;
+      return IsCorrelated() || m_call.m_isContentChecked;
+    }
+    bool IsCorrelated() const
+    {
+      const HttpHeader& header = m_call.m_correlationHeader;
+      return !header.m_name.empty() && !header.m_value.empty();
     }
   };
   using ActiveCallPtr = std::shared_ptr<ActiveCall>;
@@ -210,9 +216,11 @@
   request.prepare_payload();
   m_activeCalls[active->m_call.m_call] = active;
   active->m_startedAt = MonotonicNow();
-  if (active->MayUseKeptConnection() && !active->m_call.m_isProbe) {
+  const bool needsNewConnection =
+    active->m_call.m_needsNewConnection || active->m_call.m_isProbe;
+  if (active->MayUseKeptConnection() && !needsNewConnection) {
     active->m_connection = TakeIdle(active->m_call.m_peer);
-    active->m_isConnectionKept = active->m_connection != nullptr;
+    active->m_mayReceiveEarlierResponse = active->m_connection != nullptr;
   }
   if (active->m_connection) {
     WriteRequest(active);
@@ -256,14 +264,15 @@
   if (expected.m_name.empty()) {
     return false;
   }
-  const auto found = response.find(expected.m_name);
-  if (found != response.end()) {
-    return found->value() != expected.m_value;
+  const auto [first, last] = response.equal_range(expected.m_name);
+  if (first != last) {
+    return std::any_of(first, last, [&](const auto& aField) {
+      return aField.value() != expected.m_value;
+    });
   }
-  // A peer may send an error before it has read the request headers. Any other
-  // response without the header may be a copy of an earlier one.
-  const bool isError = response.result_int() >= kFirstErrorStatus;
-  return aActive.m_isConnectionKept && !isError;
+  // A peer may send an error before it has read the request headers. Where an
+  // earlier response may arrive, nothing shows which request it answers.
+  return aActive.m_mayReceiveEarlierResponse;
 }
 
 void
@@ -345,6 +354,13 @@
       }
       aActive->m_isSkippedResponse = IsSkippedResponse(*aActive);
       if (aActive->m_isSkippedResponse) {
+        const unsigned status = aActive->m_parser->get().result_int();
+        if (status >= kFirstFinalStatus) {
+          aActive->m_mayReceiveEarlierResponse = true;
+          WriteLog(LogEvent::AnswerMismatch,
+                   { { "peer", aActive->m_call.m_peer.ToString() },
+                     { "status", std::to_string(status) } });
+        }
         if (++aActive->m_skippedResponses > kMaxSkippedResponses) {
           self->Fail(aActive, http::error::unexpected_body);
         } else {
@@ -465,8 +481,11 @@
   }
   // Bytes after the response belong to no request.
   const bool isBufferEmpty = connection.m_buffer.size() == 0;
-  if (aActive->m_parser->keep_alive() && isBufferEmpty &&
-      aActive->MayUseKeptConnection() && idle.size() < kMaxIdlePerPeer) {
+  const bool isIdentified =
+    aActive->IsCorrelated() || (aActive->m_call.m_isContentChecked &&
+                                response.result_int() < kFirstErrorStatus);
+  if (aActive->m_parser->keep_alive() && isBufferEmpty && isIdentified &&
+      idle.size() < kMaxIdlePerPeer) {
     idle.push_back(aActive->m_connection);
   } else {
     Close(*aActive->m_connection);
