--- a/src/libcontrol/newest_weights_test.cpp
+++ b/src/libcontrol/newest_weights_test.cpp
@@ -63,7 +63,7 @@
   cr_assert_eq(entry.Revision(), leader.Revision());
   // A sender that lacks a version confirms nothing.
   entry.OnNamed("m", 3);
-  entry.OnReport(leader.MakeReport(At(4), entry.Revision()), At(105));
+  entry.OnReport(leader.MakeReport(At(4), entry.Revision()), At(101));
   entry.OnNamed("m", 4);
   cr_assert(entry.SupersededFor(At(106), "m", 3) == 6 * kSecond);
   // Nor does one that has not held its lease.
