Rollout: a worker that accepts orders in vain is not ordered without end

An engine that accepts an order and is idle without its target afterwards failed, but no delay followed; before it was given up after three. Each such order discards the engine's cache. Change: RecordFailure sets the delay for all failures of engines that count orders.

--- a/src/include/fulmarquay/control/Rollout.h
+++ b/src/include/fulmarquay/control/Rollout.h
@@ -167,6 +167,9 @@
   void SyncEngine(TimePoint aNow,
                   const EngineConfig& aConfig,
                   const Configuration& aConfiguration);
+  /// Counts a failed order; delays the next one to an engine that counts
+  /// orders.
+  void RecordFailure(TimePoint aNow, Engine& aEngine) const;
   int ActiveOrders() const;
   int MaxConcurrentLoads(const EngineCounts& aCounts) const;
 
--- a/src/libcontrol/Rollout.cpp
+++ b/src/libcontrol/Rollout.cpp
@@ -215,6 +215,19 @@
     }));
 }
 
+void
+Rollout::RecordFailure(TimePoint aNow, Engine& aEngine) const
+{
+  ++aEngine.m_failures;
+  // An engine that counts orders rejects a delayed one after a newer one.
+  if (aEngine.m_sequence >= 0) {
+    aEngine.m_earliestOrder =
+      aNow + (aEngine.m_failures < m_options.m_maxFailures
+                ? kCountedRetryDelay
+                : kRepeatedFailureDelay);
+  }
+}
+
 void
 Rollout::OnObserved(TimePoint aNow,
                     const EngineId& aEngine,
@@ -232,7 +245,11 @@
       return;
     }
     engine.m_order = OrderState::None;
-    engine.m_failures = hasTarget ? 0 : engine.m_failures + 1;
+    if (hasTarget) {
+      engine.m_failures = 0;
+    } else {
+      RecordFailure(aNow, engine);
+    }
   }
   engine.m_weights = aObservation.m_weights;
   engine.m_sequence = aObservation.m_sequence;
@@ -286,14 +303,10 @@
   } else if (aOutcome == OrderOutcome::Fenced) {
     engine.m_earliestOrder = aNow + kFencedRetryDelay;
   } else {
-    ++engine.m_failures;
-    // An engine that counts orders rejects a delayed one after a newer one.
-    const bool isCounted = engine.m_sequence >= 0;
-    const Duration countedDelay = engine.m_failures < m_options.m_maxFailures
-                                    ? kCountedRetryDelay
-                                    : kRepeatedFailureDelay;
-    engine.m_earliestOrder =
-      aNow + (isCounted ? countedDelay : m_options.m_orderTimeout);
+    RecordFailure(aNow, engine);
+    if (engine.m_sequence < 0) {
+      engine.m_earliestOrder = aNow + m_options.m_orderTimeout;
+    }
     engine.m_nextObservation = engine.m_earliestOrder;
   }
 }
--- a/src/libcontrol/rollout_test.cpp
+++ b/src/libcontrol/rollout_test.cpp
@@ -330,3 +330,77 @@
   }
   cr_assert_geq(requests, 2, "%d", requests);
 }
+
+namespace {
+
+/// Rejects orders to the engine until a time. Returns how many orders it got
+/// from then on.
+int
+CountLaterOrders(Rollout& aRollout,
+                 const SingleEngineSetup& aSetup,
+                 std::int64_t aFrom,
+                 std::int64_t aUntil,
+                 int aRejected)
+{
+  int rejected = 0;
+  int later = 0;
+  for (std::int64_t now = aFrom; now < aUntil; now += 50) {
+    for (const RolloutAction& action :
+         aRollout.Step(At(now), aSetup.m_desired)) {
+      if (std::holds_alternative<ObserveEngine>(action)) {
+        aRollout.OnObserved(At(now), aSetup.m_engine.m_id, { "1", false, 4 });
+      }
+      if (const auto* request = std::get_if<RequestOrderNumber>(&action)) {
+        aRollout.OnOrderNumberAssigned(
+          At(now), aSetup.m_engine.m_id, request->m_target, 9);
+        aRollout.OnOrderEnded(
+          At(now), aSetup.m_engine.m_id, OrderOutcome::Failed);
+        ++(rejected < aRejected ? rejected : later);
+      }
+    }
+  }
+  return later;
+}
+
+} // namespace
+
+Test(rollout, an_engine_that_rejected_orders_for_a_while_gets_one_later)
+{
+  const SingleEngineSetup setup;
+  Rollout rollout(setup.m_options);
+  rollout.Start(At(0), Duration(0));
+  cr_assert_gt(CountLaterOrders(rollout, setup, 10, 60'000, 3), 0);
+}
+
+Test(rollout, failed_loads_of_older_weights_do_not_count_for_newer_ones)
+{
+  SingleEngineSetup setup;
+  Rollout rollout(setup.m_options);
+  rollout.Start(At(0), Duration(0));
+  CountLaterOrders(rollout, setup, 10, 10'000, 3);
+  setup.m_desired.m_models["m"] = { "m", "3", "3", "" };
+  // One rejection is followed by another order.
+  cr_assert_gt(CountLaterOrders(rollout, setup, 10'000, 20'000, 1), 0);
+}
+
+Test(rollout, an_engine_that_accepts_orders_in_vain_is_not_ordered_without_end)
+{
+  const SingleEngineSetup setup;
+  Rollout rollout(setup.m_options);
+  rollout.Start(At(0), Duration(0));
+  int orders = 0;
+  for (std::int64_t now = 50; now < 30'000; now += 50) {
+    for (const RolloutAction& action : rollout.Step(At(now), setup.m_desired)) {
+      if (std::holds_alternative<ObserveEngine>(action)) {
+        rollout.OnObserved(
+          At(now), setup.m_engine.m_id, { "1", false, 4 + orders });
+        continue;
+      }
+      ++orders;
+      rollout.OnOrderNumberAssigned(At(now), setup.m_engine.m_id, "2", 9);
+      rollout.OnOrderEnded(
+        At(now), setup.m_engine.m_id, OrderOutcome::Accepted);
+    }
+  }
+  cr_assert_leq(orders, 12, "%d", orders);
+}
