Rollout: a slow load that reaches its target is no failure

Found by the review: a load that lasts longer than the timeout of orders, as it may while runs finish first, ended as failed, and its success did not clear the count: after four good namings the engine counted as given up. Change: an observation of the ordered version clears the count, whenever it comes.

--- a/src/libcontrol/Rollout.cpp
+++ b/src/libcontrol/Rollout.cpp
@@ -245,12 +245,14 @@
       return;
     }
     engine.m_order = OrderState::None;
-    if (hasTarget) {
-      engine.m_failures = 0;
-    } else {
+    if (!hasTarget) {
       RecordFailure(aNow, engine);
     }
   }
+  if (aObservation.m_weights == engine.m_orderedTarget) {
+    // Also if the load took longer than the timeout of its order.
+    engine.m_failures = 0;
+  }
   engine.m_weights = aObservation.m_weights;
   engine.m_sequence = aObservation.m_sequence;
   engine.m_observedAt = aNow;
--- a/src/libcontrol/rollout_test.cpp
+++ b/src/libcontrol/rollout_test.cpp
@@ -404,3 +404,41 @@
   }
   cr_assert_leq(orders, 12, "%d", orders);
 }
+
+Test(rollout, slow_loads_that_reach_their_target_are_no_failures)
+{
+  SingleEngineSetup setup;
+  Rollout rollout(setup.m_options);
+  rollout.Start(At(0), Duration(0));
+  std::string weights = "1";
+  std::string loading;
+  std::int64_t loadedAt = 0;
+  std::int64_t sequence = 0;
+  for (std::int64_t now = 50; now < 100'000; now += 50) {
+    if (now % 25'000 == 0) {
+      const std::string target = std::to_string(2 + now / 25'000);
+      setup.m_desired.m_models["m"] = { "m", target, target, "" };
+    }
+    if (!loading.empty() && now >= loadedAt) {
+      weights = std::exchange(loading, "");
+    }
+    for (const RolloutAction& action : rollout.Step(At(now), setup.m_desired)) {
+      if (std::holds_alternative<ObserveEngine>(action)) {
+        rollout.OnObserved(At(now),
+                           setup.m_engine.m_id,
+                           { weights, !loading.empty(), sequence });
+      } else if (const auto* request =
+                   std::get_if<RequestOrderNumber>(&action)) {
+        rollout.OnOrderNumberAssigned(
+          At(now), setup.m_engine.m_id, request->m_target, 9);
+        rollout.OnOrderEnded(
+          At(now), setup.m_engine.m_id, OrderOutcome::Accepted);
+        loading = request->m_target;
+        loadedAt = now + 12'000;
+        ++sequence;
+      }
+    }
+  }
+  cr_assert_eq(weights, "5");
+  cr_assert(rollout.GivenUpEngines().empty());
+}
