VERSION: requests that wait at a worker don't begin on expired weights

Found by the review: with waits of up to 1.9 s at workers a request began 7,779 ms after the naming, where 7,500 are allowed (6 entries); of three requests that were recalled together one was failed for lack of room elsewhere. Cause: a request stayed at its worker if no other one could run it, also when the bound was near; and all were recalled on the room that was seen before the first was sent elsewhere. Change: each recall looks for room of its own. A request that may be repeated and has not begun by 90% of the bound is cancelled; its outcome is unknown (502). One that may not be repeated is left to its worker: ending it would lose it. Also, RequestSent had its field of the weights twice after a merge.

--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -210,11 +210,12 @@
   /// The weight version that the worker has to have to run the request.
   std::int64_t RequiredWeights(const ActiveRequest& aActive,
                                const WorkerState& aWorker) const;
-  /// Whether a request that still waits at its worker would begin on expired
-  /// weights, and another worker can run it.
+  /// Whether a request that may be repeated still waits at its worker, would
+  /// begin on expired weights, and can be run elsewhere or is out of time.
   bool MustRecall(const ActiveRequest& aActive);
-  /// Sends such requests to other workers.
+  /// Sends such requests to other workers, or fails them.
   void RecallExpired();
+  void Recall(ActiveRequest& aActive);
   std::string CacheScopeFor(const ActiveRequest& aActive,
                             const WorkerState& aWorker) const;
   std::int64_t WorkerClockMs() const;
--- a/src/include/fulmarquay/serve/WeightsAdmission.h
+++ b/src/include/fulmarquay/serve/WeightsAdmission.h
@@ -43,6 +43,12 @@
                    const std::string& aModel,
                    std::int64_t aVersion) const;
 
+  /// Whether a request that was sent before the version expired must not begin
+  /// on it any more.
+  bool MustNotBegin(TimePoint aNow,
+                    const std::string& aModel,
+                    std::int64_t aVersion) const;
+
   /// The version that a worker has to have to run a request, given its known
   /// one: the newest one if that is not known. -1: none was named.
   std::int64_t RequiredVersion(const std::string& aModel,
--- a/src/libserve/RelayDispatch.cpp
+++ b/src/libserve/RelayDispatch.cpp
@@ -472,7 +472,6 @@
       { "send", std::to_string(aActive.m_sendCount) },
       { "after_event", std::to_string(parameters.m_lastEventId) },
       { "weights", std::to_string(parameters.m_weights) },
-      { "weights", std::to_string(parameters.m_weights) },
       { "newest",
         std::to_string(m_weights.NewestOf(aActive.m_request.m_model)) },
       { "superseded_ms",
--- a/src/libserve/RelayWeights.cpp
+++ b/src/libserve/RelayWeights.cpp
@@ -1,6 +1,8 @@
 // Weight versions of relayed requests.
 #include "fulmarquay/serve/RelayFlow.h"
 
+#include "RelayConstants.h"
+
 #include <vector>
 
 namespace fulmarquay {
@@ -22,19 +24,18 @@
 bool
 RelayFlow::MustRecall(const ActiveRequest& aActive)
 {
-  const WorkerState* worker = m_workers.Find(aActive.m_worker);
+  const std::string& model = aActive.m_request.m_model;
+  const TimePoint now = m_context.Now();
   const bool hasStarted =
     aActive.m_workerHead.m_status != 0 || aActive.m_hasFirstEvent;
   const bool isExpired =
-    worker != nullptr &&
-    m_weights.AgeOf(m_context.Now(),
-                    aActive.m_request.m_model,
-                    aActive.m_sentWeights) == WeightsAge::Expired;
+    m_weights.AgeOf(now, model, aActive.m_sentWeights) == WeightsAge::Expired;
   if (hasStarted || !isExpired || !MayRepeat(aActive)) {
     return false;
   }
-  return m_placement.Choose(m_workers, CriteriaFor(aActive)).m_worker !=
-         nullptr;
+  return m_weights.MustNotBegin(now, model, aActive.m_sentWeights) ||
+         m_placement.Choose(m_workers, CriteriaFor(aActive)).m_worker !=
+           nullptr;
 }
 
 void
@@ -45,20 +46,35 @@
     return;
   }
   m_nextRecall = now + kRecallInterval;
-  std::vector<ActiveRequest*> expired;
+  std::vector<CallId> calls;
   for (const auto& [call, active] : m_byCall) {
-    if (MustRecall(*active)) {
-      expired.push_back(active);
-    }
+    calls.push_back(call);
   }
-  for (ActiveRequest* active : expired) {
-    if (!TakeRetry(*active)) {
-      continue;
+  for (const CallId call : calls) {
+    ActiveRequest* active = Find(call);
+    // Each one that is sent elsewhere takes room there from the next ones.
+    if (active != nullptr && MustRecall(*active)) {
+      Recall(*active);
     }
-    m_context.Cancel(active->m_call);
-    ReleaseWorker(*active);
-    active->m_mayHaveRun = true;
-    Place(*active);
+  }
+}
+
+void
+RelayFlow::Recall(ActiveRequest& aActive)
+{
+  const bool mustNotBegin = m_weights.MustNotBegin(
+    m_context.Now(), aActive.m_request.m_model, aActive.m_sentWeights);
+  const bool isRetryTaken = TakeRetry(aActive);
+  if (!isRetryTaken && !mustNotBegin) {
+    return;
+  }
+  m_context.Cancel(aActive.m_call);
+  ReleaseWorker(aActive);
+  aActive.m_mayHaveRun = true;
+  if (isRetryTaken) {
+    Place(aActive);
+  } else {
+    Fail(aActive, kStatusBadGateway, "its weights expired before it began");
   }
 }
 
--- a/src/libserve/WeightsAdmission.cpp
+++ b/src/libserve/WeightsAdmission.cpp
@@ -7,6 +7,9 @@
 /// Time after a naming during which the older version is worth nearly as much
 /// to the caller.
 constexpr Duration kJustSupersededPeriod(1'000'000);
+/// Requests that wait at a worker when its weights expire may be sent to
+/// another one for this part of the maximum age; then they are cancelled.
+constexpr int kRecallDivisor = 8;
 /// No request waits longer for a worker than callers wait for its first event.
 constexpr Duration kLongestWait(15'000'000);
 
@@ -54,6 +57,15 @@
                                       : WeightsAge::Superseded;
 }
 
+bool
+WeightsAdmission::MustNotBegin(TimePoint aNow,
+                               const std::string& aModel,
+                               std::int64_t aVersion) const
+{
+  const auto age = m_newest.SupersededFor(aNow, aModel, aVersion);
+  return !age || *age >= m_maxAge + m_maxAge / kRecallDivisor;
+}
+
 std::int64_t
 WeightsAdmission::RequiredVersion(const std::string& aModel,
                                   std::int64_t aKnownVersion) const
--- a/src/libserve/relay_test.cpp
+++ b/src/libserve/relay_test.cpp
@@ -417,6 +417,23 @@
   }
 }
 
+Test(relay, a_worker_without_models_gets_requests_before_and_after_a_naming)
+{
+  for (const bool isOtherModelNamed : { false, true }) {
+    Entry entry;
+    WorkerInfo worker = Worker("w1", 1);
+    worker.m_weights.clear();
+    entry.SetWorkers({ worker });
+    if (isOtherModelNamed) {
+      entry.m_flow.OnWeightsReport({ true, 2, { { "other", 2 } }, {} },
+                                   entry.m_now);
+    }
+    entry.SendRequest("/idempotent/x");
+    cr_assert_eq(entry.m_calls.size(), 1U);
+    cr_assert_eq(entry.m_protocol.m_sentParameters.back().m_weights, -1);
+  }
+}
+
 Test(relay, an_entry_that_starts_uses_old_weights_only_if_the_naming_is_recent)
 {
   for (const bool isKnownToLeader : { true, false }) {
@@ -525,3 +542,28 @@
   entry.Answer(200, "ps", "id: 1\ndata: a\n\n");
   cr_assert_eq(entry.m_calls.size(), 7U, "a queued request is sent");
 }
+
+Test(relay, requests_that_are_recalled_together_do_not_fail_for_lack_of_room)
+{
+  Entry entry;
+  RouteDocument document = entry.m_flow.Routes().Document();
+  document.m_revision = Revision(4);
+  document.m_pools["p"].m_engines.m_cacheCapacityTokens = 350;
+  entry.AdvanceClock(1);
+  entry.m_flow.OnRoutes(MakeDelta(entry.m_flow.Routes().Document(), document));
+  entry.SetWorkers({ Worker("w1", 1) }, 2);
+  entry.AdvanceTicks(3'000);
+  entry.Confirm();
+  entry.AdvanceTicks(2'000);
+  for (int i = 0; i < 3; ++i) {
+    entry.SendRequest("/resumable/x");
+  }
+  cr_assert_eq(entry.m_calls.size(), 3U);
+  // The other worker has room for two of the three.
+  entry.SetWorkers({ Worker("w1", 1), Worker("w2", 2) }, 2);
+  entry.SendRequest("/resumable/x");
+  cr_assert_eq(entry.LastWorker(), "w2");
+  entry.AdvanceTicks(1'200);
+  cr_assert_eq(
+    entry.m_answers, 0, "%d: %s", entry.m_status, entry.m_body.c_str());
+}
--- a/src/libserve/weights_test.cpp
+++ b/src/libserve/weights_test.cpp
@@ -21,7 +21,7 @@
   RelayOptions().m_maxOldWeightsAge * 100 / 80;
 constexpr Duration kLoadTime = 270 * kMillisecond;
 constexpr Duration kListLag = 800 * kMillisecond;
-constexpr Duration kLongestQueueTime = 200 * kMillisecond;
+constexpr Duration kUsualQueueTime = 200 * kMillisecond;
 constexpr Duration kRunTime = 100 * kMillisecond;
 
 /// Adds the expected weight version to what a worker gets.
@@ -97,10 +97,12 @@
   }
 
   /// The worker answers orders with an error from now on.
-  void RejectOrders(std::size_t aWorker)
+  void RejectOrders(std::size_t aWorker, bool aRejects = true)
   {
-    m_engines[aWorker].m_rejectsOrders = true;
+    m_engines[aWorker].m_rejectsOrders = aRejects;
   }
+  /// Requests wait at their workers for up to this time.
+  void SetLongestQueueTime(Duration aTime) { m_longestQueueTime = aTime; }
   /// Loses the answers to orders of all workers, which carry them out later.
   void LoseOrderAnswers(bool aIsLost) { m_losesOrderAnswers = aIsLost; }
 
@@ -234,7 +236,7 @@
     const bool isMisdirected =
       expected >= 0 && m_engines[aRunning.m_worker].m_version != expected;
     const auto queueTime = Duration(static_cast<std::int64_t>(
-      Below(static_cast<std::size_t>(kLongestQueueTime.count()))));
+      Below(static_cast<std::size_t>(m_longestQueueTime.count()))));
     Schedule(
       isMisdirected ? kNetworkDelay : queueTime,
       [this, aRunning, isMisdirected] { Begin(aRunning, isMisdirected); });
@@ -295,6 +297,7 @@
   }
 
   std::vector<Engine> m_engines; ///< by worker
+  Duration m_longestQueueTime = kUsualQueueTime;
   bool m_losesOrderAnswers = false;
   std::map<CallerId, std::int64_t> m_namings;
   std::map<std::int64_t, TimePoint> m_acknowledged; ///< by version
@@ -432,3 +435,36 @@
   cr_assert_eq(fleet.WorkersWith(2), 18U);
   cr_assert_leq(fleet.OldestBegin(), kContractBound);
 }
+
+Test(weights, engines_that_reject_orders_for_a_while_get_the_newest_later)
+{
+  WeightsFleet fleet({ 6, 18, 0 });
+  for (std::size_t worker = 0; worker < 4; ++worker) {
+    fleet.RejectOrders(worker);
+  }
+  fleet.Name(2);
+  fleet.Play(5'000);
+  for (std::size_t worker = 0; worker < 4; ++worker) {
+    fleet.RejectOrders(worker, false);
+  }
+  fleet.Play(40'000);
+  cr_assert_eq(fleet.WorkersWith(2), 18U, "%zu", fleet.WorkersWith(2));
+}
+
+Test(weights, requests_that_wait_long_at_a_worker_begin_on_no_expired_weights)
+{
+  for (const std::size_t entries : kEntryCounts) {
+    WeightsFleet fleet({ entries, 18, 0 });
+    fleet.SetLongestQueueTime(1'900 * kMillisecond);
+    for (std::size_t worker = 0; worker < 18; ++worker) {
+      fleet.RejectOrders(worker);
+    }
+    fleet.Name(2);
+    fleet.Play(9'000);
+    cr_assert_leq(fleet.OldestBegin(),
+                  kContractBound,
+                  "%zu entries: %ld ms",
+                  entries,
+                  static_cast<long>(ToMillis(fleet.OldestBegin())));
+  }
+}
