--- a/src/include/fulmarquay/control/WorkerList.h
+++ b/src/include/fulmarquay/control/WorkerList.h
@@ -14,6 +14,9 @@
 
 /// The platform's id of a worker VM.
 using WorkerId = StrongId<struct WorkerTag, std::string>;
+/// The version of a worker's software, as the platform names it; unrelated to
+/// the version of its weights. Only equality has a meaning.
+using SoftwareVersion = StrongId<struct SoftwareVersionTag, std::string>;
 
 /// A worker as described by the VM list.
 struct WorkerInfo
@@ -26,6 +29,7 @@
   bool m_isLeaving = false;
   std::int64_t m_createdMs = 0; ///< distinguishes incarnations under one id
   std::map<std::string, std::int64_t> m_weights; ///< version by model
+  SoftwareVersion m_software;
   MSGPACK_DEFINE(m_id,
                  m_pool,
                  m_address,
@@ -33,7 +37,8 @@
                  m_slots,
                  m_isLeaving,
                  m_createdMs,
-                 m_weights)
+                 m_weights,
+                 m_software)
   bool operator==(const WorkerInfo&) const = default;
 
   /// The weight version of a model; -1 if the worker does not serve it.
--- a/src/include/fulmarquay/serve/RelayRequest.h
+++ b/src/include/fulmarquay/serve/RelayRequest.h
@@ -33,6 +33,9 @@
   std::int64_t m_maxOutputTokens = 0;
   std::vector<PromptPart> m_parts; ///< in prompt order
   std::int64_t m_lastEventId = -1; ///< last event id received; -1: none
+  /// The attempt that brought the first event of the stream that this request
+  /// resumes; empty: not given.
+  std::string m_resumes;
   /// Sent to the worker after removal of the headers that the system sets.
   HttpRequest m_forwardRequest;
 };
--- a/src/libserve/RelayDispatch.cpp
+++ b/src/libserve/RelayDispatch.cpp
@@ -465,6 +465,8 @@
       { "route", aActive.m_routeName },
       { "revision", std::to_string(m_routes.Document().m_revision.Value()) },
       { "worker", parameters.m_worker },
+      { "software", aWorker.m_info.m_software.Value() },
+      { "resumes", aActive.m_request.m_resumes },
       { "list", std::to_string(m_workers.Number()) },
       { "send", std::to_string(aActive.m_sendCount) },
       { "after_event", std::to_string(parameters.m_lastEventId) },
