--- a/src/libserve/relay_test.h
+++ b/src/libserve/relay_test.h
@@ -36,6 +36,7 @@
     request.m_parts = { { "shared", 80 }, { "own", 20 } };
     const std::string lastEventId = FindHeader(aRequest.m_headers, "last");
     request.m_lastEventId = lastEventId.empty() ? -1 : std::stoi(lastEventId);
+    request.m_resumes = FindHeader(aRequest.m_headers, "resumes");
     return request;
   }
   HttpRequest Encode(const RelayRequest& aRequest,
@@ -85,9 +86,12 @@
 };
 
 inline WorkerInfo
-Worker(const std::string& aId, std::int64_t aVersion)
+Worker(const std::string& aId,
+       std::int64_t aVersion,
+       const std::string& aSoftware = "s1")
 {
   WorkerInfo worker;
+  worker.m_software = SoftwareVersion(aSoftware);
   worker.m_id = WorkerId(aId);
   worker.m_pool = PoolId("p");
   worker.m_address = "10.0.0.1:" + std::to_string(8000 + aId.back());
@@ -200,12 +204,20 @@
   }
 
   /// Sends a request of a caller that received events before.
-  void SendResumedRequest(const std::string& aPath, int aLastEventId)
+  void SendResumedRequest(const std::string& aPath,
+                          int aLastEventId,
+                          const std::string& aResumes = "",
+                          const std::string& aKey = "key")
   {
     Start(aPath,
-          { { "key", "key" }, { "last", std::to_string(aLastEventId) } });
+          { { "key", aKey },
+            { "last", std::to_string(aLastEventId) },
+            { "resumes", aResumes } });
   }
 
+  /// The id of the last request.
+  std::string LastId() const { return "r" + std::to_string(m_caller); }
+
   void Head(int aStatus, const std::string& aFlags, int aPauseMs = 0)
   {
     AdvanceClock(1);
--- a/src/libserve/simulated_fleet_test.h
+++ b/src/libserve/simulated_fleet_test.h
@@ -20,6 +20,7 @@
 namespace fulmarquay::testing {
 
 inline constexpr Duration kNetworkDelay = kMillisecond;
+inline constexpr std::size_t kFirstEntryPort = 1'000;
 inline const std::string kPromptPool = "p";
 inline const std::string kPlainPool = "s";
 
@@ -109,6 +110,8 @@
   std::size_t m_entries = 6;
   std::size_t m_promptWorkers = 18;
   std::size_t m_plainWorkers = 0;
+  /// Whether entries receive the messages of other entries, except loads.
+  bool m_hasPeerMessages = false;
 };
 
 /// Entries, a control replica and workers in simulated time. A test defines
@@ -121,6 +124,7 @@
                  std::uint64_t aSeed)
     : m_random(aSeed)
     , m_protocol(std::move(aProtocol))
+    , m_hasPeerMessages(aSize.m_hasPeerMessages)
     , m_entries(aSize.m_entries)
     , m_frozenUntil(aSize.m_entries)
     , m_cutUntil(aSize.m_entries)
@@ -147,6 +151,7 @@
 
   std::size_t LimitPushes() const { return m_limitPushes; }
   std::size_t EntryCount() const { return m_entries.size(); }
+  std::size_t WorkerCount() const { return m_workers.size(); }
 
   /// Starts the control replica and all entries again; what is on disk stays.
   virtual void RestartAll()
@@ -229,6 +234,8 @@
                             const HttpCall& aCall) = 0;
   virtual void OnAnswer(CallerId aCaller, const HttpResponse& aAnswer) = 0;
   virtual void OnStreamEnd(CallerId aCaller, bool aIsComplete) = 0;
+  virtual void OnStreamData(CallerId, const std::string&) {}
+  virtual void OnPeerMessage(std::size_t, const CacheMessage&) {}
 
   std::size_t Below(std::size_t aLimit) { return m_random() % aLimit; }
   TimePoint Now() const { return m_now; }
@@ -273,10 +280,23 @@
         OnAnswer(answer->m_caller, answer->m_response);
       } else if (const auto* end = std::get_if<EndCallerStream>(&effect)) {
         OnStreamEnd(end->m_caller, end->m_isComplete);
+      } else if (const auto* data = std::get_if<WriteCallerStream>(&effect)) {
+        OnStreamData(data->m_caller, data->m_data);
+      } else if (const auto* send = std::get_if<SendToPeer>(&effect)) {
+        SendPeerMessage(
+          aEntry, send->m_address.Port() - kFirstEntryPort, send->m_message);
+      } else if (const auto* reply = std::get_if<ReplyToPeer>(&effect)) {
+        SendPeerMessage(
+          aEntry, reply->m_connection.Value() - 1, reply->m_message);
       }
     }
   }
 
+  bool IsEntryUp(std::size_t aEntry) const
+  {
+    return m_entries[aEntry] != nullptr;
+  }
+
   bool IsRunning(const RunningCall& aRunning) const
   {
     return std::any_of(
@@ -357,7 +377,8 @@
     options.m_identity = { VmId("e" + std::to_string(aEntry)),
                            DataCentreId("d"),
                            BootId(++m_boots),
-                           "10.0.2.1:" + std::to_string(1'000 + aEntry) };
+                           "10.0.2.1:" +
+                             std::to_string(kFirstEntryPort + aEntry) };
     options.m_control = { Endpoint::Parse(Self().m_address) };
     options.m_relayProtocol = m_protocol;
     options.m_seed = m_boots;
@@ -365,6 +386,19 @@
     ToEntry(aEntry, ControlLinkChanged{ 0, true });
   }
 
+  void SendPeerMessage(std::size_t aFrom,
+                       std::size_t aTo,
+                       const CacheMessage& aMessage)
+  {
+    if (!m_hasPeerMessages || std::holds_alternative<WorkerLoads>(aMessage)) {
+      return;
+    }
+    OnPeerMessage(aFrom, aMessage);
+    Schedule(kNetworkDelay, [this, aFrom, aTo, aMessage] {
+      ToEntry(aTo, PeerMessage{ ConnectionId(aFrom + 1), aMessage });
+    });
+  }
+
   void Commit(const ControlCommand& aCommand)
   {
     LogEntry entry;
@@ -456,6 +490,7 @@
   TimePoint m_now{ Duration(1'000'000'000) };
   std::multimap<TimePoint, std::function<void()>> m_steps;
   std::shared_ptr<const RelayProtocol> m_protocol;
+  bool m_hasPeerMessages;
   std::vector<WorkerInfo> m_workers;
   std::vector<bool> m_isUp;                      ///< by worker
   std::map<std::string, std::size_t> m_workerAt; ///< by address
