Streams go on only at the software version that began them

Cause: the version of a worker's software and Resumes were not read, and what binds a stream was kept nowhere but in the entry that served it.

Change: a stream remembers pool and software of the worker whose event was first forwarded, and Placement considers only workers of that software from then on. StreamOrigins keeps the origins of recent streams; OriginExchange sends them to three owners by rendezvous hashing while a pool has several versions or a route several pools, and asks them when a caller resumes a stream elsewhere. The set of versions on which streams may have begun is in the replicated log; entries learn of a worker after its version is committed, so a list that a heartbeat has just confirmed proves that a pool has had one version only.

--- a/src/include/fulmarquay/cache/CacheMessages.h
+++ b/src/include/fulmarquay/cache/CacheMessages.h
@@ -249,6 +249,41 @@
                  m_linkUse)
 };
 
+/// Streams that began at workers of one software version. A stream is named by
+/// a hash of the attempt that brought its first event.
+struct StreamOriginGroup
+{
+  std::string m_pool;
+  std::string m_software;
+  std::vector<std::uint64_t> m_streams;
+  MSGPACK_DEFINE(m_pool, m_software, m_streams)
+};
+
+/// Origins of streams that the sender has served, for an owner of these.
+struct StreamOriginUpdate
+{
+  std::vector<StreamOriginGroup> m_groups;
+  MSGPACK_DEFINE(m_groups)
+};
+
+/// Asks an owner for the origin of a stream.
+struct StreamOriginQuery
+{
+  std::uint64_t m_stream = 0;
+  MSGPACK_DEFINE(m_stream)
+};
+
+/// The reply to a StreamOriginQuery.
+struct StreamOriginReply
+{
+  std::uint64_t m_stream = 0;
+  bool m_isKnown = false;
+  bool m_isAmbiguous = false; ///< several streams have this hash
+  std::string m_pool;
+  std::string m_software;
+  MSGPACK_DEFINE(m_stream, m_isKnown, m_isAmbiguous, m_pool, m_software)
+};
+
 /// Messages of Channel::Cache, exchanged between entries.
 using CacheMessage = std::variant<ChainLookup,
                                   ChainReply,
@@ -263,7 +298,10 @@
                                   ConfigRequest,
                                   ConfigReply,
                                   EngineLoads,
-                                  WorkerLoads>;
+                                  WorkerLoads,
+                                  StreamOriginUpdate,
+                                  StreamOriginQuery,
+                                  StreamOriginReply>;
 
 } // namespace fulmarquay
 
--- a/src/include/fulmarquay/control/ControlCommands.h
+++ b/src/include/fulmarquay/control/ControlCommands.h
@@ -3,6 +3,7 @@
 
 #include "fulmarquay/control/Configuration.h"
 #include "fulmarquay/control/PartReports.h"
+#include "fulmarquay/control/WorkerList.h"
 #include "fulmarquay/wire/Codec.h"
 
 #include <cstdint>
@@ -150,6 +151,15 @@
   MSGPACK_DEFINE(m_part, m_isBlocked)
 };
 
+/// Adds a software version to those of a pool, or removes it.
+struct ListSoftwareCommand
+{
+  PoolId m_pool;
+  SoftwareVersion m_software;
+  bool m_isListed = true;
+  MSGPACK_DEFINE(m_pool, m_software, m_isListed)
+};
+
 using ControlCommand = std::variant<SubmitCommand,
                                     BeginOnceCommand,
                                     FinishOnceCommand,
@@ -159,7 +169,8 @@
                                     SwitchWeightsCommand,
                                     PublishRoutesCommand,
                                     NameWeightsCommand,
-                                    BlockPartCommand>;
+                                    BlockPartCommand,
+                                    ListSoftwareCommand>;
 
 /// The result of a SubmitCommand.
 struct SubmitResult
--- a/src/include/fulmarquay/control/ControlMessages.h
+++ b/src/include/fulmarquay/control/ControlMessages.h
@@ -101,6 +101,8 @@
   /// Of the heartbeat that this answers, on the entry's monotonic clock.
   std::int64_t m_heartbeatSentAtUs = 0;
   std::uint64_t m_term = 0; ///< of the leader
+  /// Number of the leader's worker list; 0: it has none.
+  std::uint64_t m_workers = 0;
   MSGPACK_DEFINE(m_revision,
                  m_leaseUs,
                  m_liveEntries,
@@ -115,7 +117,8 @@
                  m_loadPeersVersion,
                  m_loadPeers,
                  m_heartbeatSentAtUs,
-                 m_term)
+                 m_term,
+                 m_workers)
 };
 
 /// Updates an entry to the accepted configuration.
--- a/src/include/fulmarquay/control/ControlState.h
+++ b/src/include/fulmarquay/control/ControlState.h
@@ -42,6 +42,7 @@
   ControlResult On(const PublishRoutesCommand& aCommand);
   ControlResult On(const NameWeightsCommand& aCommand);
   ControlResult On(const BlockPartCommand& aCommand);
+  ControlResult On(const ListSoftwareCommand& aCommand);
 
   OnceTable m_once;
   ConfigTable m_config;
--- a/src/include/fulmarquay/control/FleetManager.h
+++ b/src/include/fulmarquay/control/FleetManager.h
@@ -7,6 +7,7 @@
 #include "fulmarquay/control/LimitManager.h"
 #include "fulmarquay/control/OperatorProtocol.h"
 #include "fulmarquay/control/PublishedState.h"
+#include "fulmarquay/control/SoftwareVersionManager.h"
 #include "fulmarquay/control/StoreManager.h"
 #include "fulmarquay/control/WorkerDirectory.h"
 #include "fulmarquay/core/LogEvent.h"
@@ -178,6 +179,7 @@
   std::map<std::string, std::int64_t> m_announcedWeights;
   BlockedPartManager m_blockedParts;
   LimitManager m_limits;
+  SoftwareVersionManager m_software;
   Rollout m_rollout;
   Configuration m_desired; ///< input of m_rollout: workers, named weights
   std::map<CallId, Call> m_calls;
--- a/src/include/fulmarquay/control/PublishedState.h
+++ b/src/include/fulmarquay/control/PublishedState.h
@@ -10,8 +10,9 @@
 
 namespace fulmarquay {
 
-/// The newest route document, the newest weight version of each model and the
-/// blocked parts of prompts: a deterministic part of the control state. The
+/// The newest route document, the newest weight version of each model, the
+/// blocked parts of prompts and the software versions of workers: a
+/// deterministic part of the control state. The
 /// highest revision or version wins, independent of the order in which commands
 /// are committed.
 class PublishedState
@@ -24,7 +25,8 @@
     std::string m_source; ///< as sent by the operator
     std::map<std::string, std::int64_t> m_weights; ///< by model
     std::set<RequestPartId> m_blockedParts;
-    MSGPACK_DEFINE(m_revision, m_source, m_weights, m_blockedParts)
+    SoftwareByPool m_software;
+    MSGPACK_DEFINE(m_revision, m_source, m_weights, m_blockedParts, m_software)
   };
 
   /// Stores a document if it has the highest revision; returns whether it was
@@ -39,6 +41,10 @@
   /// number of blocked parts is limited.
   bool SetBlocked(const BlockPartCommand& aCommand);
 
+  /// Adds or removes a software version; returns whether this changed anything.
+  /// The number of versions is limited.
+  bool SetListed(const ListSoftwareCommand& aCommand);
+
   Revision Current() const { return m_content.m_revision; }
   const std::string& Source() const { return m_content.m_source; }
   const std::map<std::string, std::int64_t>& Weights() const
@@ -51,6 +57,8 @@
     return m_content.m_blockedParts;
   }
 
+  const SoftwareByPool& Software() const { return m_content.m_software; }
+
   const Content& Save() const { return m_content; }
   void Restore(Content aContent);
 
--- a/src/include/fulmarquay/control/WorkerList.h
+++ b/src/include/fulmarquay/control/WorkerList.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,9 @@
   }
 };
 
+/// Software versions of the workers of each pool.
+using SoftwareByPool = std::map<PoolId, std::set<SoftwareVersion>>;
+
 /// A page of the VM list.
 struct WorkerPage
 {
@@ -75,7 +79,9 @@
   std::vector<NamedWeights> m_weights;
   /// Prompts with one of these parts are refused, because it crashes workers.
   std::vector<RequestPartId> m_blockedParts;
-  MSGPACK_DEFINE(m_number, m_workers, m_weights, m_blockedParts)
+  /// Versions on which streams that still last may have begun.
+  SoftwareByPool m_software;
+  MSGPACK_DEFINE(m_number, m_workers, m_weights, m_blockedParts, m_software)
 };
 
 } // namespace fulmarquay
--- a/src/include/fulmarquay/serve/Placement.h
+++ b/src/include/fulmarquay/serve/Placement.h
@@ -5,6 +5,7 @@
 #include "fulmarquay/serve/PartMap.h"
 #include "fulmarquay/serve/RelayRequest.h"
 #include "fulmarquay/serve/RequestLimiter.h"
+#include "fulmarquay/serve/SoftwareVersions.h"
 #include "fulmarquay/serve/WorkerCaches.h"
 #include "fulmarquay/serve/WorkerTable.h"
 
@@ -35,6 +36,9 @@
     bool m_hasPrompt = false;
     std::string m_account; ///< owner of an isolated cache, else empty
     std::set<WorkerId> m_triedWorkers;
+    /// The only software that may go on with the stream; no value: any.
+    std::optional<SoftwareVersion> m_software;
+    const SoftwareVersions* m_softwareVersions = nullptr; ///< or null
     const PartMap* m_partMap = nullptr;     ///< contents of the stores, or null
     const WorkerCaches* m_caches = nullptr; ///< of the workers, or null
     RequestLimiter* m_limiter = nullptr;    ///< null: no worker is limited
@@ -68,6 +72,9 @@
   Choice Choose(WorkerTable& aWorkers, const Criteria& aCriteria) const;
 
 private:
+  /// The workers that may be sent the request, regardless of their load.
+  static std::vector<WorkerState*> Eligible(WorkerTable& aWorkers,
+                                            const Criteria& aCriteria);
   static bool HasRoom(const WorkerState& aWorker,
                       const Criteria& aCriteria,
                       const WorkerLoad& aOthersLoad);
--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -7,12 +7,15 @@
 #include "fulmarquay/serve/EntryContext.h"
 #include "fulmarquay/serve/EventStreamSplitter.h"
 #include "fulmarquay/serve/LoadExchange.h"
+#include "fulmarquay/serve/OriginExchange.h"
 #include "fulmarquay/serve/PartMap.h"
 #include "fulmarquay/serve/PartWatch.h"
 #include "fulmarquay/serve/Placement.h"
 #include "fulmarquay/serve/RelayProtocol.h"
 #include "fulmarquay/serve/RequestLimiter.h"
+#include "fulmarquay/serve/SoftwareVersions.h"
 #include "fulmarquay/serve/StartupAdmission.h"
+#include "fulmarquay/serve/StreamOrigins.h"
 #include "fulmarquay/serve/WorkerCaches.h"
 #include "fulmarquay/serve/WorkerTable.h"
 
@@ -90,7 +93,18 @@
   void OnLoadPeers(const std::vector<EntryPeer>& aPeers)
   {
     m_exchange.SetPeers(aPeers);
+    m_originExchange.SetPeers(aPeers);
   }
+  /// The leader's worker list had this number, or a lower one, when a heartbeat
+  /// was sent that it has answered.
+  void OnListConfirmed(std::uint64_t aListNumber, TimePoint aSentAt)
+  {
+    m_softwareVersions.OnConfirmed(aListNumber, aSentAt);
+  }
+  /// Messages of other entries about origins of streams.
+  void OnOriginUpdate(const StreamOriginUpdate& aUpdate);
+  StreamOriginReply OnOriginQuery(const StreamOriginQuery& aQuery) const;
+  void OnOriginReply(const StreamOriginReply& aReply);
   void OnLoads(const WorkerLoads& aLoads);
   /// Applies the limits of workers that the leader knows, and the shares of
   /// this entry, which OnLimitSharesConfirmed renews.
@@ -148,6 +162,10 @@
     std::vector<RequestPartId> m_partIds;
     PoolId m_pool;
     WorkerId m_worker;
+    SoftwareVersion m_software; ///< of m_worker
+    /// Once an event was forwarded, or the caller has one: no other worker may
+    /// go on.
+    std::optional<StreamOrigin> m_origin;
     std::set<WorkerId> m_triedWorkers;
     std::set<std::string> m_stores; ///< stores and workers it fetches from
     TimePoint m_sentAt;
@@ -165,7 +183,8 @@
     bool m_endsWithConnection = false; ///< only its end delimits the answer
     TimePoint m_firstEventAt;
     TimePoint m_lastEventAt;
-    Duration m_longestGap{};    ///< between two events
+    Duration m_longestGap{}; ///< between two events
+    bool m_isOriginRecorded = false;
     bool m_isStreaming = false; ///< the response head was sent to the caller
     EventStreamSplitter m_eventSplitter;
   };
@@ -181,6 +200,8 @@
   bool HasStoresAndLoads() const;
   bool Authenticate(ActiveRequest& aActive, const RouteRule& aRule);
   const PoolShare& ChoosePool(const ActiveRequest& aActive) const;
+  /// Chooses the worker, now that the pool is known.
+  void Accept(ActiveRequest& aActive, const PoolId& aPool);
   void Place(ActiveRequest& aActive);
   Placement::Criteria CriteriaFor(const ActiveRequest& aActive);
   /// Adds a request to its pool's queue because no worker has room, or refuses
@@ -217,15 +238,42 @@
   void RecordFailedStart(const ActiveRequest& aActive);
   void LogAnswered(const ActiveRequest& aActive, int aStatus);
   ActiveRequest* Find(CallId aCall);
+
+  // Origins of streams.
+  /// Whether the caller has events of an earlier attempt.
+  static bool IsResumed(const ActiveRequest& aActive);
+  static StreamKey StreamKeyOf(const ActiveRequest& aActive,
+                               const std::string& aAttempt);
+  /// Whether another entry can't know where a stream of this route and pool
+  /// began unless it is told.
+  bool HasSeveralOrigins(const ActiveRequest& aActive,
+                         const PoolId& aPool) const;
+  /// The origin of all streams of the route, if there is only one.
+  std::optional<StreamOrigin> OnlyOrigin(const ActiveRequest& aActive) const;
+  /// Finds where a resumed stream began, and places or refuses it; it waits
+  /// while other entries are asked.
+  void FindOrigin(ActiveRequest& aActive);
+  void Resume(ActiveRequest& aActive,
+              const StreamOrigin& aOrigin,
+              const std::string& aSource);
+  void RefuseResumed(ActiveRequest& aActive, const std::string& aReason);
+  void FinishOriginLookups();
+  void RecordOrigin(ActiveRequest& aActive);
+  /// Sends the origins of all recent streams of a pool to their owners.
+  void ShareOriginsOf(const PoolId& aPool);
+  void RecordMovedRoutes(const RouteDelta& aDelta);
+  void SendOriginMessages();
+
   void OnWorkerActivity(const ActiveRequest& aActive);
   /// Applies what the head of an answer states about its worker.
   void RecordAnnouncements(const ActiveRequest& aActive);
   /// Records the limit that the worker states.
   void RecordLimit(const ActiveRequest& aActive, const WorkerInfo& aWorker);
   void LogLimit(const WorkerInfo& aWorker, const std::string& aSource);
-  /// Requests that this entry may send to a pool within a time; no value: not
-  /// all workers are limited, or a limit is not divided yet.
-  std::optional<std::size_t> LimitedSendsWithin(const PoolId& aPool,
+  /// Requests that this entry may send within a time to the workers that may
+  /// run this one; no value: not all of them are limited, or a limit is not
+  /// divided yet.
+  std::optional<std::size_t> LimitedSendsWithin(const ActiveRequest& aActive,
                                                 Duration aTime);
   /// Refuses a request, or one of a lower priority that is queued, if the
   /// limited workers of its pool will not accept it in time. Returns whether it
@@ -298,7 +346,16 @@
   TimePoint m_nextProbe;
   std::multimap<TimePoint, CallerId> m_expiries;
   std::map<PoolId, RetryBudget> m_budgets;
-  std::map<PoolId, AdmissionQueue> m_queues;
+  /// Streams that only one software version may go on with have queues of
+  /// their own, so that they don't hold up the others of their pool.
+  using QueueKey = std::pair<PoolId, SoftwareVersion>;
+  static QueueKey QueueKeyOf(const ActiveRequest& aActive);
+  std::map<QueueKey, AdmissionQueue> m_queues;
+  SoftwareVersions m_softwareVersions;
+  StreamOrigins m_origins;
+  OriginExchange m_originExchange;
+  std::multimap<StreamKey, CallerId> m_waitingForOrigin;
+  std::map<std::string, TimePoint> m_routeMovedAt;   ///< to other pools
   std::map<std::string, double> m_averageHeldTokens; ///< by pool
   std::map<std::string, std::int64_t> m_otherEntriesHeldTokens;
   TimePoint m_averagedAt;
--- a/src/include/fulmarquay/serve/WorkerTable.h
+++ b/src/include/fulmarquay/serve/WorkerTable.h
@@ -28,6 +28,9 @@
   bool m_isProbeInFlight = false; ///< a probe is in progress
   bool m_hasAnnouncedLeaving = false; ///< in an answer, before the VM list
   TimePoint m_pausedUntil; ///< accepts no requests of this entry before
+  /// After a failure, another incarnation may have this address and id until a
+  /// later list shows it: before this time it resumes no streams.
+  TimePoint m_unprovedUntil;
 };
 
 /// The workers of all pools. Keeps the state of a worker across lists while its
--- a/src/libcontrol/ControlState.cpp
+++ b/src/libcontrol/ControlState.cpp
@@ -86,6 +86,12 @@
   return ValueResult{ m_published.SetBlocked(aCommand) ? 1U : 0U };
 }
 
+ControlResult
+ControlState::On(const ListSoftwareCommand& aCommand)
+{
+  return ValueResult{ m_published.SetListed(aCommand) ? 1U : 0U };
+}
+
 std::string
 ControlState::Encode() const
 {
--- a/src/libcontrol/FleetManager.cpp
+++ b/src/libcontrol/FleetManager.cpp
@@ -35,6 +35,7 @@
   , m_protocol(std::move(aProtocol))
   , m_blockedParts(aContext)
   , m_limits(aContext)
+  , m_software(aContext)
   , m_rollout(m_options.m_rollout)
 {
   if (aStores) {
@@ -147,7 +148,8 @@
   if (m_context.HoldsLeaderLease()) {
     UpdateRoutes();
     UpdateWeights();
-    if (m_blockedParts.OnStateApplied()) {
+    const bool isBlockedChanged = m_blockedParts.OnStateApplied();
+    if (m_software.OnStateApplied() || isBlockedChanged) {
       UpdateWorkers();
     }
   }
@@ -212,6 +214,7 @@
   m_announcedWeights.clear();
   m_blockedParts.OnLeadership();
   m_limits.OnLeadership();
+  m_software.OnLeadership();
   m_desired = Configuration();
   m_nextListFetch = m_context.Now();
   m_workerListNumber = m_context.CurrentTerm() << kTermShiftBits;
@@ -317,6 +320,7 @@
       FetchListPage(next);
       return;
     }
+    m_software.OnListed(m_workers.Workers());
     if (isChanged || !m_hasList) {
       m_context.Log(LogEvent::VmListChanged,
                     { { "workers", std::to_string(m_workers.Workers().size()) },
@@ -489,6 +493,7 @@
 FleetManager::FillReply(HeartbeatReply& aReply) const
 {
   aReply.m_routes = m_context.Published().Current();
+  aReply.m_workers = m_hasList ? m_workerListNumber : 0;
   if (m_stores) {
     aReply.m_workersClockMs = m_stores->WorkerClockMs();
     aReply.m_storeDataValidUs = m_options.m_storeTimeouts.m_mapLease.count();
@@ -559,7 +564,12 @@
 {
   WorkerList list;
   list.m_number = m_workerListNumber;
-  list.m_workers = m_workers.Workers();
+  for (const WorkerInfo& worker : m_workers.Workers()) {
+    if (m_software.IsPublishable(worker)) {
+      list.m_workers.push_back(worker);
+    }
+  }
+  list.m_software = m_context.Published().Software();
   for (const auto& [model, version] : m_context.Published().Weights()) {
     NamedWeights named{ model, version, 0 };
     const auto known = m_namedVersions.find(model);
--- a/src/libcontrol/PublishedState.cpp
+++ b/src/libcontrol/PublishedState.cpp
@@ -8,6 +8,8 @@
 
 /// Bounds the memory of all replicas and entries.
 constexpr std::size_t kMaxBlockedParts = 1'000;
+constexpr std::size_t kMaxPools = 200;
+constexpr std::size_t kMaxVersionsOfPool = 20;
 
 } // namespace
 
@@ -44,6 +46,27 @@
          blocked.insert(aCommand.m_part).second;
 }
 
+bool
+PublishedState::SetListed(const ListSoftwareCommand& aCommand)
+{
+  SoftwareByPool& pools = m_content.m_software;
+  const auto pool = pools.find(aCommand.m_pool);
+  if (!aCommand.m_isListed) {
+    const bool isRemoved =
+      pool != pools.end() && pool->second.erase(aCommand.m_software) != 0;
+    if (isRemoved && pool->second.empty()) {
+      pools.erase(pool);
+    }
+    return isRemoved;
+  }
+  if (pool == pools.end()) {
+    return pools.size() < kMaxPools &&
+           pools[aCommand.m_pool].insert(aCommand.m_software).second;
+  }
+  return pool->second.size() < kMaxVersionsOfPool &&
+         pool->second.insert(aCommand.m_software).second;
+}
+
 void
 PublishedState::Restore(Content aContent)
 {
--- a/src/libcore/LogEvent.cpp
+++ b/src/libcore/LogEvent.cpp
@@ -321,6 +321,18 @@
       "The limit that a worker states for all entries together is divided "
       "between other entries, or with other shares.",
       "None." },
+    { LogEvent::SoftwareVersionAdded,
+      "SoftwareVersionAdded",
+      "info",
+      "Workers of a pool have a software version that none of them had; their "
+      "streams go on only at workers of the same version.",
+      "None." },
+    { LogEvent::SoftwareVersionRemoved,
+      "SoftwareVersionRemoved",
+      "info",
+      "The VM list has contained no worker with this software version for a "
+      "minute.",
+      "None." },
     { LogEvent::KeyLeaseLost,
       "KeyLeaseLost",
       "warning",
@@ -362,6 +374,12 @@
       "info",
       "A request is retried on another worker.",
       "Check the first worker if it recurs." },
+    { LogEvent::StreamOriginFound,
+      "StreamOriginFound",
+      "info",
+      "A caller resumes a stream, and the software version that it began on is "
+      "known.",
+      "None; for those refused see OPERATIONS.md, resumed streams." },
     { LogEvent::WorkerSuspected,
       "WorkerSuspected",
       "warning",
--- a/src/libserve/EntryNode.cpp
+++ b/src/libserve/EntryNode.cpp
@@ -114,6 +114,7 @@
     m_relay->OnConfirmed(m_control.LastConfirmed() + m_options.m_keyLease,
                          aReply.m_liveEntries);
   }
+  m_relay->OnListConfirmed(aReply.m_workers, m_control.LastConfirmed());
   m_relay->OnLimitSharesConfirmed(m_control.LastConfirmed() + kLimitShareLease,
                                   aReply.m_liveEntries);
   if (aReply.m_term != m_leaderTerm) {
@@ -479,6 +480,19 @@
     if (m_relay) {
       m_relay->OnLoads(*workers);
     }
+  } else if (const auto* update = std::get_if<StreamOriginUpdate>(&message)) {
+    if (m_relay) {
+      m_relay->OnOriginUpdate(*update);
+    }
+  } else if (const auto* query = std::get_if<StreamOriginQuery>(&message)) {
+    if (m_relay) {
+      m_context.Emit(
+        ReplyToPeer{ aEvent.m_connection, m_relay->OnOriginQuery(*query) });
+    }
+  } else if (const auto* found = std::get_if<StreamOriginReply>(&message)) {
+    if (m_relay) {
+      m_relay->OnOriginReply(*found);
+    }
   } else {
     m_cache.OnMessage(aEvent.m_connection, message);
   }
--- a/src/libserve/Placement.cpp
+++ b/src/libserve/Placement.cpp
@@ -213,14 +213,36 @@
                                       : kOldWeightsTokens;
 }
 
-Placement::Choice
-Placement::Choose(WorkerTable& aWorkers, const Criteria& aCriteria) const
+std::vector<WorkerState*>
+Placement::Eligible(WorkerTable& aWorkers, const Criteria& aCriteria)
 {
-  std::vector<WorkerState*> available =
+  std::vector<WorkerState*> eligible =
     aWorkers.Available(aCriteria.m_now, aCriteria.m_pool);
-  std::erase_if(available, [&](const WorkerState* aEach) {
+  std::erase_if(eligible, [&](const WorkerState* aEach) {
     return aCriteria.m_triedWorkers.count(aEach->m_info.m_id) != 0;
   });
+  if (aCriteria.m_software) {
+    std::erase_if(eligible, [&](const WorkerState* aEach) {
+      return aEach->m_info.m_software != *aCriteria.m_software ||
+             aCriteria.m_now < aEach->m_unprovedUntil;
+    });
+    return eligible;
+  }
+  const auto isNew = [&](const WorkerState* aEach) {
+    return aCriteria.m_softwareVersions != nullptr &&
+           aCriteria.m_softwareVersions->IsNew(
+             aCriteria.m_now, aCriteria.m_pool, aEach->m_info.m_software);
+  };
+  if (!std::all_of(eligible.begin(), eligible.end(), isNew)) {
+    std::erase_if(eligible, isNew);
+  }
+  return eligible;
+}
+
+Placement::Choice
+Placement::Choose(WorkerTable& aWorkers, const Criteria& aCriteria) const
+{
+  const std::vector<WorkerState*> available = Eligible(aWorkers, aCriteria);
   const std::uint64_t affinityKey = AffinityKey(aCriteria);
   const auto weightOf = [&](const WorkerState* aWorker) {
     return RendezvousWeight(aWorker->m_info.m_id.Value(), affinityKey);
--- a/src/libserve/RelayDispatch.cpp
+++ b/src/libserve/RelayDispatch.cpp
@@ -60,6 +60,10 @@
   criteria.m_hasPrompt = aActive.m_rule.m_hasPrompt;
   criteria.m_account = aActive.m_cacheAccount;
   criteria.m_triedWorkers = aActive.m_triedWorkers;
+  criteria.m_softwareVersions = &m_softwareVersions;
+  if (aActive.m_origin) {
+    criteria.m_software = aActive.m_origin->m_software;
+  }
   criteria.m_entryCount = m_entryCount;
   criteria.m_otherLoads = m_exchange.HasLoads() ? &m_exchange : nullptr;
   criteria.m_partMap = &m_partMap;
@@ -102,13 +106,17 @@
 }
 
 std::optional<std::size_t>
-RelayFlow::LimitedSendsWithin(const PoolId& aPool, Duration aTime)
+RelayFlow::LimitedSendsWithin(const ActiveRequest& aActive, Duration aTime)
 {
   const TimePoint now = m_context.Now();
   const double seconds =
     std::max(0.0, static_cast<double>(aTime.count()) / kMicrosPerSecond);
   std::size_t sends = 0;
-  for (const WorkerState* worker : m_workers.Available(now, aPool)) {
+  for (const WorkerState* worker : m_workers.Available(now, aActive.m_pool)) {
+    if (aActive.m_origin &&
+        worker->m_info.m_software != aActive.m_origin->m_software) {
+      continue;
+    }
     const std::optional<double> rate = m_limiter.RateOf(now, worker->m_info);
     if (!rate) {
       return std::nullopt;
@@ -138,7 +146,7 @@
   // A worker needs about the target time for the answer.
   const Duration target(aActive.m_rule.m_targetLatencyUs);
   const Duration left = aActive.m_expiresAt - m_context.Now() - target;
-  const auto sendsInTime = LimitedSendsWithin(aActive.m_pool, left);
+  const auto sendsInTime = LimitedSendsWithin(aActive, left);
   if (!sendsInTime) {
     return false;
   }
@@ -150,9 +158,9 @@
     return false;
   }
   // One request waits for the next send. More would all be late.
-  const std::size_t places = std::max<std::size_t>(
-    1, LimitedSendsWithin(aActive.m_pool, target).value_or(0));
-  AdmissionQueue& queue = m_queues[aActive.m_pool];
+  const std::size_t places =
+    std::max<std::size_t>(1, LimitedSendsWithin(aActive, target).value_or(0));
+  AdmissionQueue& queue = m_queues[QueueKeyOf(aActive)];
   const std::size_t place = queue.CountAhead(aActive.m_priority) + 1;
   if (place > std::min(*sendsInTime, places)) {
     RefuseLimited(aActive);
@@ -177,7 +185,7 @@
   // Queued requests are served before new ones.
   const bool mustQueue = !aActive.m_isQueued && !aActive.m_isStreaming &&
                          !aActive.m_mayHaveRun &&
-                         m_queues[aActive.m_pool].Size() > 0;
+                         m_queues[QueueKeyOf(aActive)].Size() > 0;
   const Placement::Choice choice =
     isLate ? Placement::Choice() : m_placement.Choose(m_workers, criteria);
   if (choice.m_worker != nullptr && !mustQueue) {
@@ -185,7 +193,8 @@
     aActive.m_pendingPrefillTokens = choice.m_prefillTokens;
     aActive.m_heldTokens = criteria.m_neededTokens;
     if (criteria.m_hasPrompt) {
-      m_queues[aActive.m_pool].OnSent(criteria.m_now, criteria.m_neededTokens);
+      m_queues[QueueKeyOf(aActive)].OnSent(criteria.m_now,
+                                           criteria.m_neededTokens);
     }
     Send(aActive, *choice.m_worker);
     return;
@@ -205,6 +214,14 @@
          RetryAfterFor(aActive.m_pool));
 }
 
+RelayFlow::QueueKey
+RelayFlow::QueueKeyOf(const ActiveRequest& aActive)
+{
+  return { aActive.m_pool,
+           aActive.m_origin ? aActive.m_origin->m_software
+                            : SoftwareVersion() };
+}
+
 void
 RelayFlow::Enqueue(ActiveRequest& aActive, std::int64_t aTokens)
 {
@@ -219,7 +236,7 @@
   item.m_expiresAt = aActive.m_expiresAt;
   item.m_tokens = aTokens;
   const std::optional<Duration> retryAfter =
-    m_queues[aActive.m_pool].Push(m_context.Now(), item);
+    m_queues[QueueKeyOf(aActive)].Push(m_context.Now(), item);
   if (retryAfter) {
     Refuse(aActive, kStatusUnavailable, "queue too long", *retryAfter);
     return;
@@ -232,7 +249,7 @@
 {
   if (aActive.m_isQueued) {
     aActive.m_isQueued = false;
-    m_queues[aActive.m_pool].Remove(aActive.m_caller);
+    m_queues[QueueKeyOf(aActive)].Remove(aActive.m_caller);
   }
 }
 
@@ -297,7 +314,9 @@
 void
 RelayFlow::DispatchQueued()
 {
-  for (auto& [pool, queue] : m_queues) {
+  // Within a pool, streams that can't choose their workers come first.
+  for (auto each = m_queues.rbegin(); each != m_queues.rend(); ++each) {
+    AdmissionQueue& queue = each->second;
     while (const auto next = queue.Next(m_context.Now())) {
       ActiveRequest& active = *m_byCaller.at(next->m_caller);
       Place(active);
@@ -446,6 +465,7 @@
   call.m_correlationHeader = m_protocol.CorrelationHeader(aActive.m_request);
   m_limiter.OnSent(m_context.Now(), aWorker.m_info);
   aActive.m_worker = aWorker.m_info.m_id;
+  aActive.m_software = aWorker.m_info.m_software;
   aActive.m_triedWorkers.insert(aActive.m_worker);
   aActive.m_sentAt = m_context.Now();
   aActive.m_workerHead = WorkerResponseHead();
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -33,6 +33,7 @@
   , m_options(aOptions)
   , m_exchange(aContext.Self().m_vm)
   , m_limiter(aContext.Self().m_vm)
+  , m_originExchange(aContext.Self().m_vm)
 {
 }
 
@@ -42,6 +43,7 @@
   if (aDelta.m_to <= m_routes.Document().m_revision) {
     return;
   }
+  RecordMovedRoutes(aDelta);
   m_routes.Apply(aDelta);
   m_context.Log(
     LogEvent::RoutesInForce,
@@ -56,6 +58,9 @@
   if (!m_workers.Apply(m_context.Now(), aList)) {
     return;
   }
+  for (const PoolId& pool : m_softwareVersions.Apply(m_context.Now(), aList)) {
+    ShareOriginsOf(pool);
+  }
   m_limiter.Expire(m_context.Now(), aList.m_workers);
   if (m_partWatch.SetBlocked(aList.m_blockedParts)) {
     GiveUpBlockedQueued();
@@ -233,9 +238,19 @@
   }
   aActive.m_expiresAt = aActive.m_arrivedAt + wait;
   m_expiries.emplace(aActive.m_expiresAt, aActive.m_caller);
-  aActive.m_pool = ChoosePool(aActive).m_pool;
-  RetryBudgetFor(aActive.m_pool).OnRequest();
-  m_limiter.OnRequest(m_context.Now(), aActive.m_pool);
+  if (IsResumed(aActive)) {
+    FindOrigin(aActive);
+  } else {
+    Accept(aActive, ChoosePool(aActive).m_pool);
+  }
+}
+
+void
+RelayFlow::Accept(ActiveRequest& aActive, const PoolId& aPool)
+{
+  aActive.m_pool = aPool;
+  RetryBudgetFor(aPool).OnRequest();
+  m_limiter.OnRequest(m_context.Now(), aPool);
   Place(aActive);
 }
 
@@ -339,7 +354,9 @@
     m_nextCacheSweep = now + kCacheSweepInterval;
     m_caches.Sweep(now, m_workers);
   }
+  FinishOriginLookups();
   DispatchQueued();
+  SendOriginMessages();
   SendLoads();
   if (m_hadKeyLease != HasKeyLease()) {
     m_hadKeyLease = HasKeyLease();
--- a/src/libserve/RelayResponses.cpp
+++ b/src/libserve/RelayResponses.cpp
@@ -284,25 +284,6 @@
                   { "parts", boost::algorithm::join(ids, ",") } });
 }
 
-void
-RelayFlow::RecordEvents(ActiveRequest& aActive)
-{
-  const TimePoint now = m_context.Now();
-  if (!aActive.m_hasFirstEvent) {
-    aActive.m_hasFirstEvent = true;
-    m_partWatch.OnSound(now, aActive.m_partIds);
-    OnPrefillDone(aActive);
-  }
-  // A stream resumed at another worker already has its first event.
-  if (aActive.m_firstEventAt == TimePoint()) {
-    aActive.m_firstEventAt = now;
-  } else {
-    aActive.m_longestGap =
-      std::max(aActive.m_longestGap, now - aActive.m_lastEventAt);
-  }
-  aActive.m_lastEventAt = now;
-}
-
 void
 RelayFlow::OnData(CallId aCall, const std::string& aData)
 {
--- a/src/libserve/WorkerTable.cpp
+++ b/src/libserve/WorkerTable.cpp
@@ -171,6 +171,7 @@
   if (worker == nullptr) {
     return;
   }
+  worker->m_unprovedUntil = aNow + kMaxListAge;
   const int doublings = std::min(worker->m_consecutiveFailures, kMaxDoublings);
   ++worker->m_consecutiveFailures;
   // A probe is required because a failed worker has no load and would attract
--- a/src/libserve/relay_test.h
+++ b/src/libserve/relay_test.h
@@ -163,17 +163,23 @@
   {
     WorkerList list;
     list.m_number = ++m_list;
+    for (const WorkerInfo& worker : aWorkers) {
+      m_software[worker.m_pool].insert(worker.m_software);
+    }
+    list.m_software = m_software;
     list.m_workers = std::move(aWorkers);
     list.m_blockedParts = m_blockedParts;
     if (aLatestVersion >= 0) {
       list.m_weights = { { "m", aLatestVersion, 0 } };
     }
     m_flow.OnWorkerList(list);
+    m_flow.OnListConfirmed(m_list, m_now);
   }
 
   void Confirm(std::uint32_t aEntryCount = 1)
   {
     m_flow.OnConfirmed(m_now + 4'000 * kMillisecond, aEntryCount);
+    m_flow.OnListConfirmed(m_list, m_now);
   }
 
   void AdvanceClock(std::int64_t aMillis)
@@ -285,6 +291,7 @@
   RelayFlow m_flow;
   TimePoint m_now{ Duration(1'000'000'000) };
   std::uint64_t m_list = 0;
+  SoftwareByPool m_software;                 ///< of all lists
   std::vector<RequestPartId> m_blockedParts; ///< of the next worker lists
   std::uint64_t m_caller = 0;
   std::vector<HttpCall> m_calls;
--- a/src/libserve/software_fleet_test.h
+++ b/src/libserve/software_fleet_test.h
@@ -120,7 +120,7 @@
   /// of its version serve.
   Counts New() const { return m_new; }
   Counts Resumed() const { return m_resumed; }
-  /// Of entries to each other since the last call.
+  /// Of entries to each other about origins, since the last call.
   std::pair<std::size_t, std::size_t> TakeMessagesAndBytes()
   {
     return { std::exchange(m_messages, 0), std::exchange(m_bytes, 0) };
@@ -279,8 +279,14 @@
   }
   void OnPeerMessage(std::size_t, const CacheMessage& aMessage) override
   {
-    ++m_messages;
-    m_bytes += PackMessage(aMessage).size();
+    const bool isOrigin =
+      std::holds_alternative<StreamOriginUpdate>(aMessage) ||
+      std::holds_alternative<StreamOriginQuery>(aMessage) ||
+      std::holds_alternative<StreamOriginReply>(aMessage);
+    if (isOrigin) {
+      ++m_messages;
+      m_bytes += PackMessage(aMessage).size();
+    }
   }
 
   std::vector<Stream> m_streams;
