--- a/src/libcontrol/FleetManager.cpp
+++ b/src/libcontrol/FleetManager.cpp
@@ -139,13 +139,13 @@
 void
 FleetManager::OnStateApplied()
 {
-  for (const auto& [model, version] : m_context.Published().Weights()) {
-    NamedVersion& named = m_namedVersions[model];
-    if (named.m_version != version) {
-      named = { version, m_context.Now() };
-    }
-  }
   if (m_context.HoldsLeaderLease()) {
+    // Without the lease, versions may have been named that are not applied
+    // here yet.
+    for (const auto& [model, version] : m_context.Published().Weights()) {
+      m_newestWeights.OnNamed(model, version);
+    }
+    m_newestWeights.OnConfirmed(m_context.Now());
     UpdateRoutes();
     UpdateWeights();
     const bool isBlockedChanged = m_blockedParts.OnStateApplied();
@@ -490,8 +490,11 @@
 }
 
 void
-FleetManager::FillReply(HeartbeatReply& aReply) const
+FleetManager::FillReply(const EntryHeartbeat& aHeartbeat,
+                        HeartbeatReply& aReply) const
 {
+  aReply.m_weights =
+    m_newestWeights.MakeReport(m_context.Now(), aHeartbeat.m_weightsRevision);
   aReply.m_routes = m_context.Published().Current();
   aReply.m_workers = m_hasList ? m_workerListNumber : 0;
   if (m_stores) {
@@ -571,12 +574,7 @@
   }
   list.m_software = m_context.Published().Software();
   for (const auto& [model, version] : m_context.Published().Weights()) {
-    NamedWeights named{ model, version, 0 };
-    const auto known = m_namedVersions.find(model);
-    if (known != m_namedVersions.end()) {
-      named.m_ageUs = (m_context.Now() - known->second.m_since).count();
-    }
-    list.m_weights.push_back(named);
+    list.m_weights.push_back({ model, version });
   }
   const auto& blocked = m_context.Published().BlockedParts();
   list.m_blockedParts.assign(blocked.begin(), blocked.end());
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -32,6 +32,7 @@
   , m_protocol(aProtocol)
   , m_options(aOptions)
   , m_exchange(aContext.Self().m_vm)
+  , m_weights(aOptions.m_maxOldWeightsAge)
   , m_limiter(aContext.Self().m_vm)
   , m_originExchange(aContext.Self().m_vm)
 {
@@ -52,11 +53,12 @@
       { "routes", std::to_string(m_routes.Document().m_routes.size()) } });
 }
 
-void
+bool
 RelayFlow::OnWorkerList(const WorkerList& aList)
 {
+  const bool hasNewWeights = m_weights.OnNamed(aList.m_weights);
   if (!m_workers.Apply(m_context.Now(), aList)) {
-    return;
+    return hasNewWeights;
   }
   for (const PoolId& pool : m_softwareVersions.Apply(m_context.Now(), aList)) {
     ShareOriginsOf(pool);
@@ -65,6 +67,7 @@
   if (m_partWatch.SetBlocked(aList.m_blockedParts)) {
     GiveUpBlockedQueued();
   }
+  return hasNewWeights;
 }
 
 void
@@ -348,6 +351,7 @@
     }
   }
   ProbeSilentWorkers();
+  RecallExpired();
   UpdateHeldAverages();
   m_exchange.OnTick(now);
   if (now >= m_nextCacheSweep) {
@@ -365,6 +369,12 @@
   }
 }
 
+bool
+RelayFlow::MayRepeat(const ActiveRequest& aActive) const
+{
+  return aActive.m_rule.IsIdempotent() || MayResume(aActive);
+}
+
 void
 RelayFlow::Remove(ActiveRequest& aActive)
 {
--- a/src/libserve/relay_test.h
+++ b/src/libserve/relay_test.h
@@ -170,7 +170,8 @@
     list.m_workers = std::move(aWorkers);
     list.m_blockedParts = m_blockedParts;
     if (aLatestVersion >= 0) {
-      list.m_weights = { { "m", aLatestVersion, 0 } };
+      list.m_weights = { { "m", aLatestVersion } };
+      m_leaderWeights.OnNamed("m", aLatestVersion);
     }
     m_flow.OnWorkerList(list);
     m_flow.OnListConfirmed(m_list, m_now);
@@ -180,6 +181,9 @@
   {
     m_flow.OnConfirmed(m_now + 4'000 * kMillisecond, aEntryCount);
     m_flow.OnListConfirmed(m_list, m_now);
+    m_leaderWeights.OnConfirmed(m_now);
+    m_flow.OnWeightsReport(
+      m_leaderWeights.MakeReport(m_now, m_flow.Weights().Revision()), m_now);
   }
 
   void AdvanceClock(std::int64_t aMillis)
@@ -290,6 +294,7 @@
   EntryContext m_context;
   RelayFlow m_flow;
   TimePoint m_now{ Duration(1'000'000'000) };
+  NewestWeights m_leaderWeights; ///< what the leader knows
   std::uint64_t m_list = 0;
   SoftwareByPool m_software;                 ///< of all lists
   std::vector<RequestPartId> m_blockedParts; ///< of the next worker lists
