--- a/src/include/fulmarquay/control/SoftwareVersionManager.h
+++ b/src/include/fulmarquay/control/SoftwareVersionManager.h
@@ -21,8 +21,8 @@
 public:
   explicit SoftwareVersionManager(FleetContext& aContext);
 
-  /// Processes a complete VM list.
-  void OnListed(const std::vector<WorkerInfo>& aWorkers);
+  /// Processes a VM list; one that is not whole removes no versions.
+  void OnListed(const std::vector<WorkerInfo>& aWorkers, bool aIsWhole);
 
   /// Processes changes of the replicated set since the previous call; returns
   /// whether there were any.
--- a/src/libcontrol/SoftwareVersionManager.cpp
+++ b/src/libcontrol/SoftwareVersionManager.cpp
@@ -26,7 +26,8 @@
 }
 
 void
-SoftwareVersionManager::OnListed(const std::vector<WorkerInfo>& aWorkers)
+SoftwareVersionManager::OnListed(const std::vector<WorkerInfo>& aWorkers,
+                                 bool aIsWhole)
 {
   const TimePoint now = m_context.Now();
   std::set<PoolVersion> missing;
@@ -42,8 +43,9 @@
   }
   for (const auto& [pool, versions] : m_context.Published().Software()) {
     for (const SoftwareVersion& version : versions) {
-      const TimePoint listedAt =
+      TimePoint& listedAt =
         m_listedAt.try_emplace({ pool, version }, now).first->second;
+      listedAt = aIsWhole ? listedAt : now;
       if (now >= listedAt + kRemovalDelay) {
         m_context.ProposeFor(CallerId(0),
                              ListSoftwareCommand{ pool, version, false });
--- a/src/libcontrol/software_versions_test.cpp
+++ b/src/libcontrol/software_versions_test.cpp
@@ -76,7 +76,7 @@
   CommitContext context;
   SoftwareVersionManager manager(context);
   manager.OnLeadership();
-  manager.OnListed({ Worker(kFirst), Worker(kFirst) });
+  manager.OnListed({ Worker(kFirst), Worker(kFirst) }, true);
   cr_assert_not(manager.IsPublishable(Worker(kFirst)));
   cr_assert_not(manager.OnStateApplied());
   cr_assert_eq(context.Commit(), 1U);
@@ -85,7 +85,7 @@
   cr_assert(manager.IsPublishable(Worker(kFirst)));
   cr_assert_not(manager.IsPublishable(Worker(kSecondVersion)));
   cr_assert(manager.IsPublishable(Worker(SoftwareVersion())));
-  manager.OnListed({ Worker(kFirst) });
+  manager.OnListed({ Worker(kFirst) }, true);
   cr_assert_eq(context.Commit(), 0U);
 }
 
@@ -94,17 +94,17 @@
   CommitContext context;
   SoftwareVersionManager manager(context);
   manager.OnLeadership();
-  manager.OnListed({ Worker(kFirst), Worker(kSecondVersion) });
+  manager.OnListed({ Worker(kFirst), Worker(kSecondVersion) }, true);
   context.Commit();
   // Another leader counts from its first list.
   context.m_now += 50 * kSecond;
   manager.OnLeadership();
-  manager.OnListed({ Worker(kSecondVersion) });
+  manager.OnListed({ Worker(kSecondVersion) }, true);
   context.m_now += 59 * kSecond;
-  manager.OnListed({ Worker(kSecondVersion) });
+  manager.OnListed({ Worker(kSecondVersion) }, true);
   cr_assert_eq(context.Commit(), 0U);
   context.m_now += kSecond;
-  manager.OnListed({ Worker(kSecondVersion) });
+  manager.OnListed({ Worker(kSecondVersion) }, true);
   cr_assert_eq(context.Commit(), 1U);
   cr_assert_eq(context.Published().Software().at(kPool),
                std::set{ kSecondVersion });
@@ -115,10 +115,24 @@
   CommitContext context;
   SoftwareVersionManager manager(context);
   manager.OnLeadership();
-  manager.OnListed({ Worker(kFirst), Worker(kSecondVersion) });
+  manager.OnListed({ Worker(kFirst), Worker(kSecondVersion) }, true);
   context.Commit();
   context.m_now += 100 * kSecond;
-  manager.OnListed({ Worker(kFirst), Worker(kSecondVersion) });
+  manager.OnListed({ Worker(kFirst), Worker(kSecondVersion) }, true);
+  cr_assert_eq(context.Commit(), 0U);
+}
+
+Test(listed_versions, no_version_is_removed_because_the_list_is_cut)
+{
+  CommitContext context;
+  SoftwareVersionManager manager(context);
+  manager.OnLeadership();
+  manager.OnListed({ Worker(kFirst), Worker(kSecondVersion) }, true);
+  context.Commit();
+  for (int second = 0; second < 100; ++second) {
+    context.m_now += kSecond;
+    manager.OnListed({ Worker(kFirst) }, false);
+  }
   cr_assert_eq(context.Commit(), 0U);
 }
 
