A new software version is used if the known one has expired weights

New streams prefer software versions that all entries know for some seconds. The preference was made before workers with expired weights were left out: a pool whose known workers all had such weights refused requests for that time although workers of the new version had the newest weights.

--- a/src/libserve/Placement.cpp
+++ b/src/libserve/Placement.cpp
@@ -219,7 +219,8 @@
   std::vector<WorkerState*> eligible =
     aWorkers.Available(aCriteria.m_now, aCriteria.m_pool);
   std::erase_if(eligible, [&](const WorkerState* aEach) {
-    return aCriteria.m_triedWorkers.count(aEach->m_info.m_id) != 0;
+    return aCriteria.m_triedWorkers.count(aEach->m_info.m_id) != 0 ||
+           OldWeightsCost(*aEach, aCriteria) == kIneligible;
   });
   if (aCriteria.m_software) {
     std::erase_if(eligible, [&](const WorkerState* aEach) {
@@ -257,10 +258,6 @@
   PartsByVersion partsByVersion;
   std::int64_t bestCost = kIneligible;
   for (WorkerState* worker : available) {
-    const std::int64_t oldWeightsCost = OldWeightsCost(*worker, aCriteria);
-    if (oldWeightsCost == kIneligible) {
-      continue;
-    }
     const std::optional<double> allowance =
       aCriteria.m_limiter == nullptr
         ? std::nullopt
@@ -286,7 +283,7 @@
         : prefillTokens;
     const std::int64_t cost =
       prefillCost + LoadCost(*worker, aCriteria, others, affinityKey) +
-      oldWeightsCost - AllowanceBonus(allowance);
+      OldWeightsCost(*worker, aCriteria) - AllowanceBonus(allowance);
     if (cost < bestCost) {
       choice.m_worker = worker;
       choice.m_prefillTokens = prefillTokens;
--- a/src/libserve/software_versions_test.cpp
+++ b/src/libserve/software_versions_test.cpp
@@ -380,3 +380,17 @@
   cr_assert_eq(entry.m_calls.size(), 4U);
   cr_assert_eq(entry.LastWorker(), worker, "goes on when there is room");
 }
+
+Test(software_versions, a_new_version_is_used_if_the_known_one_has_old_weights)
+{
+  Entry entry;
+  entry.SetWorkers({ Worker("w1", 1, "s1") }, 2);
+  for (int second = 0; second < 8; ++second) {
+    entry.AdvanceTicks(1'000);
+    entry.Confirm();
+  }
+  entry.SetWorkers({ Worker("w1", 1, "s1"), Worker("w2", 2, "s2") }, 2);
+  entry.SendRequest("/resumable/x");
+  cr_assert_eq(entry.m_calls.size(), 1U, "%s", entry.m_body.c_str());
+  cr_assert_eq(entry.LastWorker(), "w2");
+}
