Resumed streams go on while the control group is down

While a pool has one software version, entries prove the origin of a stream by a list that the leader confirms. Without a leader the proof ended after 3 s, and as origins were not sent, all streams that callers resumed at other entries would have been refused until the next leader.

Entries now send origins when their list has not been confirmed for 2.4 s, and those of recent streams once at that moment. The proof holds for 4.5 s, so that entries with a list that was confirmed up to an interval of heartbeats later send them as well; a version counts as new for 5.5 s.

--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -279,6 +279,8 @@
   void RecordOrigin(ActiveRequest& aActive);
   /// Sends the origins of all recent streams of a pool to their owners.
   void ShareOriginsOf(const PoolId& aPool);
+  /// Shares all origins once when the list has not been confirmed for long.
+  void UpdateListAge();
   void RecordMovedRoutes(const RouteDelta& aDelta);
   void SendOriginMessages();
 
@@ -376,6 +378,7 @@
   SoftwareVersions m_softwareVersions;
   StreamOrigins m_origins;
   OriginExchange m_originExchange;
+  bool m_mayListExpire = true;
   std::multimap<StreamKey, CallerId> m_waitingForOrigin;
   std::map<std::string, TimePoint> m_routeMovedAt;   ///< to other pools
   std::map<std::string, double> m_averageHeldTokens; ///< by pool
--- a/src/include/fulmarquay/serve/SoftwareVersions.h
+++ b/src/include/fulmarquay/serve/SoftwareVersions.h
@@ -25,6 +25,13 @@
   /// the heartbeat.
   void OnConfirmed(std::uint64_t aListNumber, TimePoint aSentAt);
 
+  /// Whether the list of this entry or of another one may prove nothing soon,
+  /// as it has not been confirmed for long.
+  bool MayExpire(TimePoint aNow) const;
+
+  /// The pools with listed versions.
+  std::vector<PoolId> Pools() const;
+
   /// Whether streams of the pool may have begun on several versions.
   bool IsMixed(const PoolId& aPool) const;
 
@@ -40,6 +47,8 @@
              const SoftwareVersion& aVersion) const;
 
 private:
+  bool IsConfirmed(TimePoint aNow, Duration aMaxAge) const;
+
   /// Versions of a pool and when this entry learned of them.
   using Versions = std::map<SoftwareVersion, TimePoint>;
 
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -358,6 +358,7 @@
     m_nextCacheSweep = now + kCacheSweepInterval;
     m_caches.Sweep(now, m_workers);
   }
+  UpdateListAge();
   FinishOriginLookups();
   DispatchQueued();
   SendOriginMessages();
--- a/src/libserve/RelayOrigins.cpp
+++ b/src/libserve/RelayOrigins.cpp
@@ -165,7 +165,8 @@
   }
   const StreamKey stream = StreamKeyOf(aActive, aActive.m_request.m_id);
   m_origins.Record(m_context.Now(), stream, *aActive.m_origin, true);
-  if (HasSeveralOrigins(aActive, aActive.m_pool)) {
+  if (HasSeveralOrigins(aActive, aActive.m_pool) ||
+      m_softwareVersions.MayExpire(m_context.Now())) {
     m_originExchange.Share(stream, *aActive.m_origin);
   }
 }
@@ -179,6 +180,17 @@
   SendOriginMessages();
 }
 
+void
+RelayFlow::UpdateListAge()
+{
+  const bool mayExpire = m_softwareVersions.MayExpire(m_context.Now());
+  if (!std::exchange(m_mayListExpire, mayExpire) && mayExpire) {
+    for (const PoolId& pool : m_softwareVersions.Pools()) {
+      ShareOriginsOf(pool);
+    }
+  }
+}
+
 void
 RelayFlow::RecordMovedRoutes(const RouteDelta& aDelta)
 {
--- a/src/libserve/SoftwareVersions.cpp
+++ b/src/libserve/SoftwareVersions.cpp
@@ -6,9 +6,13 @@
 
 namespace {
 
-/// Age up to which a confirmed list proves that there is no other version:
-/// longer than the interval of heartbeats.
-constexpr Duration kMaxListAge(3'000'000);
+/// Age of a confirmed list at which entries begin to send origins: longer than
+/// the interval of heartbeats.
+constexpr Duration kShareAge(2'400'000);
+/// Age up to which a confirmed list proves that there is no other version: by
+/// then entries with a list that was confirmed up to an interval of heartbeats
+/// later send origins too.
+constexpr Duration kMaxListAge(4'500'000);
 /// Time after which all entries that may rely on an earlier list know a
 /// version: their lists' maximum age, and that of the message with this one.
 constexpr Duration kNewVersionPeriod = kMaxListAge + Duration(1'000'000);
@@ -46,6 +50,29 @@
   m_confirmedAt = aSentAt;
 }
 
+bool
+SoftwareVersions::IsConfirmed(TimePoint aNow, Duration aMaxAge) const
+{
+  return m_confirmedNumber != 0 && m_listNumber >= m_confirmedNumber &&
+         aNow - m_confirmedAt <= aMaxAge;
+}
+
+bool
+SoftwareVersions::MayExpire(TimePoint aNow) const
+{
+  return !IsConfirmed(aNow, kShareAge);
+}
+
+std::vector<PoolId>
+SoftwareVersions::Pools() const
+{
+  std::vector<PoolId> pools;
+  for (const auto& [pool, versions] : m_pools) {
+    pools.push_back(pool);
+  }
+  return pools;
+}
+
 bool
 SoftwareVersions::IsMixed(const PoolId& aPool) const
 {
@@ -57,10 +84,8 @@
 SoftwareVersions::OnlyVersion(TimePoint aNow, const PoolId& aPool) const
 {
   const auto found = m_pools.find(aPool);
-  const bool isCurrent = m_confirmedNumber != 0 &&
-                         m_listNumber >= m_confirmedNumber &&
-                         aNow - m_confirmedAt <= kMaxListAge;
-  if (!isCurrent || found == m_pools.end() || found->second.size() != 1) {
+  if (!IsConfirmed(aNow, kMaxListAge) || found == m_pools.end() ||
+      found->second.size() != 1) {
     return std::nullopt;
   }
   return found->second.begin()->first;
--- a/src/libserve/software_fleet_test.h
+++ b/src/libserve/software_fleet_test.h
@@ -61,6 +61,17 @@
     worker.m_id = WorkerId(worker.m_id.Value() + "-" + aSoftware);
   }
 
+  void SetLeaving(std::size_t aWorker, bool aIsLeaving)
+  {
+    Workers()[aWorker].m_isLeaving = aIsLeaving;
+  }
+
+  /// Omits a worker from the list, or lists it again.
+  void SetListed(std::size_t aWorker, bool aIsListed)
+  {
+    Workers()[aWorker].m_pool = PoolId(aIsListed ? kPromptPool : "other");
+  }
+
   /// Starts streams at a steady rate.
   void Play(std::int64_t aMillis, int aStreamsPerSecond)
   {
