--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -176,6 +176,7 @@
     /// go on.
     std::optional<StreamOrigin> m_origin;
     std::set<WorkerId> m_triedWorkers;
+    std::set<Endpoint> m_triedAddresses;
     std::set<std::string> m_stores; ///< stores and workers it fetches from
     TimePoint m_sentAt;
     std::int64_t m_sentWeights = -1; ///< version that its worker must have
