--- a/src/include/fulmarquay/control/ControlMessages.h
+++ b/src/include/fulmarquay/control/ControlMessages.h
@@ -104,6 +104,8 @@
   std::int64_t m_heartbeatSentAtUs = 0;
   std::uint64_t m_term = 0; ///< of the leader
   WeightsReport m_weights;
+  /// Number of the leader's worker list; 0: it has none.
+  std::uint64_t m_workers = 0;
   MSGPACK_DEFINE(m_revision,
                  m_leaseUs,
                  m_liveEntries,
@@ -119,7 +121,8 @@
                  m_loadPeers,
                  m_heartbeatSentAtUs,
                  m_term,
-                 m_weights)
+                 m_weights,
+                 m_workers)
 };
 
 /// Updates an entry to the accepted configuration.
--- a/src/include/fulmarquay/control/WorkerList.h
+++ b/src/include/fulmarquay/control/WorkerList.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,9 @@
 
 /// The platform's id of a worker VM.
 using WorkerId = StrongId<struct WorkerTag, std::string>;
+/// The version of a worker's software, as the platform names it; unrelated to
+/// the version of its weights. Only equality has a meaning.
+using SoftwareVersion = StrongId<struct SoftwareVersionTag, std::string>;
 
 /// A worker as described by the VM list.
 struct WorkerInfo
@@ -27,6 +31,7 @@
   bool m_isLeaving = false;
   std::int64_t m_createdMs = 0; ///< distinguishes incarnations under one id
   std::map<std::string, std::int64_t> m_weights; ///< version by model
+  SoftwareVersion m_software;
   MSGPACK_DEFINE(m_id,
                  m_pool,
                  m_address,
@@ -34,7 +39,8 @@
                  m_slots,
                  m_isLeaving,
                  m_createdMs,
-                 m_weights)
+                 m_weights,
+                 m_software)
   bool operator==(const WorkerInfo&) const = default;
 
   /// The weight version of a model; -1 if the worker does not serve it.
@@ -45,6 +51,9 @@
   }
 };
 
+/// Software versions of the workers of each pool.
+using SoftwareByPool = std::map<PoolId, std::set<SoftwareVersion>>;
+
 /// A page of the VM list.
 struct WorkerPage
 {
@@ -62,7 +71,9 @@
   std::vector<NamedWeights> m_weights;
   /// Prompts with one of these parts are refused, because it crashes workers.
   std::vector<RequestPartId> m_blockedParts;
-  MSGPACK_DEFINE(m_number, m_workers, m_weights, m_blockedParts)
+  /// Versions on which streams that still last may have begun.
+  SoftwareByPool m_software;
+  MSGPACK_DEFINE(m_number, m_workers, m_weights, m_blockedParts, m_software)
 };
 
 } // namespace fulmarquay
--- a/src/libcontrol/FleetManager.cpp
+++ b/src/libcontrol/FleetManager.cpp
@@ -37,6 +37,7 @@
   , m_protocol(std::move(aProtocol))
   , m_blockedParts(aContext)
   , m_limits(aContext)
+  , m_software(aContext)
   , m_rollout(m_options.m_rollout)
 {
   if (aStores) {
@@ -149,7 +150,8 @@
     m_newestWeights.OnConfirmed(m_context.Now());
     UpdateRoutes();
     UpdateWeights();
-    if (m_blockedParts.OnStateApplied()) {
+    const bool isBlockedChanged = m_blockedParts.OnStateApplied();
+    if (m_software.OnStateApplied() || isBlockedChanged) {
       UpdateWorkers();
     }
   }
@@ -214,6 +216,7 @@
   m_announcedWeights.clear();
   m_blockedParts.OnLeadership();
   m_limits.OnLeadership();
+  m_software.OnLeadership();
   m_desired = Configuration();
   m_nextListFetch = m_context.Now();
   m_workerListNumber = m_context.CurrentTerm() << kTermShiftBits;
@@ -325,6 +328,7 @@
                     { { "workers", std::to_string(m_workers.Workers().size()) },
                       { "token", next.substr(0, kMaxLoggedTokenBytes) } });
     }
+    m_software.OnListed(m_workers.Workers(), !m_workers.IsCut());
     const bool mustUpdate = isChanged || !m_hasList;
     if (mustUpdate || skipped != m_workers.Skipped()) {
       m_context.Log(LogEvent::VmListChanged,
@@ -503,6 +507,7 @@
   aReply.m_weights =
     m_newestWeights.MakeReport(m_context.Now(), aHeartbeat.m_weightsRevision);
   aReply.m_routes = m_context.Published().Current();
+  aReply.m_workers = m_hasList ? m_workerListNumber : 0;
   if (m_stores) {
     aReply.m_workersClockMs = m_stores->WorkerClockMs();
     aReply.m_storeDataValidUs = m_options.m_storeTimeouts.m_mapLease.count();
@@ -573,7 +578,12 @@
 {
   WorkerList list;
   list.m_number = m_workerListNumber;
-  list.m_workers = m_workers.Workers();
+  for (const WorkerInfo& worker : m_workers.Workers()) {
+    if (m_software.IsPublishable(worker)) {
+      list.m_workers.push_back(worker);
+    }
+  }
+  list.m_software = m_context.Published().Software();
   for (const auto& [model, version] : m_context.Published().Weights()) {
     list.m_weights.push_back({ model, version });
   }
--- a/src/libserve/Placement.cpp
+++ b/src/libserve/Placement.cpp
@@ -213,14 +213,37 @@
   return kIneligible;
 }
 
-Placement::Choice
-Placement::Choose(WorkerTable& aWorkers, const Criteria& aCriteria) const
+std::vector<WorkerState*>
+Placement::Eligible(WorkerTable& aWorkers, const Criteria& aCriteria)
 {
-  std::vector<WorkerState*> available =
+  std::vector<WorkerState*> eligible =
     aWorkers.Available(aCriteria.m_now, aCriteria.m_pool);
-  std::erase_if(available, [&](const WorkerState* aEach) {
-    return aCriteria.m_triedWorkers.count(aEach->m_info.m_id) != 0;
+  std::erase_if(eligible, [&](const WorkerState* aEach) {
+    return aCriteria.m_triedWorkers.count(aEach->m_info.m_id) != 0 ||
+           OldWeightsCost(*aEach, aCriteria) == kIneligible;
   });
+  if (aCriteria.m_software) {
+    std::erase_if(eligible, [&](const WorkerState* aEach) {
+      return aEach->m_info.m_software != *aCriteria.m_software ||
+             aCriteria.m_now < aEach->m_unprovedUntil;
+    });
+    return eligible;
+  }
+  const auto isNew = [&](const WorkerState* aEach) {
+    return aCriteria.m_softwareVersions != nullptr &&
+           aCriteria.m_softwareVersions->IsNew(
+             aCriteria.m_now, aCriteria.m_pool, aEach->m_info.m_software);
+  };
+  if (!std::all_of(eligible.begin(), eligible.end(), isNew)) {
+    std::erase_if(eligible, isNew);
+  }
+  return eligible;
+}
+
+Placement::Choice
+Placement::Choose(WorkerTable& aWorkers, const Criteria& aCriteria) const
+{
+  const std::vector<WorkerState*> available = Eligible(aWorkers, aCriteria);
   const std::uint64_t affinityKey = AffinityKey(aCriteria);
   const auto weightOf = [&](const WorkerState* aWorker) {
     return RendezvousWeight(aWorker->m_info.m_id.Value(), affinityKey);
@@ -235,10 +258,6 @@
   PartsByVersion partsByVersion;
   std::int64_t bestCost = kIneligible;
   for (WorkerState* worker : available) {
-    const std::int64_t oldWeightsCost = OldWeightsCost(*worker, aCriteria);
-    if (oldWeightsCost == kIneligible) {
-      continue;
-    }
     const std::optional<double> allowance =
       aCriteria.m_limiter == nullptr
         ? std::nullopt
@@ -264,7 +283,7 @@
         : prefillTokens;
     const std::int64_t cost =
       prefillCost + LoadCost(*worker, aCriteria, others, affinityKey) +
-      oldWeightsCost - AllowanceBonus(allowance);
+      OldWeightsCost(*worker, aCriteria) - AllowanceBonus(allowance);
     if (cost < bestCost) {
       choice.m_worker = worker;
       choice.m_prefillTokens = prefillTokens;
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -34,6 +34,7 @@
   , m_exchange(aContext.Self().m_vm)
   , m_weights(aOptions.m_maxOldWeightsAge)
   , m_limiter(aContext.Self().m_vm)
+  , m_originExchange(aContext.Self().m_vm)
 {
 }
 
@@ -43,6 +44,7 @@
   if (aDelta.m_to <= m_routes.Document().m_revision) {
     return;
   }
+  RecordMovedRoutes(aDelta);
   m_routes.Apply(aDelta);
   m_context.Log(
     LogEvent::RoutesInForce,
@@ -58,6 +60,9 @@
   if (!m_workers.Apply(m_context.Now(), aList)) {
     return hasNewWeights;
   }
+  for (const PoolId& pool : m_softwareVersions.Apply(m_context.Now(), aList)) {
+    ShareOriginsOf(pool);
+  }
   m_limiter.Expire(m_context.Now(), aList.m_workers);
   if (m_partWatch.SetBlocked(aList.m_blockedParts)) {
     GiveUpBlockedQueued();
@@ -236,9 +241,19 @@
   }
   aActive.m_expiresAt = aActive.m_arrivedAt + wait;
   m_expiries.emplace(aActive.m_expiresAt, aActive.m_caller);
-  aActive.m_pool = ChoosePool(aActive).m_pool;
-  RetryBudgetFor(aActive.m_pool).OnRequest();
-  m_limiter.OnRequest(m_context.Now(), aActive.m_pool);
+  if (IsResumed(aActive)) {
+    FindOrigin(aActive);
+  } else {
+    Accept(aActive, ChoosePool(aActive).m_pool);
+  }
+}
+
+void
+RelayFlow::Accept(ActiveRequest& aActive, const PoolId& aPool)
+{
+  aActive.m_pool = aPool;
+  RetryBudgetFor(aPool).OnRequest();
+  m_limiter.OnRequest(m_context.Now(), aPool);
   Place(aActive);
 }
 
@@ -343,7 +358,10 @@
     m_nextCacheSweep = now + kCacheSweepInterval;
     m_caches.Sweep(now, m_workers);
   }
+  UpdateListAge();
+  FinishOriginLookups();
   DispatchQueued();
+  SendOriginMessages();
   SendLoads();
   if (m_hadKeyLease != HasKeyLease()) {
     m_hadKeyLease = HasKeyLease();
--- a/src/libserve/relay_test.h
+++ b/src/libserve/relay_test.h
@@ -36,6 +36,7 @@
     request.m_parts = { { "shared", 80 }, { "own", 20 } };
     const std::string lastEventId = FindHeader(aRequest.m_headers, "last");
     request.m_lastEventId = lastEventId.empty() ? -1 : std::stoi(lastEventId);
+    request.m_resumes = FindHeader(aRequest.m_headers, "resumes");
     return request;
   }
   HttpRequest Encode(const RelayRequest& aRequest,
@@ -86,9 +87,12 @@
 };
 
 inline WorkerInfo
-Worker(const std::string& aId, std::int64_t aVersion)
+Worker(const std::string& aId,
+       std::int64_t aVersion,
+       const std::string& aSoftware = "s1")
 {
   WorkerInfo worker;
+  worker.m_software = SoftwareVersion(aSoftware);
   worker.m_id = WorkerId(aId);
   worker.m_pool = PoolId("p");
   worker.m_address = "10.0.0.1:" + std::to_string(8000 + aId.back());
@@ -160,6 +164,10 @@
   {
     WorkerList list;
     list.m_number = ++m_list;
+    for (const WorkerInfo& worker : aWorkers) {
+      m_software[worker.m_pool].insert(worker.m_software);
+    }
+    list.m_software = m_software;
     list.m_workers = std::move(aWorkers);
     list.m_blockedParts = m_blockedParts;
     if (aLatestVersion >= 0) {
@@ -167,11 +175,13 @@
       m_leaderWeights.OnNamed("m", aLatestVersion);
     }
     m_flow.OnWorkerList(list);
+    m_flow.OnListConfirmed(m_list, m_now);
   }
 
   void Confirm(std::uint32_t aEntryCount = 1)
   {
     m_flow.OnConfirmed(m_now + 4'000 * kMillisecond, aEntryCount);
+    m_flow.OnListConfirmed(m_list, m_now);
     m_leaderWeights.OnConfirmed(m_now);
     m_flow.OnWeightsReport(
       m_leaderWeights.MakeReport(m_now, m_flow.Weights().Revision()), m_now);
@@ -205,12 +215,20 @@
   }
 
   /// Sends a request of a caller that received events before.
-  void SendResumedRequest(const std::string& aPath, int aLastEventId)
+  void SendResumedRequest(const std::string& aPath,
+                          int aLastEventId,
+                          const std::string& aResumes = "",
+                          const std::string& aKey = "key")
   {
     Start(aPath,
-          { { "key", "key" }, { "last", std::to_string(aLastEventId) } });
+          { { "key", aKey },
+            { "last", std::to_string(aLastEventId) },
+            { "resumes", aResumes } });
   }
 
+  /// The id of the last request.
+  std::string LastId() const { return "r" + std::to_string(m_caller); }
+
   void Head(int aStatus, const std::string& aFlags, int aPauseMs = 0)
   {
     AdvanceClock(1);
@@ -279,6 +297,7 @@
   TimePoint m_now{ Duration(1'000'000'000) };
   NewestWeights m_leaderWeights; ///< what the leader knows
   std::uint64_t m_list = 0;
+  SoftwareByPool m_software;                 ///< of all lists
   std::vector<RequestPartId> m_blockedParts; ///< of the next worker lists
   std::uint64_t m_caller = 0;
   std::vector<HttpCall> m_calls;
