--- a/testsuite/platform.sh
+++ b/testsuite/platform.sh
@@ -1,12 +1,16 @@
 # Starts the platform's programs around an emulated platform for the system tests.
 # Source this file after lib.sh.
 #
-#   start_platform ENTRIES WORKERS   starts a control group of three replicas,
-#                                    entries, and the stand-in with its workers
+#   start_platform ENTRIES WORKERS [ENGINES]   starts a control group of three
+#                                    replicas, entries, and the stand-in with its
+#                                    workers and engines
 #
 # Sets CONTROL_PID[1..3], ENTRY_PID[1..ENTRIES], ENTRY[1..ENTRIES],
 # WORKER[0..WORKERS-1] and LIST (addresses). Replicas are told apart by addresses of
-# the loopback range, as the platform names a VM by its address.
+# the loopback range, as the platform names a VM by its address. ROUTES is published;
+# FLEET_SETTINGS and ENTRY_SETTINGS are added to the settings of replicas and entries.
+FLEET_SETTINGS=
+ENTRY_SETTINGS=
 write_platform_control() { # NUMBER
   cat >"$WORK/control$1.ini" <<INI
 [control]
@@ -21,6 +25,7 @@
 [fleet]
 vm_list = $LIST
 list_interval = 300ms
+$FLEET_SETTINGS
 INI
 }
 
@@ -39,6 +44,7 @@
 control_seeds = 127.0.1.1:${PORTS[1]} 127.0.1.2:${PORTS[1]} 127.0.1.3:${PORTS[1]}
 configuration = routes
 heartbeat = 1s
+$ENTRY_SETTINGS
 INI
 }
 
@@ -53,23 +59,28 @@
 }
 
 ROUTES='{"version":1,"routes":[{"name":"r1","host":"app.example","path-prefix":"/app/","kind":"safe","timeout-ms":1000,"target-latency-ms":300,"priority":0,"backend":"app","attempts":2,"allow-anonymous":true}],"backends":[{"name":"app","health-check":"/healthz","max-connections":100,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[]}'
+ENGINE_ROUTES='{"version":1,"routes":[{"name":"r1","host":"app.example","path-prefix":"/model/","kind":"streaming","timeout-ms":15000,"target-latency-ms":400,"priority":0,"backend":"model","attempts":2,"allow-anonymous":true,"sticky":true,"resumable":true,"target-gap-ms":300}],"backends":[{"name":"model","health-check":"/healthz","max-connections":360,"protocol":"h1","tls":false,"engine":{"slots":64,"kv-capacity":100000,"kv-token-bytes":163840,"link-mbps":260000.0,"models":[{"name":"m"}]}}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[]}'
 
-# publish_routes: publishes ROUTES at any replica that accepts them.
-publish_routes() {
+# publish TARGET BODY: sends an order of the operator to any replica that accepts it.
+publish() {
   local i
   for i in 1 2 3; do
-    "$BIN/fulmarquay-load" post /-/config/put --entry "127.0.1.$i:${PORTS[1]}" \
-      --body "$ROUTES" | grep -q '"status":200' && return 0
+    "$BIN/fulmarquay-load" post "$1" --entry "127.0.1.$i:${PORTS[1]}" \
+      --body "$2" | grep -q '"status":200' && return 0
   done
   return 1
 }
 
+publish_routes() {
+  publish /-/config/put "$ROUTES"
+}
+
 entry_is_ready() { # NUMBER
   "$BIN/fulmarquay-load" get / --entry "$(entry_ip $1):${PORTS[3]}" >/dev/null
 }
 
 start_platform() {
-  local i entries="" workers=""
+  local i entries="" workers="" engines=""
   free_ports 5
   LIST=127.0.3.200:${PORTS[4]}
   for ((i = 1; i <= $1; i++)); do
@@ -80,7 +91,11 @@
     WORKER[$i]=127.0.3.$((i + 1)):${PORTS[4]}
     workers="$workers,${WORKER[$i]}"
   done
-  start_process standin "$BIN/platform-standin" "$LIST" "${entries#,}" "${workers#,}"
+  for ((i = 0; i < ${3:-0}; i++)); do
+    engines="$engines,127.0.4.$((i + 1)):${PORTS[4]}"
+  done
+  start_process standin "$BIN/platform-standin" "$LIST" "${entries#,}" "${workers#,}" \
+    "${engines#,}"
   for i in 1 2 3; do
     write_platform_control $i
     mkdir -p "$WORK/state$i"
