Tests: all processes killed while an engine version leaves with open streams

case-software-versions now ends with a rollout from v2 to v3 in which the engines of v2 leave while all replicas and entries are killed. Callers resume at entries that have restarted and see engines of v3 only: no stream may have both versions, and those of v2 are refused. The killed leader is started again during the rollout, and the check that refusals come at once stands before the restart, in which entries may hold requests.

--- a/testsuite/case-software-versions.sh
+++ b/testsuite/case-software-versions.sh
@@ -69,8 +69,9 @@
 for i in 2 3; do engine stop $i; done
 stop_process "${ENTRY_PID[3]}" KILL
 start_platform_entry 3
-stop_process "${CONTROL_PID[$(platform_leader)]}" KILL
+kill_leader
 sleep 3
+start_platform_control "$OLD_LEADER"
 check_streams "during a rollout, with an entry and the leader killed"
 
 for i in 0 4 5; do engine drain $i; done
@@ -84,6 +85,29 @@
 check_streams "after the last engine of a version has left"
 check "each refusal came at once ($(count faulty_slow_refusals) did not)" [ "$(count faulty_slow_refusals)" = 0 ]
 
+for i in 0 2 3; do engine start $i v3; done
+sleep 2
+set_fault "$LIST" reset=1
+for i in 1 2 3; do kill -KILL "${CONTROL_PID[$i]}"; done
+for ((i = 1; i <= ENTRIES; i++)); do kill -KILL "${ENTRY_PID[$i]}"; done
+for i in 1 6 7 8 9 10; do engine stop $i; done
+wait "${CONTROL_PID[@]}" "${ENTRY_PID[@]}" 2>/dev/null
+for pid in "${CONTROL_PID[@]}" "${ENTRY_PID[@]}"; do untrack "$pid"; done
+for i in 1 2 3; do
+  sed -i 's/^bootstrap = yes/bootstrap = no/' "$WORK/control$i.ini"
+  start_platform_control $i
+done
+for ((i = 1; i <= ENTRIES; i++)); do start_platform_entry $i; done
+for ((i = 1; i <= ENTRIES; i++)); do
+  wait_until 10 entry_is_ready $i || check "entry $i is ready again" false
+done
+sleep 4
+MIXED_AFTER=$(count faulty_mixed)
+check "no stream has events of two versions after all processes were killed ($((MIXED_AFTER - MIXED)) have)" \
+  [ "$MIXED_AFTER" = "$MIXED" ]
+check "streams of a version that left meanwhile are refused ($(count stream_resume_refused))" \
+  [ "$(count stream_resume_refused)" -ge 12 ]
+
 set_fault "$LIST" reset=1
 sleep 1
 check "new streams begin ($(count stream_begun) of $(count stream_sent))" \
