--- a/src/include/fulmarquay/wire/HttpClient.h
+++ b/src/include/fulmarquay/wire/HttpClient.h
@@ -54,10 +54,14 @@
   std::size_t m_maxResponseBytes = 16U << 20U;
   /// Maximum time to open a connection.
   Duration m_connectTimeout = Duration(1'000'000);
-  /// The owner recognizes a copy of an earlier response by its content. Calls
-  /// with neither this nor a correlation header use a connection of their own,
-  /// because a second copy of an earlier response may arrive on a kept one.
+  /// The owner recognizes a copy of an earlier response by its content; after
+  /// an error, which has none, the connection is not kept. Calls with neither
+  /// this nor a correlation header use a connection of their own, because a
+  /// second copy of an earlier response may arrive on a kept one.
   bool m_isContentChecked = false;
+  /// The same request may have been sent to this address before. On a kept
+  /// connection, a copy of its earlier response would look like the new one.
+  bool m_needsNewConnection = false;
   /// Checks only whether the peer accepts a connection, without sending the
   /// request. Ends as Complete or NotSent.
   bool m_isProbe = false;
@@ -65,9 +69,10 @@
   /// (see SetPeerTimeout); 0 disables it.
   Duration m_peerTimeout{};
   /// Header that identifies the response to this request. A response with
-  /// another value belongs to an earlier request on the connection and is
-  /// dropped. One without the header is accepted, but on a kept connection only
-  /// if it reports an error. An empty name disables the check.
+  /// another value belongs to an earlier request and is dropped. One without
+  /// the header is accepted only as the first response on a new connection. An
+  /// empty name disables the check; an empty value, which identifies nothing,
+  /// keeps the call off kept connections.
   HttpHeader m_correlationHeader;
 };
 
--- a/src/libcontrol/WorkerDirectory.cpp
+++ b/src/libcontrol/WorkerDirectory.cpp
@@ -5,11 +5,36 @@
 
 namespace fulmarquay {
 
+namespace {
+
+/// Sorts workers by id and keeps the newest incarnation of each; of equal ones,
+/// the one that was listed first.
+void
+SortAndRemoveDuplicates(std::vector<WorkerInfo>& aWorkers)
+{
+  std::stable_sort(aWorkers.begin(),
+                   aWorkers.end(),
+                   [](const WorkerInfo& aLeft, const WorkerInfo& aRight) {
+                     return aLeft.m_id != aRight.m_id
+                              ? aLeft.m_id < aRight.m_id
+                              : aLeft.m_createdMs > aRight.m_createdMs;
+                   });
+  const auto isSame = [](const WorkerInfo& aLeft, const WorkerInfo& aRight) {
+    return aLeft.m_id == aRight.m_id;
+  };
+  aWorkers.erase(std::unique(aWorkers.begin(), aWorkers.end(), isSame),
+                 aWorkers.end());
+}
+
+} // namespace
+
 void
 WorkerDirectory::BeginRefresh()
 {
   m_refreshed.clear();
   m_refreshedSkipped = 0;
+  m_tokens.clear();
+  m_isRefreshing = true;
 }
 
 bool
@@ -19,15 +44,15 @@
   for (WorkerInfo& worker : aPage.m_workers) {
     m_refreshed.push_back(std::move(worker));
   }
-  if (!aPage.m_next.empty()) {
+  const bool hasNext = !aPage.m_next.empty();
+  m_isRefreshing = hasNext && m_tokens.size() + 1 < kMaxPages &&
+                   m_tokens.insert(aPage.m_next).second;
+  if (m_isRefreshing) {
     return false;
   }
+  m_isCut = hasNext;
   m_skipped = m_refreshedSkipped;
-  std::sort(m_refreshed.begin(),
-            m_refreshed.end(),
-            [](const WorkerInfo& aLeft, const WorkerInfo& aRight) {
-              return aLeft.m_id < aRight.m_id;
-            });
+  SortAndRemoveDuplicates(m_refreshed);
   ApplyObservedVersions(m_refreshed);
   const bool isChanged = m_refreshed != m_workers;
   m_workers = std::move(m_refreshed);
