Tests: an exchange without an answer no longer counts as status 200

Cause: HttpResponse has the status 200 by default, Caller kept it when an exchange got no answer, and the shell functions take '"status":200' in the output of fulmarquay-load as success. While the replicas were still starting, routes or a version of the weights counted as published. case-control-faults and case-once-only read the same output. Change: an exchange without an answer has the status 0, and publish checks the exit status.

Measured: case-load-client failed before ({"status":200,...} from a port without a listener, and the order counted as accepted) and passes. With replicas that start 1 s late, start_platform failed as seen before (200, no RoutesPublished, entries not ready) and passes with this change; 80 starts without the delay had passed before it.

--- a/src/fulmarquay-load/Caller.cpp
+++ b/src/fulmarquay-load/Caller.cpp
@@ -19,6 +19,7 @@
   call.m_peer = aPeer;
   call.m_request = std::move(aRequest);
   PendingExchange& pending = m_pending[call.m_call];
+  pending.m_exchange.m_response.m_status = 0;
   pending.m_startedAt = MonotonicNow();
   pending.m_handler = std::move(aHandler);
   m_client.Start(std::move(call));
--- a/src/fulmarquay-load/Caller.h
+++ b/src/fulmarquay-load/Caller.h
@@ -16,7 +16,7 @@
 /// Outcome of one HTTP exchange, as seen by the client.
 struct Exchange
 {
-  HttpResponse m_response;
+  HttpResponse m_response; ///< status 0: none was received
   CallResult m_result = CallResult::NotSent;
   std::string m_reason;   ///< why the exchange failed
   Duration m_firstData{}; ///< from the start to the first bytes of the body
--- a/testsuite/platform.sh
+++ b/testsuite/platform.sh
@@ -66,7 +66,7 @@
   local i
   for i in 1 2 3; do
     "$BIN/fulmarquay-load" post "$1" --entry "127.0.1.$i:${PORTS[1]}" \
-      --body "$2" | grep -q '"status":200' && return 0
+      --body "$2" >/dev/null && return 0
   done
   return 1
 }
