--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -237,6 +237,9 @@
   /// Sends such requests to other workers, or fails them.
   void RecallExpired();
   void Recall(ActiveRequest& aActive);
+  /// Pauses a worker with superseded weights that refused a request: it loads
+  /// newer ones.
+  void PauseLoadingWorker(const ActiveRequest& aActive);
   std::string CacheScopeFor(const ActiveRequest& aActive,
                             const WorkerState& aWorker) const;
   std::int64_t WorkerClockMs() const;
--- a/src/libserve/RelayResponses.cpp
+++ b/src/libserve/RelayResponses.cpp
@@ -362,6 +362,8 @@
                   { { "worker", aActive.m_worker.Value() },
                     { "id", aActive.m_request.m_id },
                     { "why", "another incarnation or other weights" } });
+  } else {
+    PauseLoadingWorker(aActive);
   }
   if (TakeRetry(aActive)) {
     Place(aActive);
--- a/src/libserve/RelayWeights.cpp
+++ b/src/libserve/RelayWeights.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Duration kRecallInterval(100'000);
+/// Time in which a worker loads weights.
+constexpr Duration kLoadPause(400'000);
 
 } // namespace
 
@@ -21,6 +23,24 @@
   return m_weights.RequiredVersion(model, aWorker.m_info.VersionOf(model));
 }
 
+void
+RelayFlow::PauseLoadingWorker(const ActiveRequest& aActive)
+{
+  const TimePoint now = m_context.Now();
+  const WeightsAge age =
+    m_weights.AgeOf(now, aActive.m_request.m_model, aActive.m_sentWeights);
+  const bool hasOwnPause = aActive.m_workerHead.m_pause > Duration(0);
+  if (age == WeightsAge::Newest || hasOwnPause) {
+    return;
+  }
+  // Without load, it would attract the next requests.
+  m_workers.OnPauseRequested(now, aActive.m_worker, kLoadPause);
+  m_context.Log(LogEvent::WorkerPaused,
+                { { "worker", aActive.m_worker.Value() },
+                  { "id", aActive.m_request.m_id },
+                  { "pause_ms", FormatMillis(kLoadPause) } });
+}
+
 bool
 RelayFlow::MustRecall(const ActiveRequest& aActive)
 {
--- a/src/libserve/relay_test.cpp
+++ b/src/libserve/relay_test.cpp
@@ -405,6 +405,26 @@
   }
 }
 
+Test(relay, a_worker_that_loads_weights_does_not_attract_requests)
+{
+  for (const std::int64_t newest : { 1, 2 }) {
+    Entry entry;
+    entry.SetWorkers({ Worker("w1", 1), Worker("w2", 1) }, newest);
+    entry.SendRequest("/resumable/x");
+    const std::string refusing = entry.LastWorker();
+    entry.Answer(503, "n", "");
+    entry.Answer(200, "ps", "id: 1\ndata: a\n\n");
+    int returned = 0;
+    for (int i = 0; i < 10; ++i) {
+      entry.AdvanceTicks(20);
+      entry.SendRequest("/resumable/x");
+      returned += entry.LastWorker() == refusing ? 1 : 0;
+    }
+    // A worker with the newest weights is full, not loading.
+    cr_assert_eq(returned > 0, newest == 1, "%d", returned);
+  }
+}
+
 Test(relay, a_worker_of_unknown_weights_has_to_check_that_they_are_the_newest)
 {
   Entry entry;
