--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -267,8 +267,8 @@
   static bool IsResumed(const ActiveRequest& aActive);
   static StreamKey StreamKeyOf(const ActiveRequest& aActive,
                                const std::string& aAttempt);
-  /// Whether another entry can't know where a stream of this route and pool
-  /// began unless it is told.
+  /// Whether another entry needs a record to know where a stream of this route
+  /// and pool began.
   bool HasSeveralOrigins(const ActiveRequest& aActive,
                          const PoolId& aPool) const;
   /// The origin of all streams of the route, if there is only one.
--- a/src/libcontrol/NewestWeights.cpp
+++ b/src/libcontrol/NewestWeights.cpp
@@ -9,8 +9,8 @@
 /// Bounds the memory of a model whose versions are named again and again. A
 /// dropped one counts as superseded long ago.
 constexpr std::size_t kMaxSupersededVersions = 16;
-/// Versions superseded for longer are not reported: they are of no use to the
-/// receiver, which assumes that unreported ones were superseded long ago.
+/// Versions superseded for longer are not reported: the receiver assumes that
+/// unreported ones were superseded long ago.
 constexpr Duration kMaxReportedAge(30'000'000);
 
 } // namespace
