Tests: a heartbeat's answer that is held up proves nothing later than its sending

The review's mutation that used the arrival of an answer instead of the heartbeat's sending was not noticed by any test. In simulated time, what the control replica sends is held up for 6 s while a version is named. No code changes.

--- a/src/libserve/simulated_fleet_test.h
+++ b/src/libserve/simulated_fleet_test.h
@@ -134,6 +134,7 @@
     , m_entries(aSize.m_entries)
     , m_frozenUntil(aSize.m_entries)
     , m_cutUntil(aSize.m_entries)
+    , m_repliesHeldUntil(aSize.m_entries)
   {
     for (std::size_t i = 0; i < aSize.m_promptWorkers; ++i) {
       AddWorker("w" + std::to_string(i), kPromptPool);
@@ -214,6 +215,12 @@
     m_cutUntil[aEntry] = m_now + aMillis * kMillisecond;
   }
 
+  /// Holds up only what the control replica sends to an entry.
+  void HoldUpReplies(std::size_t aEntry, std::int64_t aMillis)
+  {
+    m_repliesHeldUntil[aEntry] = m_now + aMillis * kMillisecond;
+  }
+
   void Advance(std::int64_t aMillis)
   {
     const TimePoint end = m_now + aMillis * kMillisecond;
@@ -325,9 +332,11 @@
       } else if (const auto* send = std::get_if<SendControl>(&effect)) {
         const std::size_t entry = send->m_connection.Value() - 1;
         m_limitPushes += std::holds_alternative<LimitPush>(send->m_message);
-        Schedule(ControlDelay(entry), [this, entry, message = send->m_message] {
-          ToEntry(entry, ControlReply{ 0, message });
-        });
+        const Duration held = m_repliesHeldUntil[entry] - m_now;
+        Schedule(std::max(ControlDelay(entry), held),
+                 [this, entry, message = send->m_message] {
+                   ToEntry(entry, ControlReply{ 0, message });
+                 });
       } else if (const auto* call = std::get_if<StartUpstreamCall>(&effect)) {
         Schedule(kNetworkDelay, [this, sent = call->m_call] {
           ToControl(AnswerControlCall(sent));
@@ -518,8 +527,9 @@
   RecoveredState m_disk;
   std::unique_ptr<ControlNode> m_control;
   std::vector<std::unique_ptr<EntryNode>> m_entries;
-  std::vector<TimePoint> m_frozenUntil; ///< by entry
-  std::vector<TimePoint> m_cutUntil;    ///< by entry
+  std::vector<TimePoint> m_frozenUntil;      ///< by entry
+  std::vector<TimePoint> m_cutUntil;         ///< by entry
+  std::vector<TimePoint> m_repliesHeldUntil; ///< by entry
   std::uint64_t m_boots = 0;
   std::size_t m_limitPushes = 0;
   std::vector<RunningCall> m_calls;
--- a/src/libserve/weights_test.cpp
+++ b/src/libserve/weights_test.cpp
@@ -384,6 +384,26 @@
   }
 }
 
+Test(weights, an_answer_to_a_heartbeat_that_is_held_up_renews_no_old_weights)
+{
+  WeightsFleet fleet({ 6, 18, 0 });
+  for (std::size_t worker = 0; worker < 18; ++worker) {
+    fleet.RejectOrders(worker);
+  }
+  for (std::size_t entry = 0; entry < 6; ++entry) {
+    fleet.HoldUpReplies(entry, 6'000);
+  }
+  fleet.Play(2'500);
+  fleet.Name(2);
+  fleet.Play(12'000);
+  cr_assert(fleet.IsNamed(2));
+  cr_assert_gt(fleet.TakeCounts().m_servedOnOldWeights, 0);
+  cr_assert_leq(fleet.OldestBegin(),
+                kContractBound,
+                "%ld ms",
+                static_cast<long>(ToMillis(fleet.OldestBegin())));
+}
+
 Test(weights, an_entry_that_restarts_in_a_rollout_goes_on_with_both_versions)
 {
   WeightsFleet fleet({ 6, 18, 0 });
