--- a/src/libserve/software_fleet_test.cpp
+++ b/src/libserve/software_fleet_test.cpp
@@ -191,7 +191,7 @@
     SoftwareFleet fleet({ each.m_entries, 40, 0 });
     UpgradeHalf(fleet);
     fleet.TakeMessagesAndBytes();
-    constexpr int kSeconds = 2;
+    constexpr std::int64_t kSeconds = 2;
     fleet.Play(kSeconds * 1'000, each.m_streamsPerSecond);
     const auto [messages, bytes] = fleet.TakeMessagesAndBytes();
     const double entrySeconds =
