Refusals log how many workers of the pool are listed and not reached

RequestRefused now has the pool, its listed workers that are not leaving, and those that failed and have accepted no probe since.

--- a/src/include/fulmarquay/serve/WorkerTable.h
+++ b/src/include/fulmarquay/serve/WorkerTable.h
@@ -79,6 +79,15 @@
   /// none is paused.
   Duration ShortestPause(TimePoint aNow, const PoolId& aPool) const;
 
+  /// Workers of a pool that are listed and not leaving, and those of them that
+  /// failed and have accepted no probe since.
+  struct Counts
+  {
+    std::size_t m_listed = 0;
+    std::size_t m_unreached = 0;
+  };
+  Counts CountsOf(const PoolId& aPool) const;
+
   const std::map<WorkerId, WorkerState>& All() const { return m_workers; }
 
 private:
--- a/src/libserve/RelayResponses.cpp
+++ b/src/libserve/RelayResponses.cpp
@@ -443,6 +443,7 @@
 {
   m_context.Counters().Count("relay_refused_total",
                              "reason=\"" + aReason + "\"");
+  const WorkerTable::Counts workers = m_workers.CountsOf(aActive.m_pool);
   m_context.Log(
     LogEvent::RequestRefused,
     { { "id", aActive.m_request.m_id },
@@ -453,6 +454,9 @@
       { "worker_status", std::to_string(aActive.m_workerHead.m_status) },
       { "revision", std::to_string(m_routes.Document().m_revision.Value()) },
       { "keys", HasKeyLease() ? "confirmed" : "unconfirmed" },
+      { "pool", aActive.m_pool.Value() },
+      { "listed", std::to_string(workers.m_listed) },
+      { "unreached", std::to_string(workers.m_unreached) },
       { "age_ms", FormatMillis(Age(aActive)) } });
   m_context.Emit(RespondCaller{
     aActive.m_caller,
--- a/src/libserve/WorkerTable.cpp
+++ b/src/libserve/WorkerTable.cpp
@@ -150,6 +150,19 @@
   return held;
 }
 
+WorkerTable::Counts
+WorkerTable::CountsOf(const PoolId& aPool) const
+{
+  Counts counts;
+  for (const auto& [id, worker] : m_workers) {
+    const bool isUsable =
+      worker.m_info.m_pool == aPool && !worker.m_info.m_isLeaving;
+    counts.m_listed += isUsable ? 1 : 0;
+    counts.m_unreached += isUsable && worker.m_needsProbe ? 1 : 0;
+  }
+  return counts;
+}
+
 WorkerState*
 WorkerTable::Find(const WorkerId& aWorker)
 {
