--- a/src/libserve/simulated_fleet_test.h
+++ b/src/libserve/simulated_fleet_test.h
@@ -116,6 +116,7 @@
   std::size_t m_plainWorkers = 0;
   /// Whether entries receive the messages of other entries, except loads.
   bool m_hasPeerMessages = false;
+  std::size_t m_dataCentres = 1;
 };
 
 /// Entries, a control replica and workers in simulated time. A test defines
@@ -130,6 +131,7 @@
     : m_random(aSeed)
     , m_protocol(std::move(aProtocol))
     , m_hasPeerMessages(aSize.m_hasPeerMessages)
+    , m_dataCentres(aSize.m_dataCentres)
     , m_makeFleetProtocol(std::move(aMakeFleetProtocol))
     , m_entries(aSize.m_entries)
     , m_frozenUntil(aSize.m_entries)
@@ -428,11 +430,12 @@
   void StartEntry(std::size_t aEntry)
   {
     EntryOptions options;
-    options.m_identity = { VmId("e" + std::to_string(aEntry)),
-                           DataCentreId("d"),
-                           BootId(++m_boots),
-                           "10.0.2.1:" +
-                             std::to_string(kFirstEntryPort + aEntry) };
+    options.m_identity = {
+      VmId("e" + std::to_string(aEntry)),
+      DataCentreId("d" + std::to_string(aEntry % m_dataCentres)),
+      BootId(++m_boots),
+      "10.0.2.1:" + std::to_string(kFirstEntryPort + aEntry)
+    };
     options.m_control = { Endpoint::Parse(Self().m_address) };
     options.m_relayProtocol = m_protocol;
     options.m_seed = m_boots;
@@ -520,6 +523,7 @@
   std::multimap<TimePoint, std::function<void()>> m_steps;
   std::shared_ptr<const RelayProtocol> m_protocol;
   bool m_hasPeerMessages;
+  std::size_t m_dataCentres;
   MakeFleetProtocol m_makeFleetProtocol;
   std::vector<WorkerInfo> m_workers;
   std::vector<bool> m_isUp;                      ///< by worker
