--- a/src/include/fulmarquay/control/ControlMessages.h
+++ b/src/include/fulmarquay/control/ControlMessages.h
@@ -40,6 +40,10 @@
   std::int64_t m_sentAtUs = 0; ///< on the entry's monotonic clock
   LimitReport m_limits;
   std::uint64_t m_weightsRevision = 0; ///< of the named weights it knows
+  /// Of its HTTP listener for requests that other entries pass on; empty: it
+  /// has none.
+  std::string m_relayAddress;
+  std::uint64_t m_heldRelayPeersVersion = 0; ///< of the relay peers received
   MSGPACK_DEFINE(m_vm,
                  m_dataCentre,
                  m_boot,
@@ -55,7 +59,9 @@
                  m_heldLoadPeersVersion,
                  m_sentAtUs,
                  m_limits,
-                 m_weightsRevision)
+                 m_weightsRevision,
+                 m_relayAddress,
+                 m_heldRelayPeersVersion)
 };
 
 /// The identity and address of an entry, as other entries receive it.
@@ -68,6 +74,21 @@
   bool operator==(const EntryPeer&) const = default;
 };
 
+/// An entry that another one may pass requests to.
+struct RelayPeer
+{
+  VmId m_vm;
+  BootId m_boot;
+  DataCentreId m_dataCentre;
+  std::string m_address; ///< IP:PORT of its HTTP listener for such requests
+  MSGPACK_DEFINE(m_vm, m_boot, m_dataCentre, m_address)
+  bool operator==(const RelayPeer&) const = default;
+};
+
+/// Relay peers of an entry in its own data centre, and in the others. With half
+/// of the entries cut off, all of eight are in one case of 256.
+constexpr std::size_t kMaxRelayPeersPerSide = 8;
+
 /// Up to this many live entries exchange load reports across data centres; with
 /// more, only entries of the same data centre do. The limit bounds the load
 /// messages of each entry, which grow with the number of its peers.
@@ -106,6 +127,10 @@
   WeightsReport m_weights;
   /// Number of the leader's worker list; 0: it has none.
   std::uint64_t m_workers = 0;
+  std::uint64_t m_relayPeersVersion = 0;
+  /// Live entries that it may pass requests to; empty if it has this version
+  /// already.
+  std::vector<RelayPeer> m_relayPeers;
   MSGPACK_DEFINE(m_revision,
                  m_leaseUs,
                  m_liveEntries,
@@ -122,7 +147,9 @@
                  m_heartbeatSentAtUs,
                  m_term,
                  m_weights,
-                 m_workers)
+                 m_workers,
+                 m_relayPeersVersion,
+                 m_relayPeers)
 };
 
 /// Updates an entry to the accepted configuration.
--- a/src/include/fulmarquay/control/EntryRegistry.h
+++ b/src/include/fulmarquay/control/EntryRegistry.h
@@ -69,6 +69,11 @@
   /// All live entries if they are few enough to exchange load reports, else
   /// those of the data centre.
   PeerList& LoadPeersFor(const DataCentreId& aDataCentre);
+  /// The entries that an entry may pass requests to: some of its own data
+  /// centre and some of the others, such that each entry is named by about
+  /// equally many.
+  std::vector<RelayPeer> RelayPeersFor(const EntryHeartbeat& aHeartbeat);
+  void AddRelayPeer(const VmId& aVm, std::vector<RelayPeer>& aPeers) const;
   template<typename Filter>
   void RebuildIfStale(PeerList& aList, Filter aFilter) const;
   /// Adds a listed entry's held tokens times aSign to the sums.
--- a/src/include/fulmarquay/core/LogEvent.h
+++ b/src/include/fulmarquay/core/LogEvent.h
@@ -63,11 +63,16 @@
   RequestAbandoned = 3305,
   RequestRepeated = 3306,
   StreamOriginFound = 3307,
+  RequestPassed = 3308,
+  PassedRequestReceived = 3309,
+  PassRefused = 3310,
   WorkerSuspected = 3401,
   WorkerAnnouncedLeaving = 3402,
   WorkerPaused = 3403,
   AnswerFailedAtStart = 3404,
   WorkerLimitChanged = 3405,
+  PoolUnreached = 3406,
+  PoolReached = 3407,
 };
 
 /// The documentation of one event: a row of docs/LOG-EVENTS.md.
--- a/src/include/fulmarquay/daemon/EntryServer.h
+++ b/src/include/fulmarquay/daemon/EntryServer.h
@@ -47,6 +47,8 @@
   explicit EntryServer(const Builder& aBuilder);
   void OpenMonitoringListeners(const Settings& aSettings);
   void ApplyRouteLimits();
+  /// The server that a caller is connected to.
+  HttpServer& ServerOf(CallerId aCaller);
 
   struct ControlLink
   {
@@ -80,6 +82,7 @@
   EntryNode m_node;
   FrameHub m_hub;
   HttpServer m_server;
+  HttpServer m_relayServer; ///< for requests that other entries pass on
   HttpClient m_client;
   std::vector<ControlLink> m_control;
   std::map<Endpoint, ConnectionId> m_peers;
--- a/src/include/fulmarquay/serve/EntryContext.h
+++ b/src/include/fulmarquay/serve/EntryContext.h
@@ -31,6 +31,8 @@
   DataCentreId m_dataCentre;
   BootId m_boot;
   std::string m_address; ///< IP:PORT of its framed listener
+  /// IP:PORT of its listener for passed requests; empty: it has none.
+  std::string m_relayAddress{};
 };
 
 /// The refusal of a request, as reported to the caller and in metrics.
--- a/src/include/fulmarquay/serve/EntryEvents.h
+++ b/src/include/fulmarquay/serve/EntryEvents.h
@@ -19,11 +19,12 @@
 struct EntryTick
 {};
 
-/// A complete request of a caller.
+/// A complete request of a caller, or one that another entry passed on.
 struct CallerRequest
 {
   CallerId m_caller;
   HttpRequest m_request;
+  bool m_isPassed = false; ///< by another entry, which is its caller here
 };
 
 /// The caller disconnected before the end of its answer.
--- a/src/include/fulmarquay/serve/EntryNode.h
+++ b/src/include/fulmarquay/serve/EntryNode.h
@@ -118,6 +118,7 @@
   Revision m_appliedRevision; ///< last one applied to m_cache and m_engines
   std::uint64_t m_heldPeersVersion = 0;
   std::uint64_t m_heldLoadPeersVersion = 0;
+  std::uint64_t m_heldRelayPeersVersion = 0;
   std::uint64_t m_leaderTerm = 0;
   bool m_isDraining = false;
   bool m_isStopped = false;
--- /dev/null
+++ b/src/include/fulmarquay/serve/Neighbours.h
@@ -0,0 +1,83 @@
+#ifndef FULMARQUAY_SERVE_NEIGHBOURS_H
+#define FULMARQUAY_SERVE_NEIGHBOURS_H
+
+#include "fulmarquay/control/ControlMessages.h"
+#include "fulmarquay/core/Endpoint.h"
+#include "fulmarquay/core/Units.h"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace fulmarquay {
+
+/// The entries that this one may pass requests to, and what they have answered.
+/// Nothing is exchanged in advance: a neighbour that reaches no worker of a
+/// pool refuses the request, and gets no others of that pool for a moment.
+/// Pure; not thread-safe.
+class Neighbours
+{
+public:
+  /// Sets the entries; what is known of those that stay is kept.
+  void Set(const std::vector<RelayPeer>& aPeers,
+           const DataCentreId& aOwnDataCentre);
+
+  /// A neighbour for a request of a pool: one that has served the pool before
+  /// others that are not known to, and that with the fewest requests of this
+  /// entry, in its own data centre if they are about equal. After a refusal,
+  /// the other ones in that data centre come later. Null if all were tried, or
+  /// have refused or failed a moment ago.
+  const RelayPeer* Choose(TimePoint aNow,
+                          const PoolId& aPool,
+                          const std::set<VmId>& aTried,
+                          std::uint64_t aRandom) const;
+
+  void OnPassed(const VmId& aVm);
+  /// The neighbour has answered with a worker's success.
+  void OnServed(TimePoint aNow, const VmId& aVm, const PoolId& aPool);
+  void OnEnded(const VmId& aVm);
+
+  /// The neighbour could not be reached, or its answer broke off.
+  void OnFailed(TimePoint aNow, const VmId& aVm);
+  /// The neighbour reaches no worker of the pool, or does not serve it now.
+  void OnUnreached(TimePoint aNow, const VmId& aVm, const PoolId& aPool);
+  /// The neighbour has no room for requests of the pool.
+  void OnBusy(TimePoint aNow, const VmId& aVm, const PoolId& aPool);
+
+  std::size_t Size() const { return m_entries.size(); }
+
+private:
+  /// Of a neighbour for a pool.
+  struct PoolState
+  {
+    TimePoint m_pausedUntil;
+    TimePoint m_servedUntil;  ///< counts as serving the pool
+    TimePoint m_refusedUntil; ///< counts as not reaching it
+  };
+
+  struct Entry
+  {
+    RelayPeer m_peer;
+    bool m_isLocal = false;
+    std::int64_t m_running = 0; ///< requests passed to it
+    TimePoint m_failedUntil;
+    std::map<PoolId, PoolState> m_pools;
+  };
+
+  /// What a data centre's neighbours have answered lately for a pool.
+  struct Outcome
+  {
+    bool m_hasServed = false;
+    bool m_hasRefused = false;
+  };
+
+  PoolState* StateOf(const VmId& aVm, const PoolId& aPool);
+  std::map<DataCentreId, Outcome> OutcomesOf(TimePoint aNow,
+                                             const PoolId& aPool) const;
+
+  std::map<VmId, Entry> m_entries;
+};
+
+} // namespace fulmarquay
+
+#endif
--- a/src/include/fulmarquay/serve/PartWatch.h
+++ b/src/include/fulmarquay/serve/PartWatch.h
@@ -41,6 +41,11 @@
                      bool aHasHead,
                      const std::vector<RequestPartId>& aParts);
 
+  /// Whether a worker has failed on this request here before, and none has
+  /// answered it since. `aParts` as returned by PartIdsOf.
+  bool HasFailed(TimePoint aNow,
+                 const std::vector<RequestPartId>& aParts) const;
+
   /// Sends all observations again, as the new leader has none.
   void OnNewLeader();
 
--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -7,10 +7,12 @@
 #include "fulmarquay/serve/EntryContext.h"
 #include "fulmarquay/serve/EventStreamSplitter.h"
 #include "fulmarquay/serve/LoadExchange.h"
+#include "fulmarquay/serve/Neighbours.h"
 #include "fulmarquay/serve/OriginExchange.h"
 #include "fulmarquay/serve/PartMap.h"
 #include "fulmarquay/serve/PartWatch.h"
 #include "fulmarquay/serve/Placement.h"
+#include "fulmarquay/serve/PoolReach.h"
 #include "fulmarquay/serve/RelayProtocol.h"
 #include "fulmarquay/serve/RequestLimiter.h"
 #include "fulmarquay/serve/SoftwareVersions.h"
@@ -77,7 +79,9 @@
   /// Running requests continue.
   void StopAdmitting() { m_isDraining = true; }
 
-  void Start(CallerId aCaller, HttpRequest aRequest);
+  /// Starts a caller's request. `aIsPassed`: the caller is another entry, which
+  /// reaches no worker.
+  void Start(CallerId aCaller, HttpRequest aRequest, bool aIsPassed = false);
   void OnCallerDisconnected(CallerId aCaller);
   void OnTick();
 
@@ -110,6 +114,17 @@
   {
     m_softwareVersions.OnConfirmed(aListNumber, aSentAt);
   }
+  /// Sets the entries that requests may be passed to.
+  void OnRelayPeers(const std::vector<RelayPeer>& aPeers)
+  {
+    m_neighbours.Set(aPeers, m_context.Self().m_dataCentre);
+  }
+  std::size_t RelayPeers() const { return m_neighbours.Size(); }
+  /// Pools of which this entry reaches no worker.
+  std::size_t UnreachedPools() const
+  {
+    return m_reach.UnreachedPools(m_context.Now());
+  }
   /// Messages of other entries about origins of streams.
   void OnOriginUpdate(const StreamOriginUpdate& aUpdate);
   StreamOriginReply OnOriginQuery(const StreamOriginQuery& aQuery) const;
@@ -197,6 +212,13 @@
     Duration m_longestGap{}; ///< between two events
     bool m_isOriginRecorded = false;
     bool m_isStreaming = false; ///< the response head was sent to the caller
+    bool m_isFromPeer = false;  ///< another entry passed it on
+    bool m_isCounted = false;   ///< by the retry budget here, or there
+    VmId m_neighbour; ///< entry that it was passed to last; empty: none
+    std::set<VmId> m_triedNeighbours;
+    int m_passCount = 0;            ///< entries that it was passed to
+    PassedAnswer m_passedAnswer;    ///< of m_neighbour
+    Duration m_refusedRetryAfter{}; ///< longest of the neighbours' refusals
     EventStreamSplitter m_eventSplitter;
   };
   using ActiveRequestPtr = std::unique_ptr<ActiveRequest>;
@@ -228,6 +250,8 @@
   void GiveUpBlocked(ActiveRequest& aActive);
   void GiveUpBlockedQueued();
   void Send(ActiveRequest& aActive, WorkerState& aWorker);
+  /// Starts the call of a request to a worker or to another entry.
+  void BeginCall(ActiveRequest& aActive, HttpCall aCall);
   /// The weight version that the worker has to have to run the request.
   std::int64_t RequiredWeights(const ActiveRequest& aActive,
                                const WorkerState& aWorker) const;
@@ -315,7 +339,30 @@
   /// if it exceeds the memory for such answers.
   bool HoldBody(ActiveRequest& aActive, const std::string& aData);
   void ReleaseBody(ActiveRequest& aActive);
+  // Passing of requests between entries.
+  /// Whether the last call of the request was to another entry.
+  static bool IsPassed(const ActiveRequest& aActive);
+  /// Passes a request to another entry. Returns false if none may serve it.
+  bool PassOn(ActiveRequest& aActive, const std::string& aReason);
+  /// Passes on or gives up a request whose pool is unreached from here; returns
+  /// false if it is to be placed here.
+  bool PlaceElsewhere(ActiveRequest& aActive);
+  void OnPassedHead(ActiveRequest& aActive, const HttpResponse& aHead);
+  void OnPassEnd(ActiveRequest& aActive,
+                 CallResult aEnd,
+                 const std::string& aReason);
+  /// The other entry stated, or could not even be told, that it has not run the
+  /// request.
+  void OnPassRefused(ActiveRequest& aActive,
+                     PassRefusal aRefusal,
+                     const std::string& aReason);
+  void OnPoolFailure(const PoolId& aPool, const WorkerId& aWorker);
+  void OnPoolReached(const PoolId& aPool, const WorkerId& aWorker);
+
   void ProbeSilentWorkers();
+  void Probe(const WorkerId& aWorker);
+  /// Probes some workers of pools that are unreached.
+  void ProbeUnreachedPools();
   void OnProbeEnd(const WorkerId& aWorker, CallResult aEnd);
 
   // Completion of a call.
@@ -332,13 +379,15 @@
   void Refuse(ActiveRequest& aActive,
               int aStatus,
               const std::string& aReason,
-              Duration aRetryAfter);
+              Duration aRetryAfter,
+              PassRefusal aKind = PassRefusal::Final);
   void Fail(ActiveRequest& aActive, int aStatus, const std::string& aReason);
   /// Ends a request that no worker is to serve: refuses it as not run if that
   /// is true, otherwise fails it.
   void GiveUp(ActiveRequest& aActive,
               const std::string& aReason,
-              Duration aRetryAfter);
+              Duration aRetryAfter,
+              PassRefusal aKind = PassRefusal::Final);
   void Finish(ActiveRequest& aActive, int aStatus);
   void Expire(ActiveRequest& aActive);
   void Remove(ActiveRequest& aActive);
@@ -355,6 +404,8 @@
   WeightsAdmission m_weights;
   WorkerCaches m_caches;
   RequestLimiter m_limiter;
+  PoolReach m_reach;
+  Neighbours m_neighbours;
   TimePoint m_lastTickAt;
   TimePoint m_nextCacheSweep;
   PartMap m_partMap;
--- a/src/include/fulmarquay/serve/RelayProtocol.h
+++ b/src/include/fulmarquay/serve/RelayProtocol.h
@@ -31,6 +31,18 @@
 
   virtual HttpResponse Refuse(const RelayRequest& aRequest,
                               const RelayRefusal& aRefusal) const = 0;
+
+  /// Builds the request that is passed to another entry: the caller's one with
+  /// its key.
+  virtual HttpRequest EncodePassed(const RelayRequest& aRequest,
+                                   const PassParameters& aParameters) const = 0;
+
+  /// Adds to the head of an answer what the entry that passed the request on
+  /// needs to know. ToCallerHead drops that.
+  virtual void MarkPassed(HttpResponse& aHead,
+                          const PassedAnswer& aAnswer) const = 0;
+
+  virtual PassedAnswer ReadPassed(const HttpResponse& aHead) const = 0;
 };
 
 } // namespace fulmarquay
--- a/src/include/fulmarquay/serve/RelayRequest.h
+++ b/src/include/fulmarquay/serve/RelayRequest.h
@@ -20,6 +20,41 @@
   std::int64_t m_tokens = 0;
 };
 
+/// What an entry tells another one about a request that it passes on.
+struct PassParameters
+{
+  std::string m_from;          ///< VM of the entry that passes it on
+  Duration m_timeLeft{};       ///< of the caller
+  std::int64_t m_attempts = 0; ///< workers that may receive it from here on
+  std::int64_t m_lastEventId = -1;
+  /// Pool and software version that a resumed stream has to go on with; empty:
+  /// any.
+  std::string m_pool;
+  std::string m_software;
+  /// The retry budget of the entry that passes it on has counted it.
+  bool m_isCounted = false;
+};
+
+/// Why an entry did not run a request that another one had passed to it.
+enum class PassRefusal
+{
+  None,      ///< the answer is no refusal
+  Elsewhere, ///< it can't serve the request, another entry may; no worker got
+             ///< it
+  Busy,      ///< its workers have no room; no worker got the request
+  Final,     ///< no entry is to try it again
+};
+
+/// What an entry tells the one that passed a request to it.
+struct PassedAnswer
+{
+  PassRefusal m_refusal = PassRefusal::None;
+  // Of the worker whose answer this is; empty if there is none.
+  std::string m_worker;
+  std::string m_pool;
+  std::string m_software;
+};
+
 /// A caller's request for a route, independent of the protocol.
 struct RelayRequest
 {
@@ -36,6 +71,8 @@
   /// The attempt that brought the first event of the stream that this request
   /// resumes; empty: not given.
   std::string m_resumes;
+  /// Valid only if another entry passed the request on.
+  PassParameters m_pass;
   /// Sent to the worker after removal of the headers that the system sets.
   HttpRequest m_forwardRequest;
 };
--- a/src/include/fulmarquay/serve/WorkerTable.h
+++ b/src/include/fulmarquay/serve/WorkerTable.h
@@ -62,6 +62,8 @@
   /// new requests until a list updates it or should have done so.
   void OnMisdirected(TimePoint aNow, const WorkerId& aWorker);
   void OnProbeSucceeded(const WorkerId& aWorker);
+  /// Makes the suspected workers of a pool due for a probe.
+  void ProbeSuspectsSoon(TimePoint aNow, const PoolId& aPool);
 
   /// The worker stated that it is about to stop: this incarnation receives no
   /// more new requests, also if a later list contains it. Returns whether this
@@ -79,14 +81,14 @@
   /// none is paused.
   Duration ShortestPause(TimePoint aNow, const PoolId& aPool) const;
 
-  /// Workers of a pool that are listed and not leaving, and those of them that
-  /// failed and have accepted no probe since.
+  /// Workers of a pool that are listed and not leaving.
   struct Counts
   {
     std::size_t m_listed = 0;
-    std::size_t m_unreached = 0;
+    std::size_t m_unreached = 0; ///< failed, and have accepted no probe since
+    std::size_t m_unproved = 0;  ///< resume no streams yet after a failure
   };
-  Counts CountsOf(const PoolId& aPool) const;
+  Counts CountsOf(TimePoint aNow, const PoolId& aPool) const;
 
   const std::map<WorkerId, WorkerState>& All() const { return m_workers; }
 
--- a/src/include/fulmarquay/wire/HttpServer.h
+++ b/src/include/fulmarquay/wire/HttpServer.h
@@ -44,9 +44,12 @@
 class HttpServer
 {
 public:
+  /// The ids of callers begin with `aFirstCaller`, so that a handler can tell
+  /// the callers of several servers apart.
   HttpServer(boost::asio::io_context& aContext,
              HttpHandler& aHandler,
-             HttpServerLimits aLimits);
+             HttpServerLimits aLimits,
+             CallerId aFirstCaller = CallerId(1));
   ~HttpServer();
 
   /// Accepts connections. Throws Error when the endpoint can't be bound.
--- a/src/libcontrol/EntryRegistry.cpp
+++ b/src/libcontrol/EntryRegistry.cpp
@@ -2,6 +2,8 @@
 
 #include "fulmarquay/core/Digest.h"
 
+#include <algorithm>
+
 namespace fulmarquay {
 
 EntryRegistry::EntryRegistry(Duration aLease)
@@ -20,6 +22,7 @@
   const bool isUnchanged = session.m_isListed &&
                            last.m_boot == aHeartbeat.m_boot &&
                            last.m_address == aHeartbeat.m_address &&
+                           last.m_relayAddress == aHeartbeat.m_relayAddress &&
                            last.m_dataCentre == aHeartbeat.m_dataCentre;
   if (!isUnchanged) {
     m_peerLists[last.m_dataCentre].m_isStale = true;
@@ -103,6 +106,54 @@
   return m_allPeers;
 }
 
+void
+EntryRegistry::AddRelayPeer(const VmId& aVm,
+                            std::vector<RelayPeer>& aPeers) const
+{
+  const EntryHeartbeat& entry = m_sessions.at(aVm).m_last;
+  if (!entry.m_relayAddress.empty()) {
+    aPeers.push_back(
+      { aVm, entry.m_boot, entry.m_dataCentre, entry.m_relayAddress });
+  }
+}
+
+std::vector<RelayPeer>
+EntryRegistry::RelayPeersFor(const EntryHeartbeat& aHeartbeat)
+{
+  std::vector<RelayPeer> peers;
+  const std::vector<EntryPeer>& local =
+    PeersIn(aHeartbeat.m_dataCentre).m_peers;
+  const auto self =
+    std::find_if(local.begin(), local.end(), [&](const EntryPeer& aEach) {
+      return aEach.m_vm == aHeartbeat.m_vm;
+    });
+  const auto place = static_cast<std::size_t>(self - local.begin());
+  // Evenly spaced positions after its own: entries that are cut off together
+  // are often neighbours by name.
+  const std::size_t others = local.size() - (self == local.end() ? 0 : 1);
+  const std::size_t localCount = std::min(others, kMaxRelayPeersPerSide);
+  for (std::size_t i = 0; i < localCount; ++i) {
+    const std::size_t step = 1 + i * others / localCount;
+    AddRelayPeer(local[(place + step) % local.size()].m_vm, peers);
+  }
+  std::vector<VmId> remote;
+  for (const EntryPeer& peer : m_allPeers.m_peers) {
+    if (m_sessions.at(peer.m_vm).m_last.m_dataCentre !=
+        aHeartbeat.m_dataCentre) {
+      remote.push_back(peer.m_vm);
+    }
+  }
+  const std::size_t remoteCount =
+    std::min(remote.size(), kMaxRelayPeersPerSide);
+  const std::size_t first =
+    place * remote.size() / std::max<std::size_t>(1, local.size());
+  for (std::size_t i = 0; i < remoteCount; ++i) {
+    AddRelayPeer(
+      remote[(first + i * remote.size() / remoteCount) % remote.size()], peers);
+  }
+  return peers;
+}
+
 HeartbeatReply
 EntryRegistry::MakeReply(const EntryHeartbeat& aHeartbeat)
 {
@@ -120,6 +171,11 @@
   if (loadPeers.m_version != aHeartbeat.m_heldLoadPeersVersion) {
     reply.m_loadPeers = loadPeers.m_peers;
   }
+  RebuildIfStale(m_allPeers, [](const EntryHeartbeat&) { return true; });
+  reply.m_relayPeersVersion = m_allPeers.m_version;
+  if (m_allPeers.m_version != aHeartbeat.m_heldRelayPeersVersion) {
+    reply.m_relayPeers = RelayPeersFor(aHeartbeat);
+  }
   reply.m_otherEntriesHeldTokens = m_heldTokens;
   for (const auto& [pool, tokens] : aHeartbeat.m_heldTokens) {
     reply.m_otherEntriesHeldTokens[pool] -= tokens;
--- a/src/libcontrol/ProgramSettings.cpp
+++ b/src/libcontrol/ProgramSettings.cpp
@@ -149,6 +149,11 @@
               "",
               "HTTP listener for the load balancer's readiness check; any "
               "path")
+    .Optional("relay_http",
+              Kind::Addresses,
+              "",
+              "routes: HTTP listener for requests that other entries pass on "
+              "while they reach no worker; only other entries may reach it")
     .Optional("metrics_http", Kind::Addresses, "", "HTTP listener for metrics")
     .Optional("configuration",
               Kind::Choice,
--- a/src/libcontrol/fleet_test.cpp
+++ b/src/libcontrol/fleet_test.cpp
@@ -6,6 +6,7 @@
 #include "fulmarquay/control/StoreManager.h"
 #include "fulmarquay/core/Error.h"
 
+#include <map>
 #include <set>
 
 // Included last because its macros clash with names in other headers.
@@ -734,3 +735,51 @@
   cr_assert_eq(
     sendHeartbeat(0, 0).m_loadPeers.size(), 10U, "those of its data centre");
 }
+
+Test(entries, relay_peers_are_spread_over_data_centres_and_evenly_named)
+{
+  struct Case
+  {
+    int m_entries;
+    std::size_t m_local;
+    std::size_t m_remote;
+  };
+  for (const Case& each :
+       { Case{ 6, 1, 4 }, Case{ 60, 8, 8 }, Case{ 300, 8, 8 } }) {
+    EntryRegistry entries(Duration(5'000'000));
+    const TimePoint now(Duration(1'000'000'000));
+    const auto sendHeartbeat = [&](int aEntry, std::uint64_t aSeen) {
+      EntryHeartbeat heartbeat;
+      heartbeat.m_vm = VmId("e" + std::to_string(aEntry));
+      heartbeat.m_dataCentre = DataCentreId("d" + std::to_string(aEntry % 3));
+      heartbeat.m_relayAddress = "10.0.0.1:" + std::to_string(aEntry + 1);
+      heartbeat.m_heldRelayPeersVersion = aSeen;
+      entries.OnHeartbeat(now, ConnectionId(1), heartbeat);
+      return entries.MakeReply(heartbeat);
+    };
+    for (int i = 0; i < each.m_entries; ++i) {
+      sendHeartbeat(i, 0);
+    }
+    std::map<VmId, std::size_t> named;
+    for (int i = 0; i < each.m_entries; ++i) {
+      const HeartbeatReply reply = sendHeartbeat(i, 0);
+      std::set<VmId> peers;
+      std::size_t local = 0;
+      for (const RelayPeer& peer : reply.m_relayPeers) {
+        peers.insert(peer.m_vm);
+        ++named[peer.m_vm];
+        local += peer.m_dataCentre == DataCentreId("d" + std::to_string(i % 3));
+      }
+      cr_assert_eq(peers.count(VmId("e" + std::to_string(i))), 0U);
+      cr_assert_eq(peers.size(), each.m_local + each.m_remote);
+      cr_assert_eq(local, each.m_local);
+      cr_assert(
+        sendHeartbeat(i, reply.m_relayPeersVersion).m_relayPeers.empty(),
+        "no list if the version is known");
+    }
+    for (const auto& [vm, count] : named) {
+      cr_assert_leq(count, 2 * (each.m_local + each.m_remote), "%zu", count);
+      cr_assert_geq(2 * count, each.m_local + each.m_remote, "%zu", count);
+    }
+  }
+}
--- a/src/libcore/LogEvent.cpp
+++ b/src/libcore/LogEvent.cpp
@@ -388,6 +388,23 @@
       "A caller resumes a stream, and the software version that it began on is "
       "known.",
       "None; for those refused see OPERATIONS.md, resumed streams." },
+    { LogEvent::RequestPassed,
+      "RequestPassed",
+      "info",
+      "The entry reaches no worker of the pool and passes the request to "
+      "another entry, whose log has the same id.",
+      "None; see PoolUnreached." },
+    { LogEvent::PassedRequestReceived,
+      "PassedRequestReceived",
+      "info",
+      "Another entry, which reaches no worker, has passed a request to this "
+      "one.",
+      "None; see PoolUnreached in the other entry's log." },
+    { LogEvent::PassRefused,
+      "PassRefused",
+      "info",
+      "The entry that a request was passed to has not run it.",
+      "None; if all entries refuse, the workers are down or full." },
     { LogEvent::WorkerSuspected,
       "WorkerSuspected",
       "warning",
@@ -411,6 +428,18 @@
       "A worker states another limit of requests a second than before, or none "
       "any more.",
       "Add workers if limits recur." },
+    { LogEvent::PoolUnreached,
+      "PoolUnreached",
+      "warning",
+      "Workers of the pool accept no connection of this entry: it passes its "
+      "requests to other entries from now on.",
+      "Check the links from this VM to the workers; if other entries log the "
+      "same, check the workers." },
+    { LogEvent::PoolReached,
+      "PoolReached",
+      "info",
+      "A worker of an unreached pool accepted a connection.",
+      "None." },
     { LogEvent::AnswerFailedAtStart,
       "AnswerFailedAtStart",
       "warning",
--- a/src/libdaemon/EntryServer.cpp
+++ b/src/libdaemon/EntryServer.cpp
@@ -25,6 +25,14 @@
 /// Callers' connections get half of the file descriptors; the other half is for
 /// workers, replicas and listeners.
 constexpr double kCallerDescriptorDivisor = 2;
+/// Connections of other entries, as a part of the callers': enough for all
+/// callers of another entry.
+constexpr std::size_t kRelayConnectionDivisor = 2;
+/// Ids of callers that are other entries begin here.
+constexpr std::uint64_t kFirstRelayCaller = 1ULL << 62U;
+/// An entry adds headers to a request that it passes on, beyond the limit for
+/// callers.
+constexpr std::size_t kRelayHeaderBytes = 1U << 10U;
 
 /// Addresses of the control replicas' framed listeners: those of `control`, and
 /// the VMs of `control_seeds` at the port of this entry's `listen` setting,
@@ -53,6 +61,10 @@
     DataCentreId(aSettings.Text("entry", "data_centre"));
   options.m_identity.m_boot = BootId(RandomNumber());
   options.m_identity.m_address = aSettings.Text("entry", "listen");
+  const auto relay = aSettings.Addresses("entry", "relay_http");
+  if (!relay.empty()) {
+    options.m_identity.m_relayAddress = relay.front().ToString();
+  }
   options.m_control = ControlReplicas(aSettings);
   options.m_discoversReplicas =
     !aSettings.Addresses("entry", "control_seeds").empty();
@@ -86,6 +98,14 @@
   return limits;
 }
 
+HttpServerLimits
+RelayLimits(HttpServerLimits aLimits)
+{
+  aLimits.m_maxHeaderBytes += kRelayHeaderBytes;
+  aLimits.m_connections /= kRelayConnectionDivisor;
+  return aLimits;
+}
+
 } // namespace
 
 EntryServer::Builder::Builder(Settings aSettings, std::string aSettingsFile)
@@ -113,6 +133,10 @@
   , m_node(MakeOptions(aBuilder.m_settings, aBuilder.m_relay))
   , m_hub(m_context, *this)
   , m_server(m_context, *this, MakeLimits(aBuilder.m_settings))
+  , m_relayServer(m_context,
+                  *this,
+                  RelayLimits(MakeLimits(aBuilder.m_settings)),
+                  CallerId(kFirstRelayCaller))
   , m_client(m_context, *this)
   , m_reload(m_context,
              aBuilder.m_settingsFile,
@@ -129,6 +153,9 @@
   m_hub.Listen(settings.Address("entry", "listen"));
   OpenMonitoringListeners(settings);
   m_server.Listen(settings.Address("entry", "http"));
+  for (const Endpoint& address : settings.Addresses("entry", "relay_http")) {
+    m_relayServer.Listen(address);
+  }
 }
 
 void
@@ -148,6 +175,12 @@
                                  [this] { return m_node.RenderMetrics(); });
 }
 
+HttpServer&
+EntryServer::ServerOf(CallerId aCaller)
+{
+  return aCaller.Value() < kFirstRelayCaller ? m_server : m_relayServer;
+}
+
 void
 EntryServer::ApplyRouteLimits()
 {
@@ -163,6 +196,7 @@
   limits.m_maxBodyBytes = static_cast<std::size_t>(routeLimits.m_maxBodyBytes);
   limits.m_readTimeout = Duration(routeLimits.m_idleTimeoutUs);
   m_server.SetLimits(limits);
+  m_relayServer.SetLimits(RelayLimits(limits));
 }
 
 void
@@ -184,6 +218,7 @@
     if (!aError) {
       WriteLog(LogEvent::ProcessStopping);
       m_server.CloseAfterResponses();
+      m_relayServer.CloseAfterResponses();
       ProcessEvent(DrainRequested{});
       AwaitSignal();
     }
@@ -232,25 +267,25 @@
 void
 EntryServer::Execute(const RespondCaller& aEffect)
 {
-  m_server.Respond(aEffect.m_caller, aEffect.m_response);
+  ServerOf(aEffect.m_caller).Respond(aEffect.m_caller, aEffect.m_response);
 }
 
 void
 EntryServer::Execute(const BeginCallerStream& aEffect)
 {
-  m_server.StreamHead(aEffect.m_caller, aEffect.m_head);
+  ServerOf(aEffect.m_caller).StreamHead(aEffect.m_caller, aEffect.m_head);
 }
 
 void
 EntryServer::Execute(const WriteCallerStream& aEffect)
 {
-  m_server.StreamData(aEffect.m_caller, aEffect.m_data);
+  ServerOf(aEffect.m_caller).StreamData(aEffect.m_caller, aEffect.m_data);
 }
 
 void
 EntryServer::Execute(EndCallerStream aEffect)
 {
-  m_server.StreamEnd(aEffect.m_caller, aEffect.m_isComplete);
+  ServerOf(aEffect.m_caller).StreamEnd(aEffect.m_caller, aEffect.m_isComplete);
 }
 
 void
@@ -307,6 +342,7 @@
 EntryServer::Execute(EntryStopped)
 {
   m_server.StopAccepting();
+  m_relayServer.StopAccepting();
   m_stopBy = MonotonicNow() + kStopTimeout;
   StopWhenIdle();
 }
@@ -317,7 +353,8 @@
   if (m_stopBy == TimePoint()) {
     return;
   }
-  if (m_server.IsIdle() || MonotonicNow() >= m_stopBy) {
+  const bool isIdle = m_server.IsIdle() && m_relayServer.IsIdle();
+  if (isIdle || MonotonicNow() >= m_stopBy) {
     m_context.stop();
   }
 }
@@ -369,7 +406,8 @@
 void
 EntryServer::OnRequest(CallerId aCaller, HttpRequest aRequest)
 {
-  ProcessEvent(CallerRequest{ aCaller, std::move(aRequest) });
+  const bool isPassed = aCaller.Value() >= kFirstRelayCaller;
+  ProcessEvent(CallerRequest{ aCaller, std::move(aRequest), isPassed });
 }
 
 void
--- a/src/libserve/EntryNode.cpp
+++ b/src/libserve/EntryNode.cpp
@@ -86,6 +86,8 @@
   heartbeat.m_inForce = m_config.InForce();
   heartbeat.m_heldPeersVersion = m_heldPeersVersion;
   heartbeat.m_heldLoadPeersVersion = m_heldLoadPeersVersion;
+  heartbeat.m_heldRelayPeersVersion = m_heldRelayPeersVersion;
+  heartbeat.m_relayAddress = self.m_relayAddress;
   heartbeat.m_sentAtUs = m_context.Now().time_since_epoch().count();
   if (m_relay) {
     heartbeat.m_routes = m_relay->Routes().Document().m_revision;
@@ -127,6 +129,10 @@
   if (!aReply.m_loadPeers.empty()) {
     m_relay->OnLoadPeers(aReply.m_loadPeers);
   }
+  if (aReply.m_relayPeersVersion != m_heldRelayPeersVersion) {
+    m_heldRelayPeersVersion = aReply.m_relayPeersVersion;
+    m_relay->OnRelayPeers(aReply.m_relayPeers);
+  }
   m_relay->OnStoreLeaseConfirmed(m_control.LastConfirmed() +
                                    Duration(aReply.m_storeDataValidUs),
                                  Duration(aReply.m_fetchLimitUs),
@@ -269,6 +275,8 @@
                                static_cast<double>(m_relay->BlockedParts()));
     m_context.Counters().Gauge("limited_workers",
                                static_cast<double>(m_relay->LimitedWorkers()));
+    m_context.Counters().Gauge("unreached_pools",
+                               static_cast<double>(m_relay->UnreachedPools()));
   }
   return m_context.Counters().Render();
 }
@@ -300,7 +308,7 @@
 {
   const CallerId caller = aEvent.m_caller;
   if (m_relay) {
-    m_relay->Start(caller, aEvent.m_request);
+    m_relay->Start(caller, aEvent.m_request, aEvent.m_isPassed);
     return;
   }
   const std::string path = PathOf(aEvent.m_request.m_target);
@@ -530,6 +538,8 @@
     dump["requests_running"] = m_relay->Running();
     dump["blocked_parts"] = m_relay->BlockedParts();
     dump["limited_workers"] = m_relay->LimitedWorkers();
+    dump["unreached_pools"] = m_relay->UnreachedPools();
+    dump["relay_peers"] = m_relay->RelayPeers();
   }
   dump["peers"] = nlohmann::ordered_json::array();
   for (const auto& [vm, address] : m_config.Peers()) {
--- a/src/libserve/PartWatch.cpp
+++ b/src/libserve/PartWatch.cpp
@@ -127,6 +127,20 @@
   m_failures.push_back({ aNow, std::move(start), false });
 }
 
+bool
+PartWatch::HasFailed(TimePoint aNow,
+                     const std::vector<RequestPartId>& aParts) const
+{
+  const RequestPartId request = aParts.back();
+  const auto sound = m_soundAt.find(request);
+  return std::any_of(
+    m_failures.begin(), m_failures.end(), [&](const Failure& aEach) {
+      return aEach.m_start.m_request == request.Value() &&
+             aNow < aEach.m_at + kFailureMemory &&
+             (sound == m_soundAt.end() || sound->second < aEach.m_at);
+    });
+}
+
 void
 PartWatch::OnNewLeader()
 {
--- a/src/libserve/RelayConstants.h
+++ b/src/libserve/RelayConstants.h
@@ -4,6 +4,7 @@
 #include "fulmarquay/core/Units.h"
 #include "fulmarquay/wire/HttpStatus.h"
 
+#include <cstddef>
 #include <string>
 
 namespace fulmarquay {
@@ -13,6 +14,12 @@
 /// Workers are a few ms away: one that does not accept a connection within this
 /// time is down or unreachable.
 constexpr Duration kConnectTimeout(300'000);
+/// A worker's VM acknowledges received data within a few ms, regardless of how
+/// long its requests take. The timeout tolerates several lost packets in a row.
+constexpr Duration kPeerTimeout(1'000'000);
+/// Limit of an answer with its framing. Streams are forwarded event by event,
+/// so that they use little memory.
+constexpr std::size_t kMaxResponseBytes = 64U << 20U;
 /// With less time left, a worker cannot produce an answer.
 constexpr Duration kMinTimeLeft(5'000);
 /// Retry-After when all workers are busy: some running requests complete within
--- a/src/libserve/RelayDispatch.cpp
+++ b/src/libserve/RelayDispatch.cpp
@@ -14,12 +14,6 @@
 
 namespace {
 
-/// A worker's VM acknowledges received data within a few ms, regardless of how
-/// long its requests take. The timeout tolerates several lost packets in a row.
-constexpr Duration kPeerTimeout(1'000'000);
-/// Limit of a worker's answer with its framing. Streams are forwarded event by
-/// event, so that they use little memory.
-constexpr std::size_t kMaxResponseBytes = 64U << 20U;
 /// Share of an engine's memory that holds cached parts; the rest is taken by
 /// running requests.
 constexpr std::int64_t kCacheMemoryPercent = 60;
@@ -134,7 +128,8 @@
   const std::uint64_t spread = m_context.Random() % kSpreadSteps;
   GiveUp(aActive,
          "all workers are limited",
-         kLimitedRetryAfter + kLimitedRetryAfter * spread / kSpreadSteps);
+         kLimitedRetryAfter + kLimitedRetryAfter * spread / kSpreadSteps,
+         PassRefusal::Busy);
 }
 
 bool
@@ -180,6 +175,9 @@
     GiveUpBlocked(aActive);
     return;
   }
+  if (PlaceElsewhere(aActive)) {
+    return;
+  }
   const Placement::Criteria criteria = CriteriaFor(aActive);
   const bool isLate = aActive.m_expiresAt - criteria.m_now < kMinTimeLeft;
   // Queued requests are served before new ones.
@@ -209,9 +207,18 @@
     Enqueue(aActive, criteria.m_neededTokens);
     return;
   }
+  const WorkerTable::Counts workers =
+    m_workers.CountsOf(m_context.Now(), aActive.m_pool);
+  const bool isUnreached =
+    !isLate &&
+    (workers.m_unreached > 0 || (aActive.m_origin && workers.m_unproved > 0));
+  if (isUnreached && PassOn(aActive, "no worker that this entry reaches")) {
+    return;
+  }
   GiveUp(aActive,
          isLate ? "no time left" : "no worker",
-         RetryAfterFor(aActive.m_pool));
+         std::max(RetryAfterFor(aActive.m_pool), aActive.m_refusedRetryAfter),
+         isUnreached ? PassRefusal::Elsewhere : PassRefusal::Final);
 }
 
 RelayFlow::QueueKey
@@ -238,7 +245,11 @@
   const std::optional<Duration> retryAfter =
     m_queues[QueueKeyOf(aActive)].Push(m_context.Now(), item);
   if (retryAfter) {
-    Refuse(aActive, kStatusUnavailable, "queue too long", *retryAfter);
+    Refuse(aActive,
+           kStatusUnavailable,
+           "queue too long",
+           *retryAfter,
+           PassRefusal::Busy);
     return;
   }
   aActive.m_isQueued = true;
@@ -466,22 +477,17 @@
   call.m_needsNewConnection =
     !aActive.m_triedAddresses.insert(aWorker.m_address).second;
   m_limiter.OnSent(m_context.Now(), aWorker.m_info);
+  aActive.m_neighbour = VmId();
   aActive.m_worker = aWorker.m_info.m_id;
   aActive.m_software = aWorker.m_info.m_software;
   aActive.m_triedWorkers.insert(aActive.m_worker);
-  aActive.m_sentAt = m_context.Now();
   aActive.m_sentWeights = parameters.m_weights;
-  aActive.m_workerHead = WorkerResponseHead();
-  aActive.m_hasFirstEvent = false;
-  aActive.m_isInFlight = true;
-  ++aActive.m_sendCount;
   if (aWorker.m_running++ == 0) {
     aWorker.m_lastActivityAt = m_context.Now();
   }
   aWorker.m_pendingPrefillTokens += aActive.m_pendingPrefillTokens;
   aWorker.m_heldTokens += aActive.m_heldTokens;
-  aActive.m_call = m_context.Call(std::move(call), *this);
-  m_byCall[aActive.m_call] = &aActive;
+  BeginCall(aActive, std::move(call));
   m_context.Log(
     LogEvent::RequestSent,
     { { "id", aActive.m_request.m_id },
@@ -508,6 +514,18 @@
       { "left_ms", FormatMillis(parameters.m_timeLeft) } });
 }
 
+void
+RelayFlow::BeginCall(ActiveRequest& aActive, HttpCall aCall)
+{
+  aActive.m_sentAt = m_context.Now();
+  aActive.m_workerHead = WorkerResponseHead();
+  aActive.m_hasFirstEvent = false;
+  aActive.m_isInFlight = true;
+  ++aActive.m_sendCount;
+  aActive.m_call = m_context.Call(std::move(aCall), *this);
+  m_byCall[aActive.m_call] = &aActive;
+}
+
 void
 RelayFlow::ReleaseWorker(ActiveRequest& aActive)
 {
@@ -516,6 +534,10 @@
   }
   aActive.m_isInFlight = false;
   m_byCall.erase(aActive.m_call);
+  if (IsPassed(aActive)) {
+    m_neighbours.OnEnded(aActive.m_neighbour);
+    return;
+  }
   if (WorkerState* worker = m_workers.Find(aActive.m_worker)) {
     worker->m_running = std::max<std::int64_t>(0, worker->m_running - 1);
     worker->m_pendingPrefillTokens = std::max<std::int64_t>(
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -138,11 +138,12 @@
 }
 
 void
-RelayFlow::Start(CallerId aCaller, HttpRequest aRequest)
+RelayFlow::Start(CallerId aCaller, HttpRequest aRequest, bool aIsPassed)
 {
   auto active = std::make_unique<ActiveRequest>();
   active->m_caller = aCaller;
   active->m_arrivedAt = m_context.Now();
+  active->m_isFromPeer = aIsPassed;
   ActiveRequest& added = *active;
   m_byCaller[aCaller] = std::move(active);
   try {
@@ -151,6 +152,23 @@
     Refuse(added, kStatusBadRequest, e.Reason(), Duration(0));
     return;
   }
+  if (aIsPassed) {
+    m_context.Counters().Count("relay_passed_received_total", "");
+    m_context.Log(
+      LogEvent::PassedRequestReceived,
+      { { "id", added.m_request.m_id },
+        { "entry", added.m_request.m_pass.m_from },
+        { "attempts", std::to_string(added.m_request.m_pass.m_attempts) },
+        { "left_ms", FormatMillis(added.m_request.m_deadline) } });
+    if (MustWaitForStartup(added)) {
+      Refuse(added,
+             kStatusUnavailable,
+             "this entry is starting",
+             kStartupRetryAfter,
+             PassRefusal::Elsewhere);
+      return;
+    }
+  }
   if (MustWaitForStartup(added) &&
       m_waitingForStartup.size() < kMaxWaitingForStartup) {
     m_waitingForStartup.push_back(aCaller);
@@ -206,12 +224,19 @@
 {
   const RelayRequest& request = aActive.m_request;
   if (m_isDraining) {
-    Refuse(
-      aActive, kStatusUnavailable, "this entry is leaving", kLeavingRetryAfter);
+    Refuse(aActive,
+           kStatusUnavailable,
+           "this entry is leaving",
+           kLeavingRetryAfter,
+           PassRefusal::Elsewhere);
     return;
   }
   if (m_routes.Document().m_revision == Revision(0)) {
-    Refuse(aActive, kStatusUnavailable, "no routes yet", kStartupRetryAfter);
+    Refuse(aActive,
+           kStatusUnavailable,
+           "no routes yet",
+           kStartupRetryAfter,
+           PassRefusal::Elsewhere);
     return;
   }
   const RouteTable::Route route = m_routes.Find(request.m_host, request.m_path);
@@ -222,10 +247,16 @@
     Refuse(aActive,
            hasKeyLease ? kStatusNotFound : kStatusUnavailable,
            "no route",
-           hasKeyLease ? Duration(0) : kStartupRetryAfter);
+           hasKeyLease ? Duration(0) : kStartupRetryAfter,
+           PassRefusal::Elsewhere);
     return;
   }
   aActive.m_rule = *route.m_rule;
+  if (aActive.m_isFromPeer) {
+    aActive.m_rule.m_maxAttempts =
+      std::min(aActive.m_rule.m_maxAttempts,
+               std::max<std::int64_t>(1, request.m_pass.m_attempts));
+  }
   aActive.m_routeName = std::string(route.m_name);
   aActive.m_priority = route.m_rule->m_priority;
   if (MayResume(aActive)) {
@@ -241,7 +272,12 @@
   }
   aActive.m_expiresAt = aActive.m_arrivedAt + wait;
   m_expiries.emplace(aActive.m_expiresAt, aActive.m_caller);
-  if (IsResumed(aActive)) {
+  const PassParameters& pass = request.m_pass;
+  if (IsResumed(aActive) && aActive.m_isFromPeer && !pass.m_pool.empty()) {
+    const StreamOrigin origin{ PoolId(pass.m_pool),
+                               SoftwareVersion(pass.m_software) };
+    Resume(aActive, origin, "passing entry");
+  } else if (IsResumed(aActive)) {
     FindOrigin(aActive);
   } else {
     Accept(aActive, ChoosePool(aActive).m_pool);
@@ -252,8 +288,17 @@
 RelayFlow::Accept(ActiveRequest& aActive, const PoolId& aPool)
 {
   aActive.m_pool = aPool;
-  RetryBudgetFor(aPool).OnRequest();
-  m_limiter.OnRequest(m_context.Now(), aPool);
+  aActive.m_isCounted =
+    aActive.m_isFromPeer && aActive.m_request.m_pass.m_isCounted;
+  const bool isServedHere = aActive.m_isFromPeer || m_neighbours.Size() == 0 ||
+                            !m_reach.IsUnreached(m_context.Now(), aPool);
+  // The entry that serves a request counts it, once.
+  if (isServedHere && !std::exchange(aActive.m_isCounted, true)) {
+    RetryBudgetFor(aPool).OnRequest();
+  }
+  if (isServedHere) {
+    m_limiter.OnRequest(m_context.Now(), aPool);
+  }
   Place(aActive);
 }
 
@@ -264,8 +309,11 @@
   const bool needsKey =
     m_routes.Document().m_needsKeys && !aRule.m_allowsAnonymous;
   if (needsKey && !HasKeyLease()) {
-    Refuse(
-      aActive, kStatusUnavailable, "keys not confirmed", kStartupRetryAfter);
+    Refuse(aActive,
+           kStatusUnavailable,
+           "keys not confirmed",
+           kStartupRetryAfter,
+           PassRefusal::Elsewhere);
     return false;
   }
   if (key.empty() && !needsKey) {
@@ -274,7 +322,11 @@
   const RouteTable::Account account = m_routes.FindAccount(Sha256Hex(key));
   if (account.m_rule == nullptr) {
     if (needsKey) {
-      Refuse(aActive, kStatusUnauthorized, "unknown key", Duration(0));
+      Refuse(aActive,
+             kStatusUnauthorized,
+             "unknown key",
+             Duration(0),
+             PassRefusal::Elsewhere);
     }
     return !needsKey;
   }
--- a/src/libserve/RelayProbes.cpp
+++ b/src/libserve/RelayProbes.cpp
@@ -3,7 +3,9 @@
 
 #include "RelayConstants.h"
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace fulmarquay {
 
@@ -14,6 +16,12 @@
 /// accepts no connection.
 constexpr Duration kSilenceTimeout(400'000);
 constexpr Duration kProbeInterval(100'000);
+/// Bounds the connections that an entry opens at once to workers that failed
+/// together.
+constexpr int kMaxProbesAtOnce = 32;
+/// Workers of an unreached pool that are probed at a time: one that accepts is
+/// enough, and some may be down.
+constexpr std::size_t kSampleProbes = 4;
 
 } // namespace
 
@@ -25,19 +33,56 @@
     return;
   }
   m_nextProbe = now + kProbeInterval;
+  int probes = 0;
   for (const auto& [id, state] : m_workers.All()) {
     const bool isSilent =
       state.m_running > 0 && now >= state.m_lastActivityAt + kSilenceTimeout;
     const bool mayBeBack = state.m_needsProbe && now >= state.m_suspectUntil;
-    if (state.m_isProbeInFlight || !(isSilent || mayBeBack)) {
+    if (state.m_isProbeInFlight || !(isSilent || mayBeBack) ||
+        probes >= kMaxProbesAtOnce) {
       continue;
     }
-    HttpCall call;
-    call.m_peer = state.m_address;
-    call.m_isProbe = true;
-    call.m_connectTimeout = kConnectTimeout;
-    m_workers.Find(id)->m_isProbeInFlight = true;
-    m_probes[m_context.Call(std::move(call), *this)] = id;
+    ++probes;
+    Probe(id);
+  }
+  ProbeUnreachedPools();
+}
+
+void
+RelayFlow::Probe(const WorkerId& aWorker)
+{
+  WorkerState& worker = *m_workers.Find(aWorker);
+  HttpCall call;
+  call.m_peer = worker.m_address;
+  call.m_isProbe = true;
+  call.m_connectTimeout = kConnectTimeout;
+  worker.m_isProbeInFlight = true;
+  m_probes[m_context.Call(std::move(call), *this)] = aWorker;
+}
+
+void
+RelayFlow::ProbeUnreachedPools()
+{
+  for (const PoolId& pool : m_reach.TakeDueProbes(m_context.Now())) {
+    std::vector<WorkerId> workers;
+    for (const auto& [id, state] : m_workers.All()) {
+      if (state.m_info.m_pool == pool && !state.m_info.m_isLeaving) {
+        workers.push_back(id);
+      }
+    }
+    if (workers.empty()) {
+      m_reach.Forget(pool);
+      continue;
+    }
+    const std::size_t first = m_context.Random() % workers.size();
+    const std::size_t count = std::min(kSampleProbes, workers.size());
+    for (std::size_t i = 0; i < count; ++i) {
+      const WorkerId& worker =
+        workers[(first + i * workers.size() / count) % workers.size()];
+      if (!m_workers.Find(worker)->m_isProbeInFlight) {
+        Probe(worker);
+      }
+    }
   }
 }
 
@@ -51,15 +96,21 @@
   }
   if (aEnd == CallResult::Complete) {
     m_workers.OnProbeSucceeded(aWorker);
+    if (worker != nullptr) {
+      OnPoolReached(worker->m_info.m_pool, aWorker);
+    }
     return;
   }
   m_workers.OnFailure(m_context.Now(), aWorker);
+  if (worker != nullptr) {
+    OnPoolFailure(worker->m_info.m_pool, aWorker);
+  }
   m_context.Log(LogEvent::WorkerSuspected,
                 { { "worker", aWorker.Value() },
                   { "why", "silent, and takes no connection" } });
   std::vector<CallId> lost;
   for (const auto& [call, active] : m_byCall) {
-    if (active->m_worker == aWorker) {
+    if (active->m_worker == aWorker && !IsPassed(*active)) {
       lost.push_back(call);
     }
   }
--- a/src/libserve/RelayResponses.cpp
+++ b/src/libserve/RelayResponses.cpp
@@ -19,7 +19,8 @@
 constexpr std::size_t kMaxAllHeldBodyBytes = 24U << 20U;
 /// Limit of one event of a stream, which is held until its end.
 constexpr std::size_t kMaxEventBytes = 256U << 10U;
-/// Unreachable workers tried per request before it is refused.
+/// Unreachable workers tried per request before it is passed to another entry
+/// or refused. With a pool that is known as unreached, none is tried.
 constexpr int kMaxUnreachedWorkers = 3;
 
 /// Whether callers take a status as the statement that the request was not run.
@@ -42,7 +43,8 @@
 void
 RelayFlow::OnWorkerActivity(const ActiveRequest& aActive)
 {
-  if (WorkerState* worker = m_workers.Find(aActive.m_worker)) {
+  WorkerState* worker = m_workers.Find(aActive.m_worker);
+  if (worker != nullptr && !IsPassed(aActive)) {
     worker->m_lastActivityAt = m_context.Now();
   }
 }
@@ -107,7 +109,8 @@
   if (const WorkerState* worker = m_workers.Find(aActive.m_worker)) {
     RecordLimit(aActive, worker->m_info);
   }
-  if (head.m_pause > Duration(0)) {
+  // A worker asks the entry that called it for a pause, not this one.
+  if (head.m_pause > Duration(0) && !IsPassed(aActive)) {
     m_workers.OnPauseRequested(m_context.Now(), aActive.m_worker, head.m_pause);
     m_context.Log(LogEvent::WorkerPaused,
                   { { "worker", aActive.m_worker.Value() },
@@ -168,6 +171,11 @@
   OnWorkerActivity(*active);
   active->m_workerHead = m_protocol.ReadHead(aHead);
   active->m_endsWithConnection = aHead.m_endsWithConnection;
+  if (IsPassed(*active)) {
+    OnPassedHead(*active, aHead);
+  } else {
+    m_reach.OnAnswered(active->m_pool, active->m_sentAt);
+  }
   RecordAnnouncements(*active);
   const WorkerResponseHead& workerHead = active->m_workerHead;
   const bool isSuccess = workerHead.IsSuccess();
@@ -184,6 +192,13 @@
   }
   ReleaseBody(*active);
   active->m_callerHead = m_protocol.ToCallerHead(aHead);
+  if (active->m_isFromPeer) {
+    m_protocol.MarkPassed(active->m_callerHead,
+                          { PassRefusal::None,
+                            active->m_worker.Value(),
+                            active->m_pool.Value(),
+                            active->m_software.Value() });
+  }
   if (isSuccess && workerHead.m_isStream) {
     active->m_isStreaming = true;
     m_context.Emit(BeginCallerStream{ active->m_caller, active->m_callerHead });
@@ -193,8 +208,12 @@
 void
 RelayFlow::OnPrefillDone(ActiveRequest& aActive)
 {
+  m_context.Counters().Observe("first_event_seconds",
+                               static_cast<double>(Age(aActive).count()) / 1e6,
+                               "route=\"" + aActive.m_routeName + "\"");
   WorkerState* worker = m_workers.Find(aActive.m_worker);
-  if (worker == nullptr) {
+  // The entry that called the worker tells the others what it has read.
+  if (worker == nullptr || IsPassed(aActive)) {
     return;
   }
   worker->m_pendingPrefillTokens = std::max<std::int64_t>(
@@ -202,15 +221,12 @@
   aActive.m_pendingPrefillTokens = 0;
   m_partMap.OnFirstEvent(m_context.Now() - aActive.m_sentAt, aActive.m_stores);
   RecordReads(aActive, *worker);
-  m_context.Counters().Observe("first_event_seconds",
-                               static_cast<double>(Age(aActive).count()) / 1e6,
-                               "route=\"" + aActive.m_routeName + "\"");
 }
 
 void
 RelayFlow::RecordFailedStart(const ActiveRequest& aActive)
 {
-  if (aActive.m_hasFirstEvent) {
+  if (aActive.m_hasFirstEvent || IsPassed(aActive)) {
     return;
   }
   // A worker that answers without events has run the request by then.
@@ -296,7 +312,9 @@
     return;
   }
   ReleaseWorker(*active);
-  if (aEnd == CallResult::NotSent) {
+  if (IsPassed(*active)) {
+    OnPassEnd(*active, aEnd, aReason);
+  } else if (aEnd == CallResult::NotSent) {
     OnNotSent(*active, aReason);
   } else if (aEnd == CallResult::Complete &&
              active->m_workerHead.m_isNotExecuted &&
@@ -329,7 +347,7 @@
     OnBroken(aActive, "the answer is not the worker's whole one");
     return;
   }
-  if (isSuccess) {
+  if (isSuccess && !IsPassed(aActive)) {
     m_workers.OnSuccess(aActive.m_worker);
   }
   if (workerHead.m_isSigned && !aActive.m_hasFirstEvent) {
@@ -392,8 +410,13 @@
   }
   // The worker received nothing: this counts neither as a send nor as a retry.
   --aActive.m_sendCount;
+  OnPoolFailure(aActive.m_pool, aActive.m_worker);
   if (++aActive.m_unreachedCount > kMaxUnreachedWorkers) {
-    GiveUp(aActive, "no worker reached", kBusyRetryAfter);
+    if (PassOn(aActive, "workers not reached")) {
+      return;
+    }
+    GiveUp(
+      aActive, "no worker reached", kBusyRetryAfter, PassRefusal::Elsewhere);
     return;
   }
   Place(aActive);
@@ -425,7 +448,9 @@
 void
 RelayFlow::OnBroken(ActiveRequest& aActive, const std::string& aReason)
 {
-  m_workers.OnFailure(m_context.Now(), aActive.m_worker);
+  if (!IsPassed(aActive)) {
+    m_workers.OnFailure(m_context.Now(), aActive.m_worker);
+  }
   aActive.m_eventSplitter.DropPartial();
   ReleaseBody(aActive);
   if (MayRepeat(aActive) && TakeRetry(aActive)) {
@@ -439,11 +464,13 @@
 RelayFlow::Refuse(ActiveRequest& aActive,
                   int aStatus,
                   const std::string& aReason,
-                  Duration aRetryAfter)
+                  Duration aRetryAfter,
+                  PassRefusal aKind)
 {
   m_context.Counters().Count("relay_refused_total",
                              "reason=\"" + aReason + "\"");
-  const WorkerTable::Counts workers = m_workers.CountsOf(aActive.m_pool);
+  const WorkerTable::Counts workers =
+    m_workers.CountsOf(m_context.Now(), aActive.m_pool);
   m_context.Log(
     LogEvent::RequestRefused,
     { { "id", aActive.m_request.m_id },
@@ -458,9 +485,15 @@
       { "listed", std::to_string(workers.m_listed) },
       { "unreached", std::to_string(workers.m_unreached) },
       { "age_ms", FormatMillis(Age(aActive)) } });
-  m_context.Emit(RespondCaller{
-    aActive.m_caller,
-    m_protocol.Refuse(aActive.m_request, { aStatus, aReason, aRetryAfter }) });
+  HttpResponse response =
+    m_protocol.Refuse(aActive.m_request, { aStatus, aReason, aRetryAfter });
+  if (aActive.m_isFromPeer) {
+    const bool wasSent = aActive.m_sendCount > 0 || aActive.m_mayHaveRun;
+    PassedAnswer answer;
+    answer.m_refusal = wasSent ? PassRefusal::Final : aKind;
+    m_protocol.MarkPassed(response, answer);
+  }
+  m_context.Emit(RespondCaller{ aActive.m_caller, std::move(response) });
   Remove(aActive);
 }
 
@@ -491,12 +524,13 @@
 void
 RelayFlow::GiveUp(ActiveRequest& aActive,
                   const std::string& aReason,
-                  Duration aRetryAfter)
+                  Duration aRetryAfter,
+                  PassRefusal aKind)
 {
   if (aActive.m_isStreaming || aActive.m_mayHaveRun) {
     Fail(aActive, kStatusBadGateway, aReason);
   } else {
-    Refuse(aActive, kStatusUnavailable, aReason, aRetryAfter);
+    Refuse(aActive, kStatusUnavailable, aReason, aRetryAfter, aKind);
   }
 }
 
@@ -507,6 +541,7 @@
     { "id", aActive.m_request.m_id },
     { "status", std::to_string(aStatus) },
     { "worker", aActive.m_worker.Value() },
+    { "entry", aActive.m_neighbour.Value() },
     { "event", std::to_string(aActive.m_eventSplitter.LastId()) },
     { "age_ms", FormatMillis(Age(aActive)) }
   };
--- a/src/libserve/RelayWeights.cpp
+++ b/src/libserve/RelayWeights.cpp
@@ -50,7 +50,7 @@
     aActive.m_workerHead.m_status != 0 || aActive.m_hasFirstEvent;
   const bool isExpired =
     m_weights.AgeOf(now, model, aActive.m_sentWeights) == WeightsAge::Expired;
-  if (hasStarted || !isExpired || !MayRepeat(aActive)) {
+  if (hasStarted || !isExpired || !MayRepeat(aActive) || IsPassed(aActive)) {
     return false;
   }
   return m_weights.MustNotBegin(now, model, aActive.m_sentWeights) ||
--- a/src/libserve/WorkerTable.cpp
+++ b/src/libserve/WorkerTable.cpp
@@ -151,7 +151,7 @@
 }
 
 WorkerTable::Counts
-WorkerTable::CountsOf(const PoolId& aPool) const
+WorkerTable::CountsOf(TimePoint aNow, const PoolId& aPool) const
 {
   Counts counts;
   for (const auto& [id, worker] : m_workers) {
@@ -159,6 +159,7 @@
       worker.m_info.m_pool == aPool && !worker.m_info.m_isLeaving;
     counts.m_listed += isUsable ? 1 : 0;
     counts.m_unreached += isUsable && worker.m_needsProbe ? 1 : 0;
+    counts.m_unproved += isUsable && aNow < worker.m_unprovedUntil ? 1 : 0;
   }
   return counts;
 }
@@ -216,4 +217,14 @@
   }
 }
 
+void
+WorkerTable::ProbeSuspectsSoon(TimePoint aNow, const PoolId& aPool)
+{
+  for (auto& [id, worker] : m_workers) {
+    if (worker.m_info.m_pool == aPool && worker.m_needsProbe) {
+      worker.m_suspectUntil = std::min(worker.m_suspectUntil, aNow);
+    }
+  }
+}
+
 } // namespace fulmarquay
--- a/src/libserve/reach_fleet_test.h
+++ b/src/libserve/reach_fleet_test.h
@@ -142,7 +142,7 @@
   void Send()
   {
     const std::size_t entry = Below(EntryCount());
-    const std::string kind = kRequestKinds[m_callers % kRequestKinds.size()];
+    const std::string& kind = kRequestKinds[m_callers % kRequestKinds.size()];
     const CallerId caller(++m_callers);
     const std::string id = std::to_string(m_callers);
     std::vector<HttpHeader> headers = {
--- a/src/libserve/relay_test.h
+++ b/src/libserve/relay_test.h
@@ -37,6 +37,18 @@
     const std::string lastEventId = FindHeader(aRequest.m_headers, "last");
     request.m_lastEventId = lastEventId.empty() ? -1 : std::stoi(lastEventId);
     request.m_resumes = FindHeader(aRequest.m_headers, "resumes");
+    const auto number = [&](const char* aName) {
+      const std::string text = FindHeader(aRequest.m_headers, aName);
+      return text.empty() ? 0 : std::stoll(text);
+    };
+    request.m_deadline = kMillisecond * number("deadline_ms");
+    request.m_pass.m_from = FindHeader(aRequest.m_headers, "from");
+    request.m_pass.m_attempts = number("attempts");
+    request.m_pass.m_isCounted = number("counted") != 0;
+    request.m_pass.m_pool = FindHeader(aRequest.m_headers, "origin_pool");
+    request.m_pass.m_software =
+      FindHeader(aRequest.m_headers, "origin_software");
+    request.m_forwardRequest = std::move(aRequest);
     return request;
   }
   HttpRequest Encode(const RelayRequest& aRequest,
@@ -82,7 +94,51 @@
     return response;
   }
 
+  HttpRequest EncodePassed(const RelayRequest& aRequest,
+                           const PassParameters& aParameters) const override
+  {
+    HttpRequest request = aRequest.m_forwardRequest;
+    std::erase_if(request.m_headers, [](const HttpHeader& aEach) {
+      return aEach.m_name == "last";
+    });
+    const auto add = [&](const char* aName, std::string aValue) {
+      request.m_headers.push_back({ aName, std::move(aValue) });
+    };
+    if (aParameters.m_lastEventId >= 0) {
+      add("last", std::to_string(aParameters.m_lastEventId));
+    }
+    add("from", aParameters.m_from);
+    add("deadline_ms", std::to_string(ToMillis(aParameters.m_timeLeft)));
+    add("attempts", std::to_string(aParameters.m_attempts));
+    add("counted", aParameters.m_isCounted ? "1" : "0");
+    add("origin_pool", aParameters.m_pool);
+    add("origin_software", aParameters.m_software);
+    m_passed.push_back(aParameters);
+    return request;
+  }
+  void MarkPassed(HttpResponse& aHead,
+                  const PassedAnswer& aAnswer) const override
+  {
+    aHead.m_headers.push_back(
+      { "refusal", std::to_string(static_cast<int>(aAnswer.m_refusal)) });
+    aHead.m_headers.push_back({ "worker", aAnswer.m_worker });
+    aHead.m_headers.push_back({ "pool", aAnswer.m_pool });
+    aHead.m_headers.push_back({ "software", aAnswer.m_software });
+  }
+  PassedAnswer ReadPassed(const HttpResponse& aHead) const override
+  {
+    PassedAnswer answer;
+    const std::string refusal = FindHeader(aHead.m_headers, "refusal");
+    answer.m_refusal =
+      static_cast<PassRefusal>(refusal.empty() ? 0 : std::stoi(refusal));
+    answer.m_worker = FindHeader(aHead.m_headers, "worker");
+    answer.m_pool = FindHeader(aHead.m_headers, "pool");
+    answer.m_software = FindHeader(aHead.m_headers, "software");
+    return answer;
+  }
+
   std::string m_model = "m"; ///< of the decoded requests
+  mutable std::vector<PassParameters> m_passed;
   mutable std::vector<DispatchParameters> m_sentParameters;
 };
 
@@ -277,6 +333,7 @@
         m_body += answer->m_response.m_body;
         m_retryAfterMs =
           FindHeader(answer->m_response.m_headers, "retry_after_ms");
+        m_passRefusal = FindHeader(answer->m_response.m_headers, "refusal");
         ++m_answers;
       } else if (std::holds_alternative<BeginCallerStream>(effect)) {
         ++m_heads;
@@ -305,6 +362,7 @@
   int m_status = 0;
   std::string m_body;
   std::string m_retryAfterMs;
+  std::string m_passRefusal; ///< of the last answer to another entry
   int m_answers = 0;
   int m_heads = 0;
   int m_cancels = 0;
--- a/src/libserve/simulated_fleet_test.h
+++ b/src/libserve/simulated_fleet_test.h
@@ -21,6 +21,10 @@
 
 inline constexpr Duration kNetworkDelay = kMillisecond;
 inline constexpr std::size_t kFirstEntryPort = 1'000;
+inline const std::string kEntryIp = "10.0.2.1";
+inline const std::string kRelayIp = "10.0.3.1"; ///< for passed requests
+/// Callers that are other entries.
+inline constexpr std::uint64_t kFirstPassedCaller = 1ULL << 40U;
 inline const std::string kPromptPool = "p";
 inline const std::string kPlainPool = "s";
 
@@ -31,16 +35,15 @@
 public:
   RelayRequest Decode(HttpRequest aRequest) const override
   {
-    RelayRequest request = FakeProtocol::Decode(aRequest);
-    std::vector<std::string> ids;
     const std::string parts = FindHeader(aRequest.m_headers, "parts");
+    RelayRequest request = FakeProtocol::Decode(std::move(aRequest));
+    std::vector<std::string> ids;
     boost::algorithm::split(
       ids, parts, [](char aEach) { return aEach == ','; });
     request.m_parts.clear();
     for (const std::string& id : ids) {
       request.m_parts.push_back({ id, 20 });
     }
-    request.m_forwardRequest = std::move(aRequest);
     return request;
   }
   HttpRequest Encode(const RelayRequest& aRequest,
@@ -159,6 +162,10 @@
   SimulatedFleet& operator=(const SimulatedFleet&) = delete;
 
   std::size_t LimitPushes() const { return m_limitPushes; }
+  /// Requests that entries have passed to other entries.
+  std::size_t Passes() const { return m_passes; }
+  /// Those of them that resume no stream.
+  std::size_t NewPasses() const { return m_newPasses; }
   std::size_t EntryCount() const { return m_entries.size(); }
   std::size_t WorkerCount() const { return m_workers.size(); }
 
@@ -197,6 +204,19 @@
     std::erase_if(m_calls, [&](const RunningCall& aEach) {
       return aEach.m_entry == aEntry;
     });
+    std::erase_if(m_passed, [&](const auto& aEach) {
+      return aEach.second.m_from == aEntry;
+    });
+    for (auto each = m_passed.begin(); each != m_passed.end();) {
+      const PassedCall passed = each->second;
+      each = passed.m_to == aEntry ? m_passed.erase(each) : std::next(each);
+      if (passed.m_to == aEntry) {
+        Schedule(kNetworkDelay, [this, passed] {
+          ToEntry(passed.m_from,
+                  CallEnded{ passed.m_call, CallResult::Incomplete, "reset" });
+        });
+      }
+    }
   }
 
   void RestartEntry(std::size_t aEntry)
@@ -293,11 +313,18 @@
                                                      message });
                  });
       } else if (auto* call = std::get_if<StartCall>(&effect)) {
-        StartWorkerCall(aEntry, call->m_call);
+        if (call->m_call.m_peer.Ip() == kRelayIp) {
+          StartPassedCall(aEntry, call->m_call);
+        } else {
+          StartWorkerCall(aEntry, call->m_call);
+        }
       } else if (const auto* cancel = std::get_if<CancelCall>(&effect)) {
+        CancelPassedCall(aEntry, cancel->m_call);
         std::erase_if(m_calls, [&](const RunningCall& aEach) {
           return aEach.m_entry == aEntry && aEach.m_call == cancel->m_call;
         });
+      } else if (OnPassedAnswer(effect)) {
+        continue;
       } else if (const auto* answer = std::get_if<RespondCaller>(&effect)) {
         OnAnswer(answer->m_caller, answer->m_response);
       } else if (const auto* end = std::get_if<EndCallerStream>(&effect)) {
@@ -434,7 +461,8 @@
       VmId("e" + std::to_string(aEntry)),
       DataCentreId("d" + std::to_string(aEntry % m_dataCentres)),
       BootId(++m_boots),
-      "10.0.2.1:" + std::to_string(kFirstEntryPort + aEntry)
+      kEntryIp + ":" + std::to_string(kFirstEntryPort + aEntry),
+      kRelayIp + ":" + std::to_string(kFirstEntryPort + aEntry)
     };
     options.m_control = { Endpoint::Parse(Self().m_address) };
     options.m_relayProtocol = m_protocol;
@@ -443,6 +471,123 @@
     ToEntry(aEntry, ControlLinkChanged{ 0, true });
   }
 
+  /// A request that an entry has passed to another one.
+  struct PassedCall
+  {
+    std::size_t m_from = 0;
+    std::size_t m_to = 0;
+    CallId m_call;
+  };
+
+  void StartPassedCall(std::size_t aFrom, const HttpCall& aCall)
+  {
+    ++m_passes;
+    const bool isResumed =
+      !FindHeader(aCall.m_request.m_headers, "last").empty();
+    m_newPasses += isResumed ? 0 : 1;
+    const std::size_t to = aCall.m_peer.Port() - kFirstEntryPort;
+    const CallerId caller(kFirstPassedCaller + ++m_passedCallers);
+    m_passed[caller] = { aFrom, to, aCall.m_call };
+    Schedule(kNetworkDelay, [this, caller, request = aCall.m_request] {
+      const auto passed = m_passed.find(caller);
+      if (passed == m_passed.end()) {
+        return;
+      }
+      const PassedCall call = passed->second;
+      if (m_entries[call.m_to]) {
+        ToEntry(call.m_to, CallerRequest{ caller, request, true });
+        return;
+      }
+      m_passed.erase(passed);
+      ToEntry(call.m_from,
+              CallEnded{ call.m_call, CallResult::NotSent, "refused" });
+    });
+  }
+
+  void CancelPassedCall(std::size_t aFrom, CallId aCall)
+  {
+    for (auto each = m_passed.begin(); each != m_passed.end(); ++each) {
+      if (each->second.m_from == aFrom && each->second.m_call == aCall) {
+        const CallerId caller = each->first;
+        const std::size_t to = each->second.m_to;
+        m_passed.erase(each);
+        Schedule(kNetworkDelay, [this, to, caller] {
+          ToEntry(to, CallerDisconnected{ caller });
+        });
+        return;
+      }
+    }
+  }
+
+  /// The events of an answer at the entry that passed the request on.
+  static std::vector<EntryEvent> EventsOf(const EntryEffect& aEffect,
+                                          CallId aCall)
+  {
+    std::vector<EntryEvent> events;
+    if (const auto* answer = std::get_if<RespondCaller>(&aEffect)) {
+      HttpResponse head = answer->m_response;
+      const std::string body = std::exchange(head.m_body, "");
+      events.emplace_back(CallHead{ aCall, head });
+      if (!body.empty()) {
+        events.emplace_back(CallData{ aCall, body });
+      }
+      events.emplace_back(CallEnded{ aCall, CallResult::Complete, "" });
+    } else if (const auto* begin = std::get_if<BeginCallerStream>(&aEffect)) {
+      events.emplace_back(CallHead{ aCall, begin->m_head });
+    } else if (const auto* data = std::get_if<WriteCallerStream>(&aEffect)) {
+      events.emplace_back(CallData{ aCall, data->m_data });
+    } else if (const auto* end = std::get_if<EndCallerStream>(&aEffect)) {
+      events.emplace_back(CallEnded{ aCall,
+                                     end->m_isComplete ? CallResult::Complete
+                                                       : CallResult::Incomplete,
+                                     "" });
+    }
+    return events;
+  }
+
+  static CallerId CallerOf(const EntryEffect& aEffect)
+  {
+    if (const auto* answer = std::get_if<RespondCaller>(&aEffect)) {
+      return answer->m_caller;
+    }
+    if (const auto* begin = std::get_if<BeginCallerStream>(&aEffect)) {
+      return begin->m_caller;
+    }
+    if (const auto* data = std::get_if<WriteCallerStream>(&aEffect)) {
+      return data->m_caller;
+    }
+    const auto* end = std::get_if<EndCallerStream>(&aEffect);
+    return end == nullptr ? CallerId() : end->m_caller;
+  }
+
+  /// Brings an answer to the entry that passed the request on. Returns whether
+  /// the effect was such an answer.
+  bool OnPassedAnswer(const EntryEffect& aEffect)
+  {
+    const CallerId caller = CallerOf(aEffect);
+    if (caller.Value() < kFirstPassedCaller) {
+      return false;
+    }
+    const auto passed = m_passed.find(caller);
+    if (passed == m_passed.end()) {
+      return true;
+    }
+    const std::size_t from = passed->second.m_from;
+    const std::vector<EntryEvent> events =
+      EventsOf(aEffect, passed->second.m_call);
+    const bool isLast = std::holds_alternative<RespondCaller>(aEffect) ||
+                        std::holds_alternative<EndCallerStream>(aEffect);
+    if (isLast) {
+      m_passed.erase(passed);
+    }
+    Schedule(kNetworkDelay, [this, from, events] {
+      for (const EntryEvent& event : events) {
+        ToEntry(from, event);
+      }
+    });
+    return true;
+  }
+
   void SendPeerMessage(std::size_t aFrom,
                        std::size_t aTo,
                        const CacheMessage& aMessage)
@@ -535,6 +680,10 @@
   std::vector<TimePoint> m_cutUntil;         ///< by entry
   std::vector<TimePoint> m_repliesHeldUntil; ///< by entry
   std::uint64_t m_boots = 0;
+  std::map<CallerId, PassedCall> m_passed;
+  std::uint64_t m_passedCallers = 0;
+  std::size_t m_passes = 0;
+  std::size_t m_newPasses = 0;
   std::size_t m_limitPushes = 0;
   std::vector<RunningCall> m_calls;
 };
--- a/src/libwire/HttpServer.cpp
+++ b/src/libwire/HttpServer.cpp
@@ -48,12 +48,14 @@
 
   Impl(asio::io_context& aContext,
        HttpHandler& aHandler,
-       HttpServerLimits aLimits)
+       HttpServerLimits aLimits,
+       CallerId aFirstCaller)
     : m_context(aContext)
     , m_handler(aHandler)
     , m_limits(aLimits)
     , m_acceptor(aContext)
     , m_stallTimer(aContext)
+    , m_nextCaller(aFirstCaller.Value())
   {
   }
 
@@ -73,7 +75,7 @@
   asio::steady_timer m_stallTimer;
   std::map<CallerId, SessionPtr> m_activeRequests;
   std::set<SessionPtr> m_sessions;
-  std::uint64_t m_nextCaller = 1;
+  std::uint64_t m_nextCaller;
   bool m_isStopping = false;
   bool m_closesAfterResponse = false; ///< set by CloseAfterResponses
 
@@ -482,8 +484,9 @@
 
 HttpServer::HttpServer(asio::io_context& aContext,
                        HttpHandler& aHandler,
-                       HttpServerLimits aLimits)
-  : m_impl(std::make_shared<Impl>(aContext, aHandler, aLimits))
+                       HttpServerLimits aLimits,
+                       CallerId aFirstCaller)
+  : m_impl(std::make_shared<Impl>(aContext, aHandler, aLimits, aFirstCaller))
 {
 }
 
--- a/testsuite/platform.sh
+++ b/testsuite/platform.sh
@@ -41,6 +41,7 @@
 listen = $(entry_ip $1):${PORTS[0]}
 http = ${ENTRY[$1]}
 ready_http = $(entry_ip $1):${PORTS[3]}
+relay_http = $(entry_ip $1):${PORTS[5]}
 control_seeds = 127.0.1.1:${PORTS[1]} 127.0.1.2:${PORTS[1]} 127.0.1.3:${PORTS[1]}
 configuration = routes
 heartbeat = 1s
@@ -81,7 +82,7 @@
 
 start_platform() {
   local i entries="" workers="" engines=""
-  free_ports 5
+  free_ports 6
   LIST=127.0.3.200:${PORTS[4]}
   for ((i = 1; i <= $1; i++)); do
     ENTRY[$i]=$(entry_ip $i):${PORTS[2]}
