Log store: an install that is retried on a full disk takes one segment

Each retry took another segment of the same disk, so that the disk never had room again by itself. log_store/install_that_is_repeated_on_a_full_disk_takes_one_segment failed before (ten retries took ten segments) and passes; all 26 tests of the library pass.

--- a/src/include/fulmarquay/consensus/LogStore.h
+++ b/src/include/fulmarquay/consensus/LogStore.h
@@ -70,7 +70,8 @@
   /// process must end.
   void Append(const std::vector<PersistBatch>& aBatches);
 
-  /// Replaces the log and its segments by the leader's snapshot.
+  /// Replaces the log and its segments by the leader's snapshot. After
+  /// DiskFullError the same call may be repeated; it takes no more space then.
   void Install(const PersistSnapshot& aSnapshot);
 
   /// Saves a snapshot of this replica's state machine and removes the segments
@@ -110,6 +111,8 @@
   std::uint64_t m_currentSegmentSize = 0;
   std::unique_ptr<DiskFile> m_file;
   std::optional<std::string> m_snapshotName;
+  /// Of a snapshot whose installation has started its segment but not ended.
+  std::optional<LogIndex> m_installing;
 };
 
 } // namespace fulmarquay
--- a/src/libconsensus/LogStore.cpp
+++ b/src/libconsensus/LogStore.cpp
@@ -311,13 +311,18 @@
 void
 LogStore::Install(const PersistSnapshot& aSnapshot)
 {
+  const LogIndex index = aSnapshot.m_snapshot.m_index;
   m_hardState = aSnapshot.m_hardState;
-  StartSegment(0);
+  if (m_installing != index) {
+    StartSegment(0);
+    m_installing = index;
+  }
   WriteSnapshotFile(aSnapshot.m_snapshot);
   for (auto it = m_segments.begin(); it->first != m_currentSegment;) {
     m_folder.Remove(MakeFileName(kLogPrefix, it->first));
     it = m_segments.erase(it);
   }
+  m_installing.reset();
 }
 
 std::uint64_t
--- a/src/libconsensus/consensus_test.cpp
+++ b/src/libconsensus/consensus_test.cpp
@@ -232,6 +232,31 @@
   cr_assert_eq(RecoverLastIndex(disk), 20U);
 }
 
+Test(log_store, install_that_is_repeated_on_a_full_disk_takes_one_segment)
+{
+  FakeDisk disk;
+  Format(disk);
+  LogStore store(disk);
+  store.Append({ MakeBatch(1) });
+  const std::size_t before = disk.List().size();
+  PersistSnapshot install;
+  install.m_snapshot.m_index = LogIndex(9);
+  install.m_snapshot.m_term = Term(1);
+  install.m_snapshot.m_membership.m_voters = { { ReplicaId(1), "vm1", "a" } };
+  install.m_hardState.m_term = Term(1);
+  disk.SetFullFor("temporary");
+  for (int i = 0; i < 10; ++i) {
+    cr_assert_throw(store.Install(install), DiskFullError);
+  }
+  cr_assert_leq(disk.List().size(), before + 1);
+  disk.SetFullFor("");
+  store.Install(install);
+  cr_assert_leq(disk.List().size(), before);
+  store.Append({ MakeBatch(10) });
+  disk.Crash();
+  cr_assert_eq(RecoverLastIndex(disk), 10U);
+}
+
 Test(disk_folder, write_without_free_space_throws_disk_full_error)
 {
   char path[] = "/tmp/fulmarquay-full-XXXXXX";
--- a/src/libconsensus/fake_disk_test.cpp
+++ b/src/libconsensus/fake_disk_test.cpp
@@ -90,7 +90,8 @@
 std::unique_ptr<DiskFile>
 FakeDisk::Create(const std::string& aName, Bytes aSize)
 {
-  if (aSize.Count() > m_freeBytes) {
+  const bool isFull = !m_fullPrefix.empty() && aName.starts_with(m_fullPrefix);
+  if (isFull || aSize.Count() > m_freeBytes) {
     throw DiskFullError("reserve space", aName, "no space left");
   }
   m_freeBytes -= aSize.Count();
--- a/src/libconsensus/fake_disk_test.h
+++ b/src/libconsensus/fake_disk_test.h
@@ -29,6 +29,9 @@
   /// Makes every write throw DiskFullError.
   void SetOutOfSpace(bool aIsOutOfSpace) { m_isOutOfSpace = aIsOutOfSpace; }
   void SetFreeSpace(std::int64_t aBytes) { m_freeBytes = aBytes; }
+  /// Makes the creation of files with this prefix throw DiskFullError; empty:
+  /// of none.
+  void SetFullFor(const std::string& aPrefix) { m_fullPrefix = aPrefix; }
   int Writes() const { return m_writes; }
   std::size_t SizeOf(const std::string& aName) const;
 
@@ -58,6 +61,7 @@
   std::int64_t m_freeBytes = INT64_MAX;
   bool m_isSyncFailing = false;
   bool m_isOutOfSpace = false;
+  std::string m_fullPrefix;
   int m_writes = 0;
 };
 
