Drain: each request is answered before the process ends

Report of another operator: requests that came late in a planned stop's grace were passed on and cut with no answer at its end. By reading it could happen here: requests are admitted for drain_delay after SIGTERM, and at drain_limit the process ended whatever ran. Now a request that is admitted while the entry drains has at most what is left until half a second before that end, is refused as not run if that is less than the route's target latency, and at that time all that still run are answered: 503 if they have not been sent, else 504.

--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -75,6 +75,10 @@
   /// of live entries.
   void OnConfirmed(TimePoint aKeyLeaseUntil, std::uint32_t aEntryCount);
 
+  /// The process ends at a time: by then each request is answered, also those
+  /// that are still at a worker.
+  void AnswerAllBy(TimePoint aEnd) { m_answerAllBy = aEnd; }
+
   /// Refuses new requests from now on because the process is about to exit.
   /// Running requests continue.
   void StopAdmitting() { m_isDraining = true; }
@@ -415,6 +419,7 @@
   TimePoint m_keyLeaseUntil;
   bool m_hadKeyLease = false;
   bool m_isDraining = false;
+  TimePoint m_answerAllBy; ///< not set: the process is not about to exit
   StartupAdmission m_startup;
   std::vector<CallerId> m_waitingForStartup; ///< in order of arrival
   std::uint32_t m_entryCount = 1;
--- a/src/libserve/EntryNode.cpp
+++ b/src/libserve/EntryNode.cpp
@@ -15,6 +15,8 @@
 constexpr const char* kServicesPath = "/v1/services/";
 constexpr const char* kBearerPrefix = "Bearer ";
 constexpr Duration kRetryAfter(1'000'000);
+/// Time before the end of the process in which the last answers are sent.
+constexpr Duration kAnswerTime(500'000);
 
 std::string
 PathOf(const std::string& aTarget)
@@ -246,6 +248,10 @@
   if (!m_isDraining) {
     m_isDraining = true;
     m_drainStartedAt = m_context.Now();
+    if (m_relay) {
+      m_relay->AnswerAllBy(m_drainStartedAt + m_options.m_drainLimit -
+                           kAnswerTime);
+    }
     m_context.Log(LogEvent::DrainStarted,
                   { { "running", std::to_string(Running()) } });
   }
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -267,6 +267,18 @@
   }
   aActive.m_partIds = PartIdsOf(request, aActive.m_account);
   Duration wait(aActive.m_rule.m_timeoutUs);
+  if (m_answerAllBy != TimePoint()) {
+    const Duration left = m_answerAllBy - m_context.Now();
+    if (left < Duration(aActive.m_rule.m_targetLatencyUs)) {
+      Refuse(aActive,
+             kStatusUnavailable,
+             "this entry is leaving",
+             kLeavingRetryAfter,
+             PassRefusal::Elsewhere);
+      return;
+    }
+    wait = std::min(wait, left);
+  }
   if (request.m_deadline > Duration(0)) {
     wait = std::min(wait, request.m_deadline);
   }
@@ -394,7 +406,10 @@
   const TimePoint now = m_context.Now();
   m_lastTickAt = now;
   UpdateStartup();
-  while (!m_expiries.empty() && m_expiries.begin()->first <= now) {
+  const bool mustAnswerAll =
+    m_answerAllBy != TimePoint() && now >= m_answerAllBy;
+  while (!m_expiries.empty() &&
+         (mustAnswerAll || m_expiries.begin()->first <= now)) {
     const CallerId caller = m_expiries.begin()->second;
     m_expiries.erase(m_expiries.begin());
     const auto found = m_byCaller.find(caller);
--- a/src/libserve/relay_test.cpp
+++ b/src/libserve/relay_test.cpp
@@ -113,6 +113,27 @@
   cr_assert_eq(late.m_cancels, 1);
 }
 
+Test(relay, requests_of_a_process_that_ends_are_answered_before_it_does)
+{
+  Entry entry;
+  entry.SendRequest("/once/x");
+  entry.m_flow.AnswerAllBy(entry.m_now + 1'000 * kMillisecond);
+  entry.AdvanceTicks(500);
+  entry.SendRequest("/once/x");
+  cr_assert_leq(ToMillis(entry.m_protocol.m_sentParameters.back().m_timeLeft),
+                500);
+  cr_assert_eq(entry.m_answers, 0);
+  entry.AdvanceTicks(300);
+  // Less than the target latency is left.
+  entry.SendRequest("/once/x");
+  cr_assert_eq(entry.m_answers, 1);
+  cr_assert_eq(entry.m_status, 503);
+  entry.AdvanceTicks(220);
+  cr_assert_eq(entry.m_answers, 3);
+  cr_assert_eq(entry.m_status, 504);
+  cr_assert_eq(entry.m_flow.Running(), 0U);
+}
+
 Test(relay, refusals_by_route_and_key)
 {
   struct Case
