Tests: a response that is cut at any byte is never complete

Report of another operator: a worker stopped within its answer's head, and callers got a 200 with a short body. It does not happen in the HTTP client: responses with a length, with chunks and a trailer, without a body, cut at each byte, end as incomplete; the test passed at once.

--- a/src/libwire/http_client_test.cpp
+++ b/src/libwire/http_client_test.cpp
@@ -557,6 +557,30 @@
   }
 }
 
+Test(http_client, response_that_is_cut_at_any_byte_is_never_complete)
+{
+  const std::vector<std::string> responses = {
+    ResponseText("1", "the whole body"),
+    ResponseText("1", ""),
+    "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "10;a=b\r\n0123456789abcdef\r\n0\r\nX: trailer\r\n\r\n",
+    "HTTP/1.1 204 No Content\r\nRequest-Id: 1\r\n\r\n",
+  };
+  for (const std::string& response : responses) {
+    for (std::size_t size = 1; size <= response.size(); ++size) {
+      const ScriptedServer server({ response.substr(0, size) });
+      TestClient client;
+      client.Call(CallTo(server, "1"));
+      cr_assert_eq(client.m_end == CallResult::Complete,
+                   size == response.size(),
+                   "%zu of %zu bytes of %s",
+                   size,
+                   response.size(),
+                   response.c_str());
+    }
+  }
+}
+
 Test(http_client, many_responses_to_earlier_requests_end_the_call)
 {
   for (const int earlier : { 3, 30 }) {
