--- a/src/include/fulmarquay/serve/Neighbours.h
+++ b/src/include/fulmarquay/serve/Neighbours.h
@@ -11,10 +11,10 @@
 
 namespace fulmarquay {
 
-/// The entries that this one may pass requests to, and what they have answered.
-/// Nothing is exchanged in advance: a neighbour that reaches no worker of a
-/// pool refuses the request, and gets no others of that pool for a moment.
-/// Pure; not thread-safe.
+/// The entries that this one may pass requests to, with the outcome of recent
+/// requests. No state is exchanged in advance: a neighbour that reaches no
+/// worker of a pool refuses the request, and is then left out for that pool for
+/// a short time. Pure; not thread-safe.
 class Neighbours
 {
 public:
@@ -22,11 +22,11 @@
   void Set(const std::vector<RelayPeer>& aPeers,
            const DataCentreId& aOwnDataCentre);
 
-  /// A neighbour for a request of a pool: one that has served the pool before
-  /// others that are not known to, and that with the fewest requests of this
-  /// entry, in its own data centre if they are about equal. After a refusal,
-  /// the other ones in that data centre come later. Null if all were tried, or
-  /// have refused or failed a moment ago.
+  /// Chooses a neighbour for a request of a pool. Neighbours that recently
+  /// served the pool are preferred, then those with fewer running requests of
+  /// this entry and those in its own data centre; data centres that have only
+  /// refused are avoided. Returns null if no neighbour outside `aTried` is
+  /// available.
   const RelayPeer* Choose(TimePoint aNow,
                           const PoolId& aPool,
                           const std::set<VmId>& aTried,
@@ -37,7 +37,7 @@
   void OnServed(TimePoint aNow, const VmId& aVm, const PoolId& aPool);
   void OnEnded(const VmId& aVm);
 
-  /// The neighbour could not be reached, or its answer broke off.
+  /// The connection to the neighbour failed, or ended without a response.
   void OnFailed(TimePoint aNow, const VmId& aVm);
   /// The neighbour reaches no worker of the pool, or does not serve it now.
   void OnUnreached(TimePoint aNow, const VmId& aVm, const PoolId& aPool);
@@ -47,7 +47,7 @@
   std::size_t Size() const { return m_entries.size(); }
 
 private:
-  /// Of a neighbour for a pool.
+  /// State of a neighbour for one pool.
   struct PoolState
   {
     TimePoint m_pausedUntil;
@@ -64,7 +64,7 @@
     std::map<PoolId, PoolState> m_pools;
   };
 
-  /// What a data centre's neighbours have answered lately for a pool.
+  /// Recent outcomes of a data centre's neighbours for one pool.
   struct Outcome
   {
     bool m_hasServed = false;
--- a/src/include/fulmarquay/serve/PoolReach.h
+++ b/src/include/fulmarquay/serve/PoolReach.h
@@ -10,10 +10,9 @@
 
 namespace fulmarquay {
 
-/// Which pools this entry has no path to, by its own connections. Whether their
-/// workers are down or only this entry is cut off is not known here: other
-/// entries tell that by serving a request or refusing it. Pure; not
-/// thread-safe.
+/// Detects pools whose workers accept no connection from this entry. It cannot
+/// distinguish a failed pool from a partition of this entry; the responses of
+/// other entries to passed requests do. Pure; not thread-safe.
 class PoolReach
 {
 public:
@@ -32,13 +31,13 @@
   /// kept connections may live on while new ones are refused.
   void OnAnswered(const PoolId& aPool, TimePoint aSentAt);
 
-  /// Whether requests of the pool are to be passed to other entries. After the
-  /// first worker has accepted a connection this goes on for a moment, so that
-  /// the other ones are probed before it gets all requests.
+  /// Whether requests of the pool are to be passed to other entries. Stays true
+  /// for a short time after the first worker accepts a connection, so that the
+  /// other workers are probed before that one receives all requests.
   bool IsUnreached(TimePoint aNow, const PoolId& aPool) const;
 
-  /// Whether the pool has been unreached for so long that the probes of its
-  /// workers have failed, too.
+  /// Whether the pool has been unreached for longer than a probe takes to
+  /// fail.
   bool IsConfirmed(TimePoint aNow, const PoolId& aPool) const;
 
   /// Unreached pools some of whose workers are to be probed now.
--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -75,8 +75,8 @@
   /// of live entries.
   void OnConfirmed(TimePoint aKeyLeaseUntil, std::uint32_t aEntryCount);
 
-  /// The process ends at a time: by then each request is answered, also those
-  /// that are still at a worker.
+  /// Sets the time by which every request must be answered because the process
+  /// is about to exit; requests that still run at a worker then fail.
   void AnswerAllBy(TimePoint aEnd) { m_answerAllBy = aEnd; }
 
   /// Refuses new requests from now on because the process is about to exit.
@@ -355,8 +355,8 @@
   void OnPassEnd(ActiveRequest& aActive,
                  CallResult aEnd,
                  const std::string& aReason);
-  /// The other entry stated, or could not even be told, that it has not run the
-  /// request.
+  /// The other entry has not run the request: it said so, or the connection
+  /// failed before the request was sent.
   void OnPassRefused(ActiveRequest& aActive,
                      PassRefusal aRefusal,
                      const std::string& aReason);
--- a/src/include/fulmarquay/serve/RelayRequest.h
+++ b/src/include/fulmarquay/serve/RelayRequest.h
@@ -20,7 +20,7 @@
   std::int64_t m_tokens = 0;
 };
 
-/// What an entry tells another one about a request that it passes on.
+/// Parameters of a request that one entry passes to another.
 struct PassParameters
 {
   std::string m_from;          ///< VM of the entry that passes it on
@@ -45,7 +45,7 @@
   Final,     ///< no entry is to try it again
 };
 
-/// What an entry tells the one that passed a request to it.
+/// Parameters of the response to a passed request.
 struct PassedAnswer
 {
   PassRefusal m_refusal = PassRefusal::None;
--- a/src/libserve/Neighbours.cpp
+++ b/src/libserve/Neighbours.cpp
@@ -20,8 +20,8 @@
 /// Traffic between data centres is slower and paid for: a remote neighbour is
 /// chosen if the local ones have this many more requests.
 constexpr std::int64_t kRemoteCost = 4;
-/// How long an answer tells about the neighbour: longer than the time between
-/// two requests of an entry for a pool.
+/// Lifetime of a recorded outcome: longer than the interval between two
+/// requests of an entry for a pool.
 constexpr Duration kMemory(10'000'000);
 /// Cost, in requests, of a neighbour that has not served the pool lately; of
 /// one in a data centre from which only refusals came; of one that refused.
--- a/src/libserve/RelayResponses.cpp
+++ b/src/libserve/RelayResponses.cpp
@@ -19,8 +19,8 @@
 constexpr std::size_t kMaxAllHeldBodyBytes = 24U << 20U;
 /// Limit of one event of a stream, which is held until its end.
 constexpr std::size_t kMaxEventBytes = 256U << 10U;
-/// Unreachable workers tried per request before it is passed to another entry
-/// or refused. With a pool that is known as unreached, none is tried.
+/// Failed connection attempts per request before it is passed to another entry
+/// or refused. Requests of an unreached pool are passed on without any.
 constexpr int kMaxUnreachedWorkers = 3;
 
 /// Whether callers take a status as the statement that the request was not run.
@@ -109,7 +109,7 @@
   if (const WorkerState* worker = m_workers.Find(aActive.m_worker)) {
     RecordLimit(aActive, worker->m_info);
   }
-  // A worker asks the entry that called it for a pause, not this one.
+  // A pause applies only to the entry that called the worker.
   if (head.m_pause > Duration(0) && !IsPassed(aActive)) {
     m_workers.OnPauseRequested(m_context.Now(), aActive.m_worker, head.m_pause);
     m_context.Log(LogEvent::WorkerPaused,
@@ -212,7 +212,7 @@
                                static_cast<double>(Age(aActive).count()) / 1e6,
                                "route=\"" + aActive.m_routeName + "\"");
   WorkerState* worker = m_workers.Find(aActive.m_worker);
-  // The entry that called the worker tells the others what it has read.
+  // The entry that called the worker reports its reads.
   if (worker == nullptr || IsPassed(aActive)) {
     return;
   }
