Passing: one refusal of leaving, one look-up of a neighbour, one connect timeout

Found by reading the change once more: PoolReach had its own copy of kConnectTimeout, Neighbours looked an entry up in four places, the refusal of an entry that leaves stood twice, and a request kept all of PassedAnswer though only its refusal is read later.

--- a/src/include/fulmarquay/serve/Neighbours.h
+++ b/src/include/fulmarquay/serve/Neighbours.h
@@ -71,6 +71,7 @@
     bool m_hasRefused = false;
   };
 
+  Entry* Find(const VmId& aVm);
   PoolState* StateOf(const VmId& aVm, const PoolId& aPool);
   std::map<DataCentreId, Outcome> OutcomesOf(TimePoint aNow,
                                              const PoolId& aPool) const;
--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -220,14 +220,15 @@
     bool m_isCounted = false;   ///< by the retry budget here, or there
     VmId m_neighbour; ///< entry that it was passed to last; empty: none
     std::set<VmId> m_triedNeighbours;
-    int m_passCount = 0;            ///< entries that it was passed to
-    PassedAnswer m_passedAnswer;    ///< of m_neighbour
+    int m_passCount = 0; ///< entries that it was passed to
+    PassRefusal m_passRefusal = PassRefusal::None; ///< of m_neighbour
     Duration m_refusedRetryAfter{}; ///< longest of the neighbours' refusals
     EventStreamSplitter m_eventSplitter;
   };
   using ActiveRequestPtr = std::unique_ptr<ActiveRequest>;
 
   void Admit(ActiveRequest& aActive);
+  void RefuseLeaving(ActiveRequest& aActive);
   /// Whether the request has to wait because this process is starting.
   bool MustWaitForStartup(const ActiveRequest& aActive) const;
   /// Admits waiting requests once startup is complete or their time runs out.
--- a/src/libserve/Neighbours.cpp
+++ b/src/libserve/Neighbours.cpp
@@ -99,39 +99,42 @@
   return best == nullptr ? nullptr : &best->m_peer;
 }
 
+Neighbours::Entry*
+Neighbours::Find(const VmId& aVm)
+{
+  const auto found = m_entries.find(aVm);
+  return found == m_entries.end() ? nullptr : &found->second;
+}
+
 void
 Neighbours::OnPassed(const VmId& aVm)
 {
-  const auto found = m_entries.find(aVm);
-  if (found != m_entries.end()) {
-    ++found->second.m_running;
+  if (Entry* entry = Find(aVm)) {
+    ++entry->m_running;
   }
 }
 
 void
 Neighbours::OnEnded(const VmId& aVm)
 {
-  const auto found = m_entries.find(aVm);
-  if (found != m_entries.end()) {
-    found->second.m_running =
-      std::max<std::int64_t>(0, found->second.m_running - 1);
+  if (Entry* entry = Find(aVm)) {
+    entry->m_running = std::max<std::int64_t>(0, entry->m_running - 1);
   }
 }
 
 void
 Neighbours::OnFailed(TimePoint aNow, const VmId& aVm)
 {
-  const auto found = m_entries.find(aVm);
-  if (found != m_entries.end()) {
-    found->second.m_failedUntil = aNow + kFailedPeriod;
+  if (Entry* entry = Find(aVm)) {
+    entry->m_failedUntil = aNow + kFailedPeriod;
   }
 }
 
 Neighbours::PoolState*
 Neighbours::StateOf(const VmId& aVm, const PoolId& aPool)
 {
-  const auto found = m_entries.find(aVm);
-  return found == m_entries.end() ? nullptr : &found->second.m_pools[aPool];
+  Entry* entry = Find(aVm);
+  return entry == nullptr ? nullptr : &entry->m_pools[aPool];
 }
 
 void
--- a/src/libserve/PoolReach.cpp
+++ b/src/libserve/PoolReach.cpp
@@ -1,5 +1,7 @@
 #include "fulmarquay/serve/PoolReach.h"
 
+#include "RelayConstants.h"
+
 #include <algorithm>
 
 namespace fulmarquay {
@@ -12,10 +14,6 @@
 /// Time for which a pool counts as unreached after the first accepted
 /// connection: the other workers are probed meanwhile.
 constexpr Duration kSettleTime(250'000);
-/// A pool that was unreached for less was a false alarm and needs no settling:
-/// the time in which a connection to a worker is given up.
-constexpr Duration kFalseAlarm(300'000);
-
 /// Interval of probes while a pool is unreached; new requests reach its workers
 /// again within about this time after the end of a cut.
 constexpr Duration kProbeInterval(500'000);
@@ -65,7 +63,9 @@
     return false;
   }
   State& state = found->second;
-  if (state.m_since == TimePoint() || aNow < state.m_since + kFalseAlarm) {
+  // Probes of a pool that is down take that long to fail: earlier, it was a
+  // false alarm.
+  if (state.m_since == TimePoint() || aNow < state.m_since + kConnectTimeout) {
     const bool wasUnreached = state.m_since != TimePoint();
     m_pools.erase(found);
     return wasUnreached;
@@ -92,7 +92,7 @@
 PoolReach::IsConfirmed(TimePoint aNow, const PoolId& aPool) const
 {
   return IsUnreached(aNow, aPool) &&
-         aNow >= m_pools.at(aPool).m_since + kFalseAlarm;
+         aNow >= m_pools.at(aPool).m_since + kConnectTimeout;
 }
 
 std::vector<PoolId>
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -224,11 +224,7 @@
 {
   const RelayRequest& request = aActive.m_request;
   if (m_isDraining) {
-    Refuse(aActive,
-           kStatusUnavailable,
-           "this entry is leaving",
-           kLeavingRetryAfter,
-           PassRefusal::Elsewhere);
+    RefuseLeaving(aActive);
     return;
   }
   if (m_routes.Document().m_revision == Revision(0)) {
@@ -270,11 +266,7 @@
   if (m_answerAllBy != TimePoint()) {
     const Duration left = m_answerAllBy - m_context.Now();
     if (left < Duration(aActive.m_rule.m_targetLatencyUs)) {
-      Refuse(aActive,
-             kStatusUnavailable,
-             "this entry is leaving",
-             kLeavingRetryAfter,
-             PassRefusal::Elsewhere);
+      RefuseLeaving(aActive);
       return;
     }
     wait = std::min(wait, left);
@@ -296,6 +288,16 @@
   }
 }
 
+void
+RelayFlow::RefuseLeaving(ActiveRequest& aActive)
+{
+  Refuse(aActive,
+         kStatusUnavailable,
+         "this entry is leaving",
+         kLeavingRetryAfter,
+         PassRefusal::Elsewhere);
+}
+
 void
 RelayFlow::Accept(ActiveRequest& aActive, const PoolId& aPool)
 {
--- a/src/libserve/RelayPassing.cpp
+++ b/src/libserve/RelayPassing.cpp
@@ -79,7 +79,7 @@
   aActive.m_neighbour = peer->m_vm;
   aActive.m_triedNeighbours.insert(peer->m_vm);
   ++aActive.m_passCount;
-  aActive.m_passedAnswer = PassedAnswer();
+  aActive.m_passRefusal = PassRefusal::None;
   aActive.m_worker = WorkerId();
   BeginCall(aActive, std::move(call));
   m_neighbours.OnPassed(peer->m_vm);
@@ -101,11 +101,12 @@
 RelayFlow::OnPassedHead(ActiveRequest& aActive, const HttpResponse& aHead)
 {
   // The worker is known from here on, as if this entry had called it.
-  aActive.m_passedAnswer = m_protocol.ReadPassed(aHead);
-  aActive.m_worker = WorkerId(aActive.m_passedAnswer.m_worker);
-  aActive.m_software = SoftwareVersion(aActive.m_passedAnswer.m_software);
-  if (!aActive.m_passedAnswer.m_pool.empty()) {
-    aActive.m_pool = PoolId(aActive.m_passedAnswer.m_pool);
+  const PassedAnswer answer = m_protocol.ReadPassed(aHead);
+  aActive.m_passRefusal = answer.m_refusal;
+  aActive.m_worker = WorkerId(answer.m_worker);
+  aActive.m_software = SoftwareVersion(answer.m_software);
+  if (!answer.m_pool.empty()) {
+    aActive.m_pool = PoolId(answer.m_pool);
     m_neighbours.OnServed(m_context.Now(), aActive.m_neighbour, aActive.m_pool);
   }
 }
@@ -117,13 +118,13 @@
 {
   const WorkerResponseHead& head = aActive.m_workerHead;
   const bool isRefused = aEnd == CallResult::Complete && !head.IsSuccess() &&
-                         aActive.m_passedAnswer.m_refusal != PassRefusal::None;
+                         aActive.m_passRefusal != PassRefusal::None;
   if (aEnd == CallResult::NotSent) {
     m_neighbours.OnFailed(m_context.Now(), aActive.m_neighbour);
     OnPassRefused(aActive, PassRefusal::Elsewhere, aReason);
   } else if (isRefused) {
-    const PassRefusal refusal = aActive.m_passedAnswer.m_refusal;
-    OnPassRefused(aActive, refusal, TextOf(refusal));
+    OnPassRefused(
+      aActive, aActive.m_passRefusal, TextOf(aActive.m_passRefusal));
   } else if (aEnd != CallResult::Complete) {
     if (head.m_status == 0) {
       m_neighbours.OnFailed(m_context.Now(), aActive.m_neighbour);
