Review case 5: LOST, a long prompt of a returning user ends the entries

Case: review/5/run.sh. A head of 16,271 bytes with 2,737 parts that a store keeps makes a Kv-Fetch of over 65,533 bytes; the entry ends by an exception that nothing catches, and so does the one that gets the retry. The stand-in gets a store.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,85 +1,71 @@
 #!/bin/bash
-# Clients send bodies of the largest size that the configuration allows. Usually
-# two at a time; in a burst, 14 at once. The script takes the part of the platform
-# that ends a process above its memory. Exits with 1 if LOST is broken.
+# A user returns with a prompt of many parts, inside max-header-bytes, which a store
+# keeps by then. Exits with 1 if LOST is broken. TROUBLE=0: half as many parts.
 CASE=$(cd "$(dirname "$0")" && pwd)
 . "$CASE/../lib.sh"
 
-MEMORY_MB=110 # of an edge machine of karkud-tagasi
-BURST=14      # 1.7 times the 16 clients of a zone, over its two machines
-MAX_BODY=4194304
+PARTS=2737
 KEPT=5
-CONFIGURATION='{"version":1,"routes":[{"name":"r1","host":"app.example","path-prefix":"/ledger/","kind":"unsafe","timeout-ms":3000,"target-latency-ms":300,"priority":0,"backend":"app","attempts":1,"allow-anonymous":true}],"backends":[{"name":"app","health-check":"/healthz","max-connections":100,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[]}'
+MAX_HEADER=16384
+STORE_IP=127.100.100.101
+CONFIGURATION='{"version":1,"routes":[{"name":"r1","host":"app.example","path-prefix":"/m/","kind":"streaming","timeout-ms":10000,"target-latency-ms":600,"priority":0,"backend":"model","attempts":2,"allow-anonymous":true,"sticky":true,"resumable":true,"target-gap-ms":300}],"backends":[{"name":"model","health-check":"/healthz","max-connections":360,"protocol":"h1","tls":false,"engine":{"slots":64,"kv-capacity":100000,"kv-token-bytes":163840,"link-mbps":260000.0,"models":[{"name":"m"}]}},{"name":"store","kv-store-addr":"STORE","zone":"dc1","kv-capacity":80027,"link-mbps":840000.0,"max-in-flight":12,"managed":true,"first_ms":0.5}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[]}'
+[ "$TROUBLE" != 0 ] || PARTS=$((PARTS / 2))
 
-# request ID PATH BYTES: a head.
-request() {
-  printf 'POST /ledger/%s HTTP/1.1\r\nHost: app.example\r\nRequest-Id: %s\r\nDeadline-Ms: 3000\r\nContent-Length: %s\r\n\r\n' "$2" "$1" "$3"
+# head_of ID PATH PREFIX TOKENS
+head_of() {
+  printf 'POST /m/%s HTTP/1.1\r\nHost: app.example\r\nRequest-Id: %s\r\nModel: m\r\nToken-Usage: %s,8\r\nPrompt-Prefix: %s\r\nContent-Length: 0\r\n\r\n' "$2" "$1" "$4" "$3"
 }
 
-# upload ID: sends a body of the largest size and waits for its answer.
-upload() {
-  local socket line=
-  exec {socket}<>"/dev/tcp/127.0.2.1/${PORTS[2]}" || return
-  { request "$1" fast $MAX_BODY && cat "$WORK/body"; } >&"$socket" 2>/dev/null
-  IFS= read -r -t 4 line <&"$socket"
-  echo "upload $1: ${line:-connection closed, no answer}" >>"$WORK/answers"
+# ask ENTRY ID: the long prompt; its last part is the request's own.
+ask() {
+  local request answer
+  request=$(head_of "$2" "" "$(printf '%x:1,' $(seq 0 $((PARTS - 2))))$2:1" $PARTS)$'\n'
+  [ ${#request} -le $MAX_HEADER ] || cannot_run "the head has ${#request} bytes"
+  answer=$(http 127.0.2.$1 "${PORTS[2]}" "$request" 2 | head -n 1 | tr -d '\r\0')
+  note "sent $2 to entry $1, $PARTS parts, a head of ${#request} bytes: ${answer:-connection closed, no answer}"
 }
 
-# keep N: a client with a kept connection: a request, its answer, and then one
-# that runs while the others upload.
+# keep N: a client with a kept connection to entry 1: a request, its answer, and
+# then one that runs while the long prompt comes.
 keep() {
   local socket line=
   exec {socket}<>"/dev/tcp/127.0.2.1/${PORTS[2]}" || return
-  request "kept$1-first" fast 0 >&"$socket"
-  while IFS= read -r -t 4 line <&"$socket" && [ "$line" != $'\r' ]; do :; done
-  IFS= read -r -t 4 -n $((${#1} + 15)) line <&"$socket" # done kept1-first
+  head_of "a$1" "" "f000$1:10,e$1:10" 20 >&"$socket"
+  while IFS= read -r -t 4 line <&"$socket" && [ "$line" != $'0\r' ]; do :; done
+  IFS= read -r -t 1 line <&"$socket" # the empty line after the last chunk
   until [ -e "$WORK/go" ]; do sleep 0.01; done
-  sleep 0.0$1
-  request "kept$1-second" slow/ 0 >&"$socket"
+  head_of "b$1" slow/ "f000$1:10,d$1:10" 20 >&"$socket"
   line=
   IFS= read -r -t 4 line <&"$socket"
-  echo "kept$1-second: ${line:-connection closed, no answer}" >>"$WORK/answers"
-}
-
-# watch_memory PID: ends the process above its memory, as the platform does.
-watch_memory() {
-  local key value rest
-  while [ -e "/proc/$1/status" ]; do
-    while read -r key value rest; do
-      if [ "$key" = VmRSS: ] && [ "$value" -gt $((MEMORY_MB * 1024)) ]; then
-        echo "the entry has $value KB, over $MEMORY_MB MB: it is killed" >>"$WORK/answers"
-        kill -KILL "$1"
-        return
-      fi
-    done 2>/dev/null <"/proc/$1/status"
-  done
+  echo "kept connection, b$1: ${line:-connection closed, no answer}" >>"$WORK/answers"
 }
 
-start_deployment 1 app 4 "$CONFIGURATION"
-head -c $MAX_BODY /dev/zero >"$WORK/body"
+start_deployment 2 model 3 "$CONFIGURATION"
 : >"$WORK/answers"
-watch_memory "${ENTRY_PID[1]}" &
-PIDS+=($!)
+sleep 2 # until the entries know the store
+ask 1 c1
 CLIENTS=()
 for ((i = 1; i <= KEPT; i++)); do
   keep $i &
   CLIENTS+=($!)
 done
-sleep 1
+sleep 2 # the saved parts are known
 touch "$WORK/go"
-for ((i = 1; i <= BURST; i++)); do
-  upload $i &
-  CLIENTS+=($!)
-  [ "$TROUBLE" != 0 ] || [ $((i % 2)) = 1 ] || wait $!
-done
+sleep 0.15
+ask 1 c2
+ask 2 c3 # the client's retry reaches the other entry
 wait "${CLIENTS[@]}"
 
 cat "$WORK/answers" "$RAN" >>"$RECORD"
 cat "$WORK/answers"
+for i in 1 2; do
+  kill -0 "${ENTRY_PID[$i]}" 2>/dev/null && continue
+  wait "${ENTRY_PID[$i]}"
+  note "entry $i has ended by itself, status $?: $(grep -a 'name=ProcessFailed' "$WORK/entry$i.log" | tail -n 1)"
+done
 LOST=0
 for ((i = 1; i <= KEPT; i++)); do
-  if grep -q "id=kept$i-second " "$RAN" &&
-    grep -q "^kept$i-second: connection closed" "$WORK/answers"; then
+  if grep -q "id=b$i " "$RAN" && grep -q "b$i: connection closed" "$WORK/answers"; then
     LOST=$((LOST + 1))
   fi
 done
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -132,7 +132,8 @@
 }
 
 # start_deployment ENTRIES SERVICE WORKERS CONFIGURATION: the workers have the
-# models MODELS.
+# models MODELS. If STORE_IP is set, a store is at that address, and STORE in the
+# configuration stands for it with its port.
 start_deployment() {
   local i workers=()
   [ -x "$STANDIN" ] && [ -x "$ROOT/target/bin/platform-entry" ] ||
@@ -140,17 +141,19 @@
   mapfile -t PORTS < <("$STANDIN" free-ports 6)
   [ ${#PORTS[@]} = 6 ] || cannot_run "no free ports"
   LIST=127.0.3.200:${PORTS[4]}
+  STORE=${STORE_IP:+$STORE_IP:${PORTS[4]}}
   for ((i = 1; i <= $3; i++)); do
     workers+=("127.0.3.$i:${PORTS[4]}")
   done
-  start standin "$STANDIN" "$LIST" "$RAN" "$2" "${MODELS:-m}" "${workers[@]}"
+  start standin "$STANDIN" "$LIST" "$RAN" "$2" "${MODELS:-m}" \
+    "${STORE:--}" "${workers[@]}"
   for i in 1 2 3; do
     start_control $i
   done
   for ((i = 1; i <= $1; i++)); do
     start_entry $i
   done
-  wait_until 15 order /-/config/put "$4" || cannot_run "the configuration was not acknowledged"
+  wait_until 15 order /-/config/put "${4//STORE/$STORE}" || cannot_run "the configuration was not acknowledged"
   for ((i = 1; i <= $1; i++)); do
     wait_until 15 entry_is_ready $i || cannot_run "entry $i did not become ready"
   done
--- a/review/standin/Standin.cpp
+++ b/review/standin/Standin.cpp
@@ -1,13 +1,14 @@
 // Stand-in for the users' platform in the cases of review/: the instance list
 // and the workers of one service, as PROTOCOL.md describes them.
 //
-//   review-standin LIST RECORD SERVICE MODEL,.. WORKER...
+//   review-standin LIST RECORD SERVICE MODEL,.. STORE WORKER...
 //   review-standin free-ports COUNT
 //
-// LIST and the WORKERs are addresses IP:PORT. Each request that a worker runs
-// is one line of the file RECORD, and so is each order. Each worker has all the
-// models. A request whose path ends in `/slow/` runs for 480 ms, any other for
-// 60 ms; a load of weights takes 270 ms.
+// LIST, STORE and the WORKERs are addresses IP:PORT; STORE may be `-`. Each
+// request that a worker runs is one line of the file RECORD, and so is each
+// order. Each worker has all the models. The store keeps what workers were told
+// to save there. A request whose path ends in `/slow/` runs for 480 ms, any
+// other for 60 ms; a load of weights takes 270 ms.
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cctype>
@@ -20,6 +21,7 @@
 #include <mutex>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <set>
 #include <sstream>
 #include <string>
 #include <sys/socket.h>
@@ -31,6 +33,7 @@
 
 constexpr int kBacklog = 128;
 constexpr std::size_t kReadBytes = 16384;
+constexpr std::size_t kMaxRecordedParts = 40; ///< bytes of Prompt-Prefix
 constexpr std::chrono::milliseconds kWorkTime(60);
 constexpr std::chrono::milliseconds kSlowWorkTime(480);
 constexpr std::chrono::milliseconds kLoadTime(270);
@@ -61,6 +64,84 @@
   }
 };
 
+/// A managed KV cache store.
+class Store
+{
+public:
+  std::string Address() const { return m_address; }
+  void SetAddress(std::string aAddress) { m_address = std::move(aAddress); }
+
+  void Save(const std::string& aSalt,
+            const std::string& aId,
+            const std::string& aTokens)
+  {
+    const std::lock_guard lock(m_mutex);
+    const std::string part =
+      "\"" + aSalt + "\",\"" + aId + "\"," + aTokens + ",\"m\"";
+    if (m_parts.insert(part).second) {
+      m_events.push_back(part);
+    }
+  }
+
+  std::string List()
+  {
+    const std::lock_guard lock(m_mutex);
+    std::string held;
+    for (const std::string& part : m_parts) {
+      held += (held.empty() ? "[" : ",[") + part + "]";
+    }
+    return Head() + ",\"held\":[" + held + "]}";
+  }
+
+  /// Waits for events after a number.
+  std::string Events(std::size_t aSince)
+  {
+    for (int i = 0; i < kEventWaits && Count() <= aSince; ++i) {
+      std::this_thread::sleep_for(kEventWait);
+    }
+    const std::lock_guard lock(m_mutex);
+    std::string events;
+    for (std::size_t i = aSince; i < m_events.size(); ++i) {
+      events += (events.empty() ? "[" : ",[") + std::to_string(i + 1) +
+                ",\"+\"," + m_events[i] + "]";
+    }
+    return Head() + ",\"lost\":false,\"events\":[" + events + "]}";
+  }
+
+  std::string Report()
+  {
+    const std::lock_guard lock(m_mutex);
+    return Head() + ",\"kv-used\":" + std::to_string(m_parts.size()) +
+           ",\"kv-total\":100000}";
+  }
+
+private:
+  static constexpr int kEventWaits = 35;
+  static constexpr std::chrono::milliseconds kEventWait{ 20 };
+
+  std::size_t Count()
+  {
+    const std::lock_guard lock(m_mutex);
+    return m_events.size();
+  }
+
+  std::string Head() const
+  {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto clock =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    return "{\"boot-epoch\":7,\"next\":" + std::to_string(m_events.size()) +
+           ",\"clock_ms\":" + std::to_string(clock);
+  }
+
+  std::string m_address;
+  std::mutex m_mutex; ///< of all below
+  std::set<std::string> m_parts;
+  std::vector<std::string> m_events;
+};
+
+Store g_store;
+
 struct Request
 {
   std::string m_method;
@@ -199,7 +280,7 @@
     aRequest.m_body.size(),
     aRequest.Header("tenant").c_str(),
     aRequest.Header("cache-salt").c_str(),
-    aRequest.Header("prompt-prefix").c_str(),
+    aRequest.Header("prompt-prefix").substr(0, kMaxRecordedParts).c_str(),
     aRequest.Header("model").c_str(),
     aRequest.Header("expect-version").c_str());
   std::fflush(g_record);
@@ -290,6 +371,56 @@
          std::to_string(known->second) == expected;
 }
 
+std::vector<std::string>
+Split(const std::string& aText)
+{
+  std::vector<std::string> items;
+  std::istringstream in(aText);
+  for (std::string item; std::getline(in, item, ',');) {
+    items.push_back(item);
+  }
+  return items;
+}
+
+/// Saves the parts of the prompt for which Kv-Save names the store.
+void
+SaveParts(const Request& aRequest)
+{
+  const std::vector<std::string> addresses = Split(aRequest.Header("kv-save"));
+  const std::vector<std::string> parts =
+    Split(aRequest.Header("prompt-prefix"));
+  for (std::size_t i = 0; i < std::min(addresses.size(), parts.size()); ++i) {
+    const std::size_t colon = parts[i].find(':');
+    if (addresses[i] == g_store.Address() && colon != std::string::npos) {
+      g_store.Save(aRequest.Header("cache-salt"),
+                   parts[i].substr(0, colon),
+                   parts[i].substr(colon + 1));
+    }
+  }
+}
+
+std::string
+RunAtStore(const Request& aRequest)
+{
+  const std::string type = "Content-Type: application/json\r\n";
+  const std::string& target = aRequest.m_target;
+  if (target.starts_with("/-/kv-events")) {
+    const std::size_t since = target.find("since=");
+    return Response(
+      "200 OK",
+      type,
+      g_store.Events(
+        since == std::string::npos
+          ? 0
+          : std::strtoul(target.c_str() + since + 6, nullptr, 10)));
+  }
+  return Response("200 OK",
+                  type,
+                  target == "/-/kv-list"  ? g_store.List()
+                  : target == "/-/report" ? g_store.Report()
+                                          : "{}");
+}
+
 std::string
 Run(Worker& aWorker, const Request& aRequest)
 {
@@ -317,6 +448,7 @@
   Record(aWorker, aRequest);
   const bool isSlow = aRequest.m_target.ends_with("/slow/");
   std::this_thread::sleep_for(isSlow ? kSlowWorkTime : kWorkTime);
+  SaveParts(aRequest);
   const std::string signature = "Response-Signature: " + aWorker.m_id + "\r\n";
   if (aRequest.Header("prompt-prefix").empty()) {
     return Response("200 OK", echo + signature, "done " + id);
@@ -328,13 +460,15 @@
                   "id: 0\ndata: " + id + "\n\n");
 }
 
+/// Answers the requests of one connection.
+template<typename Handler>
 void
-ServeWorker(int aSocket, Worker& aWorker)
+ServeConnection(int aSocket, Handler aHandler)
 {
   Reader reader(aSocket);
   Request request;
   while (reader.ReadRequest(request)) {
-    const std::string response = Run(aWorker, request);
+    const std::string response = aHandler(request);
     if (::send(aSocket, response.data(), response.size(), MSG_NOSIGNAL) < 0) {
       break;
     }
@@ -358,24 +492,6 @@
   return "{\"instances\":[" + instances + "],\"next\":null}";
 }
 
-void
-ServeList(int aSocket,
-          const std::string& aService,
-          std::deque<Worker>& aWorkers)
-{
-  Reader reader(aSocket);
-  Request request;
-  while (reader.ReadRequest(request)) {
-    const std::string response = Response("200 OK",
-                                          "Content-Type: application/json\r\n",
-                                          Instances(aService, aWorkers));
-    if (::send(aSocket, response.data(), response.size(), MSG_NOSIGNAL) < 0) {
-      break;
-    }
-  }
-  ::close(aSocket);
-}
-
 int
 Listen(const std::string& aAddress)
 {
@@ -411,7 +527,9 @@
       }
       const int on = 1;
       ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-      std::thread([socket, aHandler] { aHandler(socket); }).detach();
+      std::thread([socket, aHandler] {
+        ServeConnection(socket, aHandler);
+      }).detach();
     }
   }).detach();
 }
@@ -445,9 +563,10 @@
   if (aCount == 3 && std::string(aWords[1]) == "free-ports") {
     return PrintFreePorts(std::atoi(aWords[2]));
   }
-  if (aCount < 6) {
+  if (aCount < 7) {
     std::fprintf(
-      stderr, "usage: review-standin LIST RECORD SERVICE MODEL,.. WORKER..\n");
+      stderr,
+      "usage: review-standin LIST RECORD SERVICE MODEL,.. STORE WORKER..\n");
     return 2;
   }
   g_record = std::fopen(aWords[2], "a");
@@ -457,19 +576,24 @@
   }
   const std::string service = aWords[3];
   std::deque<Worker> workers;
-  for (int i = 5; i < aCount; ++i) {
+  for (int i = 6; i < aCount; ++i) {
     Worker& worker = workers.emplace_back();
-    worker.m_id = "w" + std::to_string(i - 4);
+    worker.m_id = "w" + std::to_string(i - 5);
     worker.m_address = aWords[i];
-    std::istringstream models{ std::string(aWords[4]) };
-    for (std::string model; std::getline(models, model, ',');) {
+    for (const std::string& model : Split(aWords[4])) {
       worker.m_weights[model] = 1;
     }
     Serve(worker.m_address,
-          [&worker](int aSocket) { ServeWorker(aSocket, worker); });
+          [&worker](const Request& aRequest) { return Run(worker, aRequest); });
+  }
+  if (std::string(aWords[5]) != "-") {
+    g_store.SetAddress(aWords[5]);
+    Serve(g_store.Address(), RunAtStore);
   }
-  Serve(aWords[1], [&service, &workers](int aSocket) {
-    ServeList(aSocket, service, workers);
+  Serve(aWords[1], [&service, &workers](const Request&) {
+    return Response("200 OK",
+                    "Content-Type: application/json\r\n",
+                    Instances(service, workers));
   });
   ::pause();
   return 0;
