Review case 4: LOST, streams of a version whose workers broke one off

Two workers of one software version reset 5% of their streams; streams that clients take up again are refused.

Run: review/4/run.sh five times, and once with TROUBLE=0.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,63 +1,26 @@
 #!/bin/bash
-# A client sends a booking whose body is the text of another booking, with a
-# Transfer-Encoding that does not end in `chunked`. Exits with 1 if UNASKED is
-# broken. TROUBLE=0: the same body in chunks.
+# Workers of one software version break off some of their streams; clients take these
+# up again. Exits with 1 if LOST is broken. TROUBLE=0: no worker breaks one off.
 CASE=$(cd "$(dirname "$0")" && pwd)
 . "$CASE/../lib.sh"
 
-CONFIGURATION='{"version":1,"routes":[{"name":"r1","host":"app.example","path-prefix":"/book/","kind":"unsafe","timeout-ms":3000,"target-latency-ms":300,"priority":0,"backend":"app","attempts":1,"allow-anonymous":false}],"backends":[{"name":"app","health-check":"/healthz","max-connections":96,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[{"name":"t1","api-keys":["key-of-t1"]}]}'
-KEY=$'Authorization: Token key-of-t1\r\n'
-
-# book NUMBER CODING: sends the booking sent-NUMBER; its body is the text of a
-# request with the id body-NUMBER.
-book() {
-  local body request
-  body=$'POST /book/ HTTP/1.1\r\nHost: app.example\r\n'
-  body+="Request-Id: body-$1"$'\r\nDeadline-Ms: 3000\r\n'"$KEY"
-  body+=$'Content-Length: 0\r\n\r\n'
-  request=$'POST /book/ HTTP/1.1\r\nHost: app.example\r\n'
-  request+="Request-Id: sent-$1"$'\r\nDeadline-Ms: 3000\r\n'"$KEY"
-  request+="Transfer-Encoding: $2"$'\r\n\r\n'
-  if [ "$2" = chunked ]; then
-    request+="$(printf '%x' ${#body})"$'\r\n'"$body"$'\r\n0\r\n\r\n'
-  else
-    request+="$body"
-  fi
-  note "sent sent-$1 with Transfer-Encoding: $2 and a body of ${#body} bytes"
-  http 127.0.2.1 "${PORTS[2]}" "$request" 2 | tr -d '\r' | grep -a '^HTTP\|^Request-Id' |
-    sed 's/^/answered /' | tee -a "$RECORD"
-}
-
-start_deployment 1 app 1 "$CONFIGURATION"
-number=0
-for coding in gzip 'chunked, identity' xchunked; do
-  number=$((number + 1))
-  [ "$TROUBLE" != 0 ] || coding=chunked
-  book $number "$coding"
-done
-sleep 0.5
-
+SECONDS_OF_TRAFFIC=20
+RATE=250
+SOFTWARE=("" v1 v1 v2 v2)
+CONFIGURATION='{"version":1,"routes":[{"name":"r1","host":"app.example","path-prefix":"/model/","kind":"streaming","timeout-ms":8000,"target-latency-ms":600,"priority":0,"backend":"model","attempts":2,"allow-anonymous":true,"sticky":true,"resumable":true,"target-gap-ms":300}],"backends":[{"name":"model","health-check":"/healthz","max-connections":360,"protocol":"h1","tls":false,"engine":{"slots":64,"kv-capacity":100000,"kv-token-bytes":163840,"link-mbps":260000.0,"models":[{"name":"m"}]}}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[]}'
+[ "$TROUBLE" = 0 ] || export BREAK_EVERY=20
+start_deployment 2 model 4 "$CONFIGURATION"
+sleep 6 # both versions are known everywhere
+RESULT=$("$ROOT/review/build/review-streams" $SECONDS_OF_TRAFFIC $RATE \
+  "127.0.2.1:${PORTS[2]}" "127.0.2.2:${PORTS[2]}")
+note "$RESULT"
+eval "$(tr ' ' ';' <<<"$RESULT")"
+[ "${taken_up:-0}" -ge 12 ] || cannot_run "fewer than 12 streams were taken up"
 BROKEN=0
-RUNS=0
-while read -r line; do
-  note "$line"
-  RUNS=$((RUNS + 1))
-  id=${line#*id=}
-  id=${id%% *}
-  case $id in
-    body-*)
-      note "UNASKED: a worker ran $id, which no client sent"
-      BROKEN=1
-      ;;
-    *)
-      case $line in *"body=0 "*)
-        note "UNASKED: a worker ran $id with its body changed"
-        BROKEN=1
-        ;;
-      esac
-      ;;
-  esac
-done <"$RAN"
-[ "$RUNS" -ge 1 ] || [ "$TROUBLE" != 0 ] || cannot_run "no request ran"
+# Share that goes on under half of the share of new streams that begin.
+if [ $((continued * 2 * sent)) -lt $((begun * taken_up)) ]; then
+  note "LOST: $continued of $taken_up streams that were taken up went on; $begun of $sent new ones began"
+  BROKEN=1
+fi
 note "result: $([ $BROKEN = 1 ] && echo broken || echo held)"
 exit $BROKEN
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -1,5 +1,5 @@
 # Functions for review/N/run.sh: a small deployment of the project's programs on
-# loopback addresses, with the stand-in of review/standin for the platform.
+# loopback addresses, with the stand-ins of review/standin for the platform.
 # The script that sources this file sets CASE to its folder.
 ROOT=$(cd "$CASE/../.." && pwd)
 STANDIN=$ROOT/review/build/review-standin
@@ -132,8 +132,8 @@
 }
 
 # start_deployment ENTRIES SERVICE WORKERS CONFIGURATION: the workers have the
-# models MODELS. If STORE_IP is set, a store is at that address, and STORE in the
-# configuration stands for it with its port.
+# models MODELS and the software SOFTWARE[1..]. If STORE_IP is set, a store is at
+# that address, and STORE in the configuration stands for it with its port.
 start_deployment() {
   local i workers=()
   [ -x "$STANDIN" ] && [ -x "$ROOT/target/bin/platform-entry" ] ||
@@ -143,7 +143,7 @@
   LIST=127.0.3.200:${PORTS[4]}
   STORE=${STORE_IP:+$STORE_IP:${PORTS[4]}}
   for ((i = 1; i <= $3; i++)); do
-    workers+=("127.0.3.$i:${PORTS[4]}")
+    workers+=("127.0.3.$i:${PORTS[4]}${SOFTWARE[$i]:+=${SOFTWARE[$i]}}")
   done
   start standin "$STANDIN" "$LIST" "$RAN" "$2" "${MODELS:-m}" \
     "${STORE:--}" "${workers[@]}"
--- a/review/standin/Standin.cpp
+++ b/review/standin/Standin.cpp
@@ -4,13 +4,17 @@
 //   review-standin LIST RECORD SERVICE MODEL,.. STORE WORKER...
 //   review-standin free-ports COUNT
 //
-// LIST, STORE and the WORKERs are addresses IP:PORT; STORE may be `-`. Each
-// request that a worker runs is one line of the file RECORD, and so is each
-// order. Each worker has all the models. The store keeps what workers were told
-// to save there. A request whose path ends in `/slow/` runs for 480 ms, any
-// other for 60 ms; a load of weights takes 270 ms.
+// LIST, STORE and the WORKERs are addresses IP:PORT; STORE may be `-`, and a
+// WORKER may have `=SOFTWARE` behind it. Each request that a worker runs is one
+// line of the file RECORD, and so is each order. Each worker has all the
+// models. The store keeps what workers were told to save there. A request whose
+// path ends in `/slow/` runs for 480 ms, any other for 60 ms; a load of weights
+// takes 270 ms. A path that ends in `/stream/` gets 8 events, one in 50 ms.
+// With BREAK_EVERY=N in the environment, workers of software v1 break off each
+// Nth of these streams by a reset in the middle of an event.
 #include <algorithm>
 #include <arpa/inet.h>
+#include <atomic>
 #include <cctype>
 #include <chrono>
 #include <csignal>
@@ -21,6 +25,7 @@
 #include <mutex>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <set>
 #include <sstream>
 #include <string>
@@ -37,6 +42,9 @@
 constexpr std::chrono::milliseconds kWorkTime(60);
 constexpr std::chrono::milliseconds kSlowWorkTime(480);
 constexpr std::chrono::milliseconds kLoadTime(270);
+constexpr std::chrono::milliseconds kEventPause(50);
+constexpr int kEvents = 8;
+constexpr int kEventsBeforeBreak = 3;
 
 std::FILE* g_record = nullptr;
 std::mutex g_recordMutex;
@@ -45,6 +53,8 @@
 {
   std::string m_id;
   std::string m_address;
+  std::string m_software = "v1";
+  std::atomic<int> m_streams{ 0 };
   std::mutex m_mutex;                            ///< of all below
   std::map<std::string, std::int64_t> m_weights; ///< versions by model
   bool m_isBusy = false;
@@ -286,6 +296,12 @@
   std::fflush(g_record);
 }
 
+bool
+Send(int aSocket, const std::string& aBytes)
+{
+  return ::send(aSocket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL) >= 0;
+}
+
 std::string
 Response(const std::string& aStatus,
          const std::string& aHeaders,
@@ -460,6 +476,38 @@
                   "id: 0\ndata: " + id + "\n\n");
 }
 
+/// Writes the events of a stream. Returns nothing if the worker breaks it off.
+std::optional<std::string>
+WriteStream(int aSocket, Worker& aWorker, const Request& aRequest)
+{
+  const char* breakEvery = std::getenv("BREAK_EVERY");
+  const bool isBroken = breakEvery != nullptr && aWorker.m_software == "v1" &&
+                        ++aWorker.m_streams % std::atoi(breakEvery) == 0;
+  const std::string last = aRequest.Header("last-event-id");
+  int next = last.empty() ? 0 : std::atoi(last.c_str()) + 1;
+  const int breakAt = next + kEventsBeforeBreak;
+  Send(aSocket,
+       "HTTP/1.1 200 OK\r\nRequest-Id: " + aRequest.Header("request-id") +
+         "\r\nResponse-Signature: " + aWorker.m_id +
+         "\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n");
+  for (; next < kEvents; ++next) {
+    std::this_thread::sleep_for(kEventPause);
+    std::string event =
+      "id: " + std::to_string(next) + "\ndata: " + aWorker.m_software + "\n\n";
+    if (isBroken && next == breakAt) {
+      event.resize(event.size() / 2);
+    }
+    char size[16];
+    std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
+    if (!Send(aSocket, size + event + "\r\n") ||
+        (isBroken && next == breakAt)) {
+      return std::nullopt;
+    }
+  }
+  return "0\r\n\r\n";
+}
+
 /// Answers the requests of one connection.
 template<typename Handler>
 void
@@ -468,8 +516,12 @@
   Reader reader(aSocket);
   Request request;
   while (reader.ReadRequest(request)) {
-    const std::string response = aHandler(request);
-    if (::send(aSocket, response.data(), response.size(), MSG_NOSIGNAL) < 0) {
+    const std::optional<std::string> response = aHandler(aSocket, request);
+    if (!response) {
+      const linger reset{ 1, 0 };
+      ::setsockopt(aSocket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    }
+    if (!response || !Send(aSocket, *response)) {
       break;
     }
   }
@@ -484,7 +536,8 @@
     instances += (instances.empty() ? "" : ",") +
                  ("{\"id\":\"" + worker.m_id + "\",\"backend\":\"" + aService +
                   "\",\"address\":\"" + worker.m_address +
-                  "\",\"zone\":\"dc1\",\"version\":\"v1\",\"slots\":64,"
+                  "\",\"zone\":\"dc1\",\"version\":\"" + worker.m_software +
+                  "\",\"slots\":64,"
                   "\"state\":\"ready\",\"cold-remaining-ms\":0,\"born\":1,"
                   "\"stage\":\"both\",\"models\":" +
                   worker.Models() + "}");
@@ -583,17 +636,31 @@
     for (const std::string& model : Split(aWords[4])) {
       worker.m_weights[model] = 1;
     }
+    const std::size_t software = worker.m_address.find('=');
+    if (software != std::string::npos) {
+      worker.m_software = worker.m_address.substr(software + 1);
+      worker.m_address.resize(software);
+    }
     Serve(worker.m_address,
-          [&worker](const Request& aRequest) { return Run(worker, aRequest); });
+          [&worker](int aSocket,
+                    const Request& aRequest) -> std::optional<std::string> {
+            if (aRequest.m_target.ends_with("/stream/")) {
+              return WriteStream(aSocket, worker, aRequest);
+            }
+            return Run(worker, aRequest);
+          });
   }
   if (std::string(aWords[5]) != "-") {
     g_store.SetAddress(aWords[5]);
-    Serve(g_store.Address(), RunAtStore);
-  }
-  Serve(aWords[1], [&service, &workers](const Request&) {
-    return Response("200 OK",
-                    "Content-Type: application/json\r\n",
-                    Instances(service, workers));
+    Serve(g_store.Address(), [](int, const Request& aRequest) {
+      return std::optional<std::string>(RunAtStore(aRequest));
+    });
+  }
+  Serve(aWords[1], [&service, &workers](int, const Request&) {
+    return std::optional<std::string>(
+      Response("200 OK",
+               "Content-Type: application/json\r\n",
+               Instances(service, workers)));
   });
   ::pause();
   return 0;
