Rollout: a record for each model of a worker

Callers: of two models with newly named weights only the last by name was loaded.

Cause: MakeDesiredConfiguration kept one record a worker while it looped over the worker's models, and Rollout had one version, target and failure count a worker behind it. Not the cause: the namings (both are committed) and the entries, which keep weights per model.

Change: EngineConfig, EngineObservation and Rollout have a record for each model. An order in progress, the count of orders and observations stay with the worker. The limit of concurrent loads counts the model's own orders. A number that is committed late is not used with another order's target.

--- a/src/include/fulmarquay/control/Configuration.h
+++ b/src/include/fulmarquay/control/Configuration.h
@@ -43,11 +43,11 @@
   EngineId m_id;
   Endpoint m_address;
   DataCentreId m_dataCentre;
-  std::string m_model;
+  /// Weight versions in the VM list, by model; empty text: unknown.
+  std::map<std::string, std::string> m_models;
   bool m_checksFencing = false;
   std::int64_t m_slots = 8;            ///< limit of concurrent requests
   std::int64_t m_prefillPerSecond = 0; ///< prompt tokens
-  std::string m_listedWeights;         ///< in the VM list; empty: unknown
 };
 
 /// A KV cache store VM and the bandwidth to it.
--- a/src/include/fulmarquay/control/FleetManager.h
+++ b/src/include/fulmarquay/control/FleetManager.h
@@ -134,7 +134,6 @@
   {
     CallKind m_kind = CallKind::List;
     EngineId m_engine;
-    std::string m_model;
   };
 
   void On(CallerId aCaller, const PublishRoutes& aRequest);
@@ -148,6 +147,9 @@
   void OnListPage(const UpstreamCallEnded& aAnswer);
   void OnObservationAnswer(const Call& aCall, const UpstreamCallEnded& aAnswer);
   void OnOrderAnswer(const Call& aCall, const UpstreamCallEnded& aAnswer);
+  /// Returns whether a worker's version differs from the known one.
+  bool ApplyObservedVersions(const EngineId& aEngine,
+                             const EngineObservation& aObservation);
   void StepRollout();
   Configuration MakeDesiredConfiguration() const;
   void Execute(const RolloutAction& aAction);
--- a/src/include/fulmarquay/control/FleetProtocol.h
+++ b/src/include/fulmarquay/control/FleetProtocol.h
@@ -34,8 +34,7 @@
 
   virtual HttpRequest Observe() const = 0;
   virtual EngineObservation ParseObservation(
-    const std::string& aBody,
-    const std::string& aModel) const = 0;
+    const std::string& aBody) const = 0;
 
   virtual HttpRequest Load(const LoadOrder& aOrder) const = 0;
   /// Maps the HTTP status of the answer to an order to an outcome.
--- a/src/include/fulmarquay/control/Rollout.h
+++ b/src/include/fulmarquay/control/Rollout.h
@@ -22,6 +22,7 @@
 struct RequestOrderNumber
 {
   EngineId m_engine;
+  std::string m_model;
   std::string m_target;
 };
 
@@ -30,6 +31,7 @@
 {
   EngineId m_engine;
   std::uint64_t m_number = 0;
+  std::string m_model;
   std::string m_target;
   std::int64_t m_sequence = -1; ///< orders accepted before; -1: unknown
 };
@@ -56,8 +58,8 @@
 /// State reported by an engine.
 struct EngineObservation
 {
-  std::string m_weights;
-  bool m_isBusy = false; ///< an order is being executed
+  std::map<std::string, std::string> m_weights; ///< version by model
+  bool m_isBusy = false;                        ///< an order is being executed
   /// Number of orders accepted; -1: not counted by the engine.
   std::int64_t m_sequence = -1;
 };
@@ -65,8 +67,8 @@
 /// Limits and intervals of a rollout.
 struct RolloutOptions
 {
-  /// Limit of concurrent loads: m_maxConcurrentLoads or m_loadShare of the
-  /// model's engines, whichever is more. More concurrent loads slow each other
+  /// Limit of concurrent loads of a model: m_maxConcurrentLoads or m_loadShare
+  /// of its engines, whichever is more. More concurrent loads slow each other
   /// down.
   int m_maxConcurrentLoads = 2;
   double m_loadShare = 0;
@@ -78,14 +80,15 @@
   Duration m_takeoverWait{};
   /// Interval between observations of an engine that lacks its target.
   Duration m_observeInterval = Duration(1'000'000);
-  /// Consecutive failed orders after which an engine is given up, or gets
-  /// orders less often if it counts them.
+  /// Consecutive failed orders for a model after which an engine is given up
+  /// for it, or gets its orders less often if it counts them.
   int m_maxFailures = 3;
 };
 
 /// Brings the engines of each model to the configured weight version in stages:
 /// RolloutOptions limits concurrent loads, half of the engines stay usable, and
-/// the version in force changes once half of them have the new one.
+/// the version in force changes once half of them have the new one. An engine
+/// with several models executes one order at a time; its models take turns.
 ///
 /// Only a leader that holds its lease may call Step. The first order to engines
 /// that ignore fencing numbers is delayed until no order of an earlier leader
@@ -117,8 +120,8 @@
                     const EngineId& aEngine,
                     OrderOutcome aOutcome);
 
-  /// Engines with m_maxFailures consecutive failures. Unless they count orders,
-  /// they get no more orders for the target that failed.
+  /// Engines with m_maxFailures consecutive failures for a model. Unless they
+  /// count orders, they get no more orders for the target that failed.
   std::vector<EngineId> GivenUpEngines() const;
 
 private:
@@ -130,28 +133,47 @@
     Loading,
   };
 
-  struct Engine
+  /// A model at an engine.
+  struct LoadedModel
   {
     std::string m_weights; ///< listed or observed; empty: unknown
+    bool m_hasTarget = false;
+    TimePoint m_targetReachedAt;
+    TimePoint m_lastOrder;
+    TimePoint m_earliestOrder;
+    int m_failures = 0;
+    std::string m_orderedTarget;
+  };
+
+  struct Engine
+  {
+    std::map<std::string, LoadedModel> m_models;
     TimePoint m_observedAt;
     TimePoint m_nextObservation;
     OrderState m_order = OrderState::None;
+    std::string m_orderedModel; ///< of m_order
     TimePoint m_orderStarted;
     TimePoint m_earliestOrder;
     bool m_checksFencing = false;
     bool m_needsObservation = true; ///< required before an order
-    bool m_hasTarget = false;
+    bool m_hasTargets = false;      ///< of all models
     std::int64_t m_sequence = -1;
-    TimePoint m_targetReachedAt;
-    int m_failures = 0;
-    std::string m_orderedTarget;
+  };
+
+  /// An order that an engine may get now.
+  struct Candidate
+  {
+    TimePoint m_lastOrder;
+    const ModelConfig* m_model = nullptr;
+    EngineId m_engine;
   };
 
   struct EngineCounts
   {
     int m_total = 0;
-    int m_serving = 0; ///< idle, with the version in force
-    int m_ready = 0;   ///< idle, with the target
+    int m_serving = 0; ///< not loading, with the version in force
+    int m_ready = 0;   ///< not loading, with the target
+    int m_active = 0;  ///< orders in progress
   };
 
   void SyncEngines(TimePoint aNow, const Configuration& aConfiguration);
@@ -160,17 +182,26 @@
   bool CanOrder(TimePoint aNow,
                 const Engine& aEngine,
                 const ModelConfig& aModel) const;
-  void StepModel(TimePoint aNow,
-                 const Configuration& aConfiguration,
-                 const ModelConfig& aModel,
-                 std::vector<RolloutAction>& aActions);
+  void CollectCandidates(TimePoint aNow,
+                         const Configuration& aConfiguration,
+                         const ModelConfig& aModel,
+                         std::vector<Candidate>& aCandidates) const;
+  void RequestOrders(TimePoint aNow,
+                     const Configuration& aConfiguration,
+                     std::vector<Candidate> aCandidates,
+                     std::vector<RolloutAction>& aActions);
   void SyncEngine(TimePoint aNow,
                   const EngineConfig& aConfig,
                   const Configuration& aConfiguration);
+  /// Updates a model's record. Returns whether its known version is outdated
+  /// and has to be observed.
+  static bool SyncModel(TimePoint aNow,
+                        const std::string& aListed,
+                        const ModelConfig* aModel,
+                        LoadedModel& aLoaded);
   /// Counts a failed order; delays the next one to an engine that counts
   /// orders.
   void RecordFailure(TimePoint aNow, Engine& aEngine) const;
-  int ActiveOrders() const;
   int MaxConcurrentLoads(const EngineCounts& aCounts) const;
 
   RolloutOptions m_options;
--- a/src/libcontrol/Configuration.cpp
+++ b/src/libcontrol/Configuration.cpp
@@ -121,7 +121,7 @@
   engine.m_id = EngineId(aName);
   engine.m_address = aAnswers.Address(section, "address");
   engine.m_dataCentre = DataCentreId(aAnswers.Text(section, "data_centre"));
-  engine.m_model = aAnswers.Text(section, "model");
+  engine.m_models[aAnswers.Text(section, "model")];
   engine.m_checksFencing = aAnswers.Flag(section, "checks_fencing");
   engine.m_slots = aAnswers.Integer(section, "slots");
   engine.m_prefillPerSecond = aAnswers.Integer(section, "prefill_per_second");
--- a/src/libcontrol/ControlNodeLeader.cpp
+++ b/src/libcontrol/ControlNodeLeader.cpp
@@ -203,8 +203,14 @@
   try {
     if (isSuccess) {
       EngineObservation observation;
-      observation.m_weights =
+      const std::string weights =
         m_engineProtocol->ParseReport(aEvent.m_body).m_weights;
+      const auto engine = m_configuration.m_engines.find(call.m_engine);
+      if (engine != m_configuration.m_engines.end()) {
+        for (const auto& [model, listed] : engine->second.m_models) {
+          observation.m_weights[model] = weights;
+        }
+      }
       m_rollout.OnObserved(m_now, call.m_engine, observation);
     }
   } catch (const Error& e) {
--- a/src/libcontrol/FleetManager.cpp
+++ b/src/libcontrol/FleetManager.cpp
@@ -274,7 +274,7 @@
   call.m_totalTimeout = aTimeout;
   call.m_connectTimeout = aTimeout;
   const CallId id = m_context.CallUpstream(std::move(call));
-  m_calls[id] = { aKind, aEngine.m_id, aEngine.m_model };
+  m_calls[id] = { aKind, aEngine.m_id };
 }
 
 bool
@@ -357,19 +357,20 @@
     desired.m_models[name] = model;
   }
   for (const WorkerInfo& worker : m_workers.Workers()) {
+    EngineConfig engine;
     for (const auto& [model, version] : worker.m_weights) {
-      if (desired.m_models.count(model) == 0 || worker.m_isLeaving) {
-        continue;
+      if (desired.m_models.count(model) != 0) {
+        engine.m_models[model] = std::to_string(version);
       }
-      EngineConfig engine;
-      engine.m_id = EngineId(worker.m_id.Value());
-      engine.m_address = Endpoint::Parse(worker.m_address);
-      engine.m_dataCentre = worker.m_dataCentre;
-      engine.m_model = model;
-      engine.m_checksFencing = m_options.m_checksFencing;
-      engine.m_listedWeights = std::to_string(version);
-      desired.m_engines[engine.m_id] = engine;
     }
+    if (engine.m_models.empty() || worker.m_isLeaving) {
+      continue;
+    }
+    engine.m_id = EngineId(worker.m_id.Value());
+    engine.m_address = Endpoint::Parse(worker.m_address);
+    engine.m_dataCentre = worker.m_dataCentre;
+    engine.m_checksFencing = m_options.m_checksFencing;
+    desired.m_engines[engine.m_id] = engine;
   }
   return desired;
 }
@@ -415,20 +416,19 @@
     return;
   }
   // A newer version may have been named while the number was being committed.
+  const SendOrder& send = std::get<SendOrder>(actions.front());
   const auto& weights = m_context.Published().Weights();
-  const bool isKnown = engine != m_desired.m_engines.end();
-  const auto newest =
-    isKnown ? weights.find(engine->second.m_model) : weights.end();
-  const bool isCurrent =
-    newest != weights.end() && std::to_string(newest->second) == aTarget;
+  const auto newest = weights.find(send.m_model);
+  const bool isCurrent = engine != m_desired.m_engines.end() &&
+                         newest != weights.end() &&
+                         std::to_string(newest->second) == aTarget;
   if (!isCurrent || !m_context.HoldsLeaderLease()) {
     m_rollout.OnOrderEnded(m_context.Now(), aEngine, OrderOutcome::Failed);
     return;
   }
-  const SendOrder& send = std::get<SendOrder>(actions.front());
   LoadOrder order;
   order.m_worker = WorkerId(aEngine.Value());
-  order.m_model = engine->second.m_model;
+  order.m_model = send.m_model;
   order.m_version = std::stoll(aTarget);
   order.m_number = aNumber;
   order.m_holder = m_options.m_holder;
@@ -436,6 +436,7 @@
   m_context.Log(LogEvent::OrderIssued,
                 { { "engine", aEngine.Value() },
                   { "number", std::to_string(aNumber) },
+                  { "model", send.m_model },
                   { "target", aTarget },
                   { "sequence", std::to_string(send.m_sequence) } });
   Start(CallKind::Order,
@@ -457,14 +458,9 @@
   }
   try {
     const EngineObservation observation =
-      m_protocol->ParseObservation(aAnswer.m_body, aCall.m_model);
+      m_protocol->ParseObservation(aAnswer.m_body);
     m_rollout.OnObserved(m_context.Now(), aCall.m_engine, observation);
-    const bool isNewVersion =
-      !observation.m_isBusy && !observation.m_weights.empty() &&
-      m_workers.OnObserved(WorkerId(aCall.m_engine.Value()),
-                           aCall.m_model,
-                           std::stoll(observation.m_weights));
-    if (isNewVersion) {
+    if (ApplyObservedVersions(aCall.m_engine, observation)) {
       UpdateWorkers();
     }
     StepRollout();
@@ -476,6 +472,25 @@
   }
 }
 
+bool
+FleetManager::ApplyObservedVersions(const EngineId& aEngine,
+                                    const EngineObservation& aObservation)
+{
+  const auto engine = m_desired.m_engines.find(aEngine);
+  if (aObservation.m_isBusy || engine == m_desired.m_engines.end()) {
+    return false;
+  }
+  bool isChanged = false;
+  for (const auto& [model, weights] : aObservation.m_weights) {
+    if (engine->second.m_models.count(model) != 0 &&
+        m_workers.OnObserved(
+          WorkerId(aEngine.Value()), model, std::stoll(weights))) {
+      isChanged = true;
+    }
+  }
+  return isChanged;
+}
+
 void
 FleetManager::OnOrderAnswer(const Call& aCall, const UpstreamCallEnded& aAnswer)
 {
--- a/src/libcontrol/Rollout.cpp
+++ b/src/libcontrol/Rollout.cpp
@@ -1,6 +1,7 @@
 #include "fulmarquay/control/Rollout.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace fulmarquay {
 
@@ -18,7 +19,8 @@
 constexpr Duration kNumberTimeout(1'000'000);
 /// Delay after a failed order to an engine that counts orders.
 constexpr Duration kCountedRetryDelay(400'000);
-/// The same once it has failed RolloutOptions::m_maxFailures orders in a row.
+/// The same for a model once it has failed RolloutOptions::m_maxFailures orders
+/// in a row.
 constexpr Duration kRepeatedFailureDelay(5'000'000);
 /// Observation interval of engines that have their target and need no order.
 constexpr Duration kIdleObserveInterval(30'000'000);
@@ -59,39 +61,61 @@
                     const EngineConfig& aConfig,
                     const Configuration& aConfiguration)
 {
-  const auto [found, isNew] = m_engines.try_emplace(aConfig.m_id);
-  Engine& engine = found->second;
+  Engine& engine = m_engines[aConfig.m_id];
   engine.m_checksFencing = aConfig.m_checksFencing;
-  const std::string& listed = aConfig.m_listedWeights;
-  if (isNew) {
-    engine.m_weights = listed;
+  std::erase_if(engine.m_models, [&](const auto& aEach) {
+    return aConfig.m_models.count(aEach.first) == 0;
+  });
+  bool hasTargets = true;
+  for (const auto& [name, listed] : aConfig.m_models) {
+    const auto [loaded, isNew] = engine.m_models.try_emplace(name);
+    if (isNew) {
+      loaded->second.m_weights = listed;
+    }
+    const auto model = aConfiguration.m_models.find(name);
+    const bool isOutdated = SyncModel(
+      aNow,
+      listed,
+      model == aConfiguration.m_models.end() ? nullptr : &model->second,
+      loaded->second);
+    engine.m_needsObservation |= isOutdated;
+    hasTargets = hasTargets && loaded->second.m_hasTarget;
   }
-  const auto model = aConfiguration.m_models.find(aConfig.m_model);
-  bool hasTarget = model != aConfiguration.m_models.end() &&
-                   engine.m_weights == model->second.m_target;
-  if (hasTarget && !engine.m_hasTarget) {
-    engine.m_targetReachedAt = aNow;
+  if (hasTargets && !engine.m_hasTargets) {
     engine.m_nextObservation = aNow + kIdleObserveInterval;
-  }
-  // The VM list still contradicts the known version after its maximum lag: the
-  // engine restarted.
-  const bool isContradicted = hasTarget && !listed.empty() &&
-                              listed != engine.m_weights &&
-                              aNow >= engine.m_targetReachedAt + kListLag;
-  if (isContradicted) {
-    engine.m_weights.clear();
-    engine.m_needsObservation = true;
-    hasTarget = false;
-  }
-  if (engine.m_hasTarget && !hasTarget) {
+  } else if (engine.m_hasTargets && !hasTargets) {
     engine.m_nextObservation = aNow;
-  } else if (!hasTarget) {
+  } else if (!hasTargets) {
     // An observation permits an order for a short time only.
     const TimePoint latest =
       std::max(aNow, engine.m_earliestOrder) + m_options.m_observeInterval;
     engine.m_nextObservation = std::min(engine.m_nextObservation, latest);
   }
-  engine.m_hasTarget = hasTarget;
+  engine.m_hasTargets = hasTargets;
+}
+
+bool
+Rollout::SyncModel(TimePoint aNow,
+                   const std::string& aListed,
+                   const ModelConfig* aModel,
+                   LoadedModel& aLoaded)
+{
+  const bool hadTarget = aLoaded.m_hasTarget;
+  aLoaded.m_hasTarget =
+    aModel != nullptr && aLoaded.m_weights == aModel->m_target;
+  if (aLoaded.m_hasTarget && !hadTarget) {
+    aLoaded.m_targetReachedAt = aNow;
+  }
+  // The VM list still contradicts the known version after its maximum lag: the
+  // engine restarted.
+  const bool isContradicted = aLoaded.m_hasTarget && !aListed.empty() &&
+                              aListed != aLoaded.m_weights &&
+                              aNow >= aLoaded.m_targetReachedAt + kListLag;
+  if (isContradicted) {
+    aLoaded.m_weights.clear();
+    aLoaded.m_hasTarget = false;
+  }
+  return isContradicted;
 }
 
 std::vector<RolloutAction>
@@ -111,16 +135,25 @@
     const bool isLoading = engine.m_order == OrderState::Loading;
     const bool isIdle = engine.m_order == OrderState::None;
     if ((isIdle || isLoading) && aNow >= engine.m_nextObservation) {
-      Duration interval =
-        engine.m_hasTarget ? kIdleObserveInterval : m_options.m_observeInterval;
+      Duration interval = engine.m_hasTargets ? kIdleObserveInterval
+                                              : m_options.m_observeInterval;
       interval = isLoading ? kLoadPollInterval : interval;
       engine.m_nextObservation = aNow + interval;
       actions.emplace_back(ObserveEngine{ id });
     }
   }
+  std::vector<Candidate> candidates;
   for (const auto& [name, model] : aConfiguration.m_models) {
-    StepModel(aNow, aConfiguration, model, actions);
+    const EngineCounts counts = CountEngines(aConfiguration, model);
+    const bool isSwitched = model.m_weights == model.m_target;
+    if (!isSwitched && counts.m_total > 0 &&
+        counts.m_ready * 2 >= counts.m_total) {
+      actions.emplace_back(SwitchWeights{ model.m_name, model.m_target });
+      continue;
+    }
+    CollectCandidates(aNow, aConfiguration, model, candidates);
   }
+  RequestOrders(aNow, aConfiguration, std::move(candidates), actions);
   return actions;
 }
 
@@ -130,14 +163,18 @@
 {
   EngineCounts counts;
   for (const auto& [id, config] : aConfiguration.m_engines) {
-    if (config.m_model != aModel.m_name) {
+    if (config.m_models.count(aModel.m_name) == 0) {
       continue;
     }
     const Engine& engine = m_engines.at(id);
-    const bool isIdle = engine.m_order == OrderState::None;
+    const std::string& weights = engine.m_models.at(aModel.m_name).m_weights;
+    // An order does not affect the other models of its engine.
+    const bool isOrdered = engine.m_order != OrderState::None &&
+                           engine.m_orderedModel == aModel.m_name;
     ++counts.m_total;
-    counts.m_serving += isIdle && engine.m_weights == aModel.m_weights ? 1 : 0;
-    counts.m_ready += isIdle && engine.m_weights == aModel.m_target ? 1 : 0;
+    counts.m_active += isOrdered ? 1 : 0;
+    counts.m_serving += !isOrdered && weights == aModel.m_weights ? 1 : 0;
+    counts.m_ready += !isOrdered && weights == aModel.m_target ? 1 : 0;
   }
   return counts;
 }
@@ -147,55 +184,83 @@
                   const Engine& aEngine,
                   const ModelConfig& aModel) const
 {
+  const LoadedModel& loaded = aEngine.m_models.at(aModel.m_name);
   const bool isObserved = !aEngine.m_needsObservation &&
                           aNow < aEngine.m_observedAt + kObservationTtl;
   const bool isDue =
-    aNow >= aEngine.m_earliestOrder &&
+    aNow >= aEngine.m_earliestOrder && aNow >= loaded.m_earliestOrder &&
     (aEngine.m_checksFencing || aNow >= m_earliestUnfencedOrder);
   // An engine that counts orders executes none twice, so that it is safe to try
   // again.
   const bool isGivenUp = aEngine.m_sequence < 0 &&
-                         aEngine.m_failures >= m_options.m_maxFailures &&
-                         aEngine.m_orderedTarget == aModel.m_target;
+                         loaded.m_failures >= m_options.m_maxFailures &&
+                         loaded.m_orderedTarget == aModel.m_target;
   return isObserved && isDue && !isGivenUp &&
          aEngine.m_order == OrderState::None &&
-         aEngine.m_weights != aModel.m_target;
+         loaded.m_weights != aModel.m_target;
 }
 
 void
-Rollout::StepModel(TimePoint aNow,
-                   const Configuration& aConfiguration,
-                   const ModelConfig& aModel,
-                   std::vector<RolloutAction>& aActions)
+Rollout::CollectCandidates(TimePoint aNow,
+                           const Configuration& aConfiguration,
+                           const ModelConfig& aModel,
+                           std::vector<Candidate>& aCandidates) const
 {
-  EngineCounts counts = CountEngines(aConfiguration, aModel);
-  const bool isSwitched = aModel.m_weights == aModel.m_target;
-  if (!isSwitched && counts.m_total > 0 &&
-      counts.m_ready * 2 >= counts.m_total) {
-    aActions.emplace_back(SwitchWeights{ aModel.m_name, aModel.m_target });
-    return;
-  }
   for (const auto& [id, config] : aConfiguration.m_engines) {
-    Engine& engine = m_engines.at(id);
-    const bool isCandidate =
-      config.m_model == aModel.m_name && CanOrder(aNow, engine, aModel);
-    if (!isCandidate || ActiveOrders() >= MaxConcurrentLoads(counts)) {
+    const Engine& engine = m_engines.at(id);
+    if (config.m_models.count(aModel.m_name) != 0 &&
+        CanOrder(aNow, engine, aModel)) {
+      const LoadedModel& loaded = engine.m_models.at(aModel.m_name);
+      aCandidates.push_back({ loaded.m_lastOrder, &aModel, id });
+    }
+  }
+}
+
+void
+Rollout::RequestOrders(TimePoint aNow,
+                       const Configuration& aConfiguration,
+                       std::vector<Candidate> aCandidates,
+                       std::vector<RolloutAction>& aActions)
+{
+  // The least recently ordered first, so that failing loads of one model do not
+  // hold up the others of an engine.
+  std::stable_sort(aCandidates.begin(),
+                   aCandidates.end(),
+                   [](const Candidate& aLeft, const Candidate& aRight) {
+                     return aLeft.m_lastOrder < aRight.m_lastOrder;
+                   });
+  std::map<std::string, EngineCounts> countsByModel;
+  for (const Candidate& candidate : aCandidates) {
+    const ModelConfig& model = *candidate.m_model;
+    const auto [entry, isNew] = countsByModel.try_emplace(model.m_name);
+    EngineCounts& counts = entry->second;
+    if (isNew) {
+      counts = CountEngines(aConfiguration, model);
+    }
+    Engine& engine = m_engines.at(candidate.m_engine);
+    LoadedModel& loaded = engine.m_models.at(model.m_name);
+    if (engine.m_order != OrderState::None ||
+        counts.m_active >= MaxConcurrentLoads(counts)) {
       continue;
     }
     // A serving engine gets an order only if half of the engines continue to
     // serve. Half is rounded down: with an odd number of engines, no sequence
     // of loads can keep more serving.
-    const bool isServing = engine.m_weights == aModel.m_weights;
+    const bool isServing = loaded.m_weights == model.m_weights;
     const bool isSpare =
       counts.m_total == 1 || counts.m_serving - 1 >= counts.m_total / 2;
     if (isServing && !isSpare) {
       continue;
     }
     counts.m_serving -= isServing ? 1 : 0;
+    ++counts.m_active;
     engine.m_order = OrderState::AwaitingNumber;
+    engine.m_orderedModel = model.m_name;
     engine.m_orderStarted = aNow;
-    engine.m_orderedTarget = aModel.m_target;
-    aActions.emplace_back(RequestOrderNumber{ id, aModel.m_target });
+    loaded.m_orderedTarget = model.m_target;
+    loaded.m_lastOrder = aNow;
+    aActions.emplace_back(
+      RequestOrderNumber{ candidate.m_engine, model.m_name, model.m_target });
   }
 }
 
@@ -206,25 +271,21 @@
   return std::max(m_options.m_maxConcurrentLoads, share);
 }
 
-int
-Rollout::ActiveOrders() const
-{
-  return static_cast<int>(
-    std::count_if(m_engines.begin(), m_engines.end(), [](const auto& aEach) {
-      return aEach.second.m_order != OrderState::None;
-    }));
-}
-
 void
 Rollout::RecordFailure(TimePoint aNow, Engine& aEngine) const
 {
-  ++aEngine.m_failures;
+  const auto ordered = aEngine.m_models.find(aEngine.m_orderedModel);
+  if (ordered != aEngine.m_models.end()) {
+    ++ordered->second.m_failures;
+  }
   // An engine that counts orders rejects a delayed one after a newer one.
-  if (aEngine.m_sequence >= 0) {
-    aEngine.m_earliestOrder =
-      aNow + (aEngine.m_failures < m_options.m_maxFailures
-                ? kCountedRetryDelay
-                : kRepeatedFailureDelay);
+  if (aEngine.m_sequence < 0) {
+    return;
+  }
+  aEngine.m_earliestOrder = aNow + kCountedRetryDelay;
+  if (ordered != aEngine.m_models.end() &&
+      ordered->second.m_failures >= m_options.m_maxFailures) {
+    ordered->second.m_earliestOrder = aNow + kRepeatedFailureDelay;
   }
 }
 
@@ -238,8 +299,16 @@
     return;
   }
   Engine& engine = found->second;
+  const auto versionOf = [&](const std::string& aModel) {
+    const auto weights = aObservation.m_weights.find(aModel);
+    return weights == aObservation.m_weights.end() ? std::string()
+                                                   : weights->second;
+  };
   if (engine.m_order == OrderState::Loading) {
-    const bool hasTarget = aObservation.m_weights == engine.m_orderedTarget;
+    const auto ordered = engine.m_models.find(engine.m_orderedModel);
+    const bool hasTarget =
+      ordered != engine.m_models.end() &&
+      versionOf(ordered->first) == ordered->second.m_orderedTarget;
     const bool isOverdue = aNow >= engine.m_orderStarted + kLoadReportLag;
     if (aObservation.m_isBusy || (!hasTarget && !isOverdue)) {
       return;
@@ -249,11 +318,13 @@
       RecordFailure(aNow, engine);
     }
   }
-  if (aObservation.m_weights == engine.m_orderedTarget) {
-    // Also if the load took longer than the timeout of its order.
-    engine.m_failures = 0;
+  for (auto& [model, loaded] : engine.m_models) {
+    loaded.m_weights = versionOf(model);
+    if (loaded.m_weights == loaded.m_orderedTarget) {
+      // Also if the load took longer than the timeout of its order.
+      loaded.m_failures = 0;
+    }
   }
-  engine.m_weights = aObservation.m_weights;
   engine.m_sequence = aObservation.m_sequence;
   engine.m_observedAt = aNow;
   // An observation made while an order may be in flight does not permit
@@ -270,14 +341,23 @@
                                std::uint64_t aNumber)
 {
   const auto found = m_engines.find(aEngine);
-  const bool isExpected = found != m_engines.end() &&
-                          found->second.m_order == OrderState::AwaitingNumber;
+  if (found == m_engines.end()) {
+    return {};
+  }
+  Engine& engine = found->second;
+  const auto ordered = engine.m_models.find(engine.m_orderedModel);
+  // The number of an earlier order may be committed after its timeout, when the
+  // engine waits for another one.
+  const bool isExpected = engine.m_order == OrderState::AwaitingNumber &&
+                          ordered != engine.m_models.end() &&
+                          ordered->second.m_orderedTarget == aTarget;
   if (!isExpected) {
     return {};
   }
-  found->second.m_order = OrderState::Sent;
-  found->second.m_orderStarted = aNow;
-  return { SendOrder{ aEngine, aNumber, aTarget, found->second.m_sequence } };
+  engine.m_order = OrderState::Sent;
+  engine.m_orderStarted = aNow;
+  return { SendOrder{
+    aEngine, aNumber, engine.m_orderedModel, aTarget, engine.m_sequence } };
 }
 
 void
@@ -298,9 +378,14 @@
   engine.m_order = OrderState::None;
   engine.m_nextObservation = aNow;
   engine.m_needsObservation = true;
-  engine.m_weights.clear();
+  const auto ordered = engine.m_models.find(engine.m_orderedModel);
+  if (ordered != engine.m_models.end()) {
+    ordered->second.m_weights.clear();
+    if (aOutcome == OrderOutcome::Done) {
+      ordered->second.m_failures = 0;
+    }
+  }
   if (aOutcome == OrderOutcome::Done) {
-    engine.m_failures = 0;
     engine.m_earliestOrder = aNow;
   } else if (aOutcome == OrderOutcome::Fenced) {
     engine.m_earliestOrder = aNow + kFencedRetryDelay;
@@ -318,7 +403,11 @@
 {
   std::vector<EngineId> engines;
   for (const auto& [id, engine] : m_engines) {
-    if (engine.m_failures >= m_options.m_maxFailures) {
+    const bool isGivenUp = std::any_of(
+      engine.m_models.begin(), engine.m_models.end(), [&](const auto& aEach) {
+        return aEach.second.m_failures >= m_options.m_maxFailures;
+      });
+    if (isGivenUp) {
       engines.push_back(id);
     }
   }
--- a/src/libcontrol/fleet_test.cpp
+++ b/src/libcontrol/fleet_test.cpp
@@ -90,8 +90,7 @@
     return m_page;
   }
   HttpRequest Observe() const override { return { "GET", "observe", {}, "" }; }
-  EngineObservation ParseObservation(const std::string&,
-                                     const std::string&) const override
+  EngineObservation ParseObservation(const std::string&) const override
   {
     return m_observation;
   }
@@ -380,6 +379,33 @@
   cr_assert_eq(workers.Workers()[0].m_weights.at("m"), 1);
 }
 
+// Guards against keeping one model a worker: orders for all others were never
+// issued, and requests for them were refused for good.
+Test(vm_list, each_outdated_model_of_a_worker_is_ordered)
+{
+  FleetFixture fixture;
+  WorkerInfo worker = MakeWorker("a", 1);
+  worker.m_weights["n"] = 1;
+  fixture.m_protocol->m_page.m_workers = { worker };
+  fixture.m_protocol->m_observation = { { { "m", "1" }, { "n", "1" } }, false, 0 };
+  fixture.m_context.m_published.SetWeights({ "m", 2 });
+  fixture.m_context.m_published.SetWeights({ "n", 3 });
+  fixture.m_manager.OnStateApplied();
+  std::set<std::string> targets;
+  for (int i = 0; i < 500; ++i) {
+    const std::size_t calls = fixture.m_context.m_calls.size();
+    fixture.m_manager.OnTick();
+    if (fixture.m_context.m_calls.size() != calls) {
+      fixture.AnswerLast(200);
+    }
+    fixture.m_context.m_now += 50 * kMillisecond;
+  }
+  for (const ControlCommand& command : fixture.m_context.m_proposed) {
+    targets.insert(std::get<IssueOrderCommand>(command).m_target);
+  }
+  cr_assert_eq(targets, (std::set<std::string>{ "2", "3" }));
+}
+
 namespace {
 
 /// Returns the events and usage set by the test; the body of a free order is
--- a/src/libcontrol/rollout_test.cpp
+++ b/src/libcontrol/rollout_test.cpp
@@ -34,7 +34,7 @@
       const EngineId id("g" + std::to_string(i));
       EngineConfig engine;
       engine.m_id = id;
-      engine.m_model = "m";
+      engine.m_models["m"];
       engine.m_checksFencing = aChecksFencing;
       m_configuration.m_engines[id] = engine;
       m_weights[id] = "w1";
@@ -111,8 +111,9 @@
   {
     for (const RolloutAction& action : aActions) {
       if (const auto* observe = std::get_if<ObserveEngine>(&action)) {
-        m_rollout.OnObserved(
-          At(m_now), observe->m_engine, { m_weights[observe->m_engine] });
+        m_rollout.OnObserved(At(m_now),
+                             observe->m_engine,
+                             { { { "m", m_weights[observe->m_engine] } } });
       } else if (const auto* request =
                    std::get_if<RequestOrderNumber>(&action)) {
         const std::uint64_t number = m_numbers.size() + 1;
@@ -202,8 +203,7 @@
   SingleEngineSetup()
   {
     m_engine.m_id = EngineId("e");
-    m_engine.m_model = "m";
-    m_engine.m_listedWeights = "1";
+    m_engine.m_models["m"] = "1";
     m_desired.m_models["m"] = { "m", "2", "2", "" };
     m_desired.m_engines[m_engine.m_id] = m_engine;
     m_options.m_takeoverWait = Duration(1);
@@ -226,18 +226,22 @@
   };
   // No order is sent before the engine has reported its order count.
   cr_assert(std::holds_alternative<ObserveEngine>(step(10).at(0)));
-  rollout.OnObserved(At(20), setup.m_engine.m_id, { "1", false, 4 });
+  rollout.OnObserved(
+    At(20), setup.m_engine.m_id, { { { "m", "1" } }, false, 4 });
   cr_assert(std::holds_alternative<RequestOrderNumber>(step(30).at(0)));
   const auto send =
     rollout.OnOrderNumberAssigned(At(40), setup.m_engine.m_id, "2", 9);
   cr_assert_eq(std::get<SendOrder>(send.at(0)).m_sequence, 4);
   rollout.OnOrderEnded(At(50), setup.m_engine.m_id, OrderOutcome::Accepted);
   cr_assert(step(60).empty(), "one order at a time");
-  rollout.OnObserved(At(250), setup.m_engine.m_id, { "1", true, 5 });
-  rollout.OnObserved(At(400), setup.m_engine.m_id, { "1", false, 5 });
+  rollout.OnObserved(
+    At(250), setup.m_engine.m_id, { { { "m", "1" } }, true, 5 });
+  rollout.OnObserved(
+    At(400), setup.m_engine.m_id, { { { "m", "1" } }, false, 5 });
   cr_assert(std::holds_alternative<ObserveEngine>(step(410).at(0)),
             "reports lag: it may still be loading");
-  rollout.OnObserved(At(600), setup.m_engine.m_id, { "2", false, 5 });
+  rollout.OnObserved(
+    At(600), setup.m_engine.m_id, { { { "m", "2" } }, false, 5 });
   cr_assert(step(610).empty(), "has its target");
 }
 
@@ -247,7 +251,8 @@
   Rollout rollout(setup.m_options);
   rollout.Start(At(0), Duration(0));
   rollout.Step(At(10), setup.m_desired);
-  rollout.OnObserved(At(20), setup.m_engine.m_id, { "1", false, 4 });
+  rollout.OnObserved(
+    At(20), setup.m_engine.m_id, { { { "m", "1" } }, false, 4 });
   rollout.Step(At(30), setup.m_desired);
   rollout.OnOrderNumberAssigned(At(40), setup.m_engine.m_id, "2", 9);
   rollout.OnOrderEnded(At(50), setup.m_engine.m_id, OrderOutcome::Failed);
@@ -255,7 +260,8 @@
   const auto actions = rollout.Step(At(500), setup.m_desired);
   cr_assert_eq(actions.size(), 1U);
   cr_assert(std::holds_alternative<ObserveEngine>(actions.at(0)));
-  rollout.OnObserved(At(510), setup.m_engine.m_id, { "1", false, 4 });
+  rollout.OnObserved(
+    At(510), setup.m_engine.m_id, { { { "m", "1" } }, false, 4 });
   cr_assert(std::holds_alternative<RequestOrderNumber>(
     rollout.Step(At(520), setup.m_desired).at(0)));
 }
@@ -266,19 +272,22 @@
   Rollout rollout(setup.m_options);
   rollout.Start(At(0), Duration(0));
   rollout.Step(At(10), setup.m_desired);
-  rollout.OnObserved(At(20), setup.m_engine.m_id, { "1", false, 4 });
+  rollout.OnObserved(
+    At(20), setup.m_engine.m_id, { { { "m", "1" } }, false, 4 });
   rollout.Step(At(30), setup.m_desired);
   rollout.OnOrderNumberAssigned(At(40), setup.m_engine.m_id, "2", 9);
   rollout.OnOrderEnded(At(50), setup.m_engine.m_id, OrderOutcome::Accepted);
   // Other engines' loads reach the limit of concurrent loads for a while.
   setup.m_desired.m_models["m"] = { "m", "3", "3", "" };
-  rollout.OnObserved(At(300), setup.m_engine.m_id, { "2", false, 5 });
+  rollout.OnObserved(
+    At(300), setup.m_engine.m_id, { { { "m", "2" } }, false, 5 });
   bool isOrdered = false;
   for (std::int64_t now = 5'000; now < 8'000 && !isOrdered; now += 50) {
     for (const RolloutAction& action : rollout.Step(At(now), setup.m_desired)) {
       isOrdered |= std::holds_alternative<RequestOrderNumber>(action);
       if (std::holds_alternative<ObserveEngine>(action)) {
-        rollout.OnObserved(At(now), setup.m_engine.m_id, { "2", false, 5 });
+        rollout.OnObserved(
+          At(now), setup.m_engine.m_id, { { { "m", "2" } }, false, 5 });
       }
     }
   }
@@ -295,7 +304,8 @@
   for (std::int64_t now = 50; now < 30'000; now += 50) {
     for (const RolloutAction& action : rollout.Step(At(now), setup.m_desired)) {
       if (std::holds_alternative<ObserveEngine>(action)) {
-        rollout.OnObserved(At(now), setup.m_engine.m_id, { "1", false, 4 });
+        rollout.OnObserved(
+          At(now), setup.m_engine.m_id, { { { "m", "1" } }, false, 4 });
         continue;
       }
       ++orders;
@@ -323,7 +333,8 @@
   for (std::int64_t now = 50; now < 4'000; now += 50) {
     for (const RolloutAction& action : rollout.Step(At(now), setup.m_desired)) {
       if (const auto* observe = std::get_if<ObserveEngine>(&action)) {
-        rollout.OnObserved(At(now), observe->m_engine, { "1", false, 4 });
+        rollout.OnObserved(
+          At(now), observe->m_engine, { { { "m", "1" } }, false, 4 });
       }
       requests += std::holds_alternative<RequestOrderNumber>(action) ? 1 : 0;
     }
@@ -348,7 +359,8 @@
     for (const RolloutAction& action :
          aRollout.Step(At(now), aSetup.m_desired)) {
       if (std::holds_alternative<ObserveEngine>(action)) {
-        aRollout.OnObserved(At(now), aSetup.m_engine.m_id, { "1", false, 4 });
+        aRollout.OnObserved(
+          At(now), aSetup.m_engine.m_id, { { { "m", "1" } }, false, 4 });
       }
       if (const auto* request = std::get_if<RequestOrderNumber>(&action)) {
         aRollout.OnOrderNumberAssigned(
@@ -392,8 +404,9 @@
   for (std::int64_t now = 50; now < 30'000; now += 50) {
     for (const RolloutAction& action : rollout.Step(At(now), setup.m_desired)) {
       if (std::holds_alternative<ObserveEngine>(action)) {
-        rollout.OnObserved(
-          At(now), setup.m_engine.m_id, { "1", false, 4 + orders });
+        rollout.OnObserved(At(now),
+                           setup.m_engine.m_id,
+                           { { { "m", "1" } }, false, 4 + orders });
         continue;
       }
       ++orders;
@@ -424,9 +437,10 @@
     }
     for (const RolloutAction& action : rollout.Step(At(now), setup.m_desired)) {
       if (std::holds_alternative<ObserveEngine>(action)) {
-        rollout.OnObserved(At(now),
-                           setup.m_engine.m_id,
-                           { weights, !loading.empty(), sequence });
+        rollout.OnObserved(
+          At(now),
+          setup.m_engine.m_id,
+          { { { "m", weights } }, !loading.empty(), sequence });
       } else if (const auto* request =
                    std::get_if<RequestOrderNumber>(&action)) {
         rollout.OnOrderNumberAssigned(
--- a/src/libserve/ChatFlow.cpp
+++ b/src/libserve/ChatFlow.cpp
@@ -192,7 +192,8 @@
   std::erase_if(engines, [&](const EngineId& aEach) {
     const auto& all = m_config.Current()->m_engines;
     const auto engine = all.find(aEach);
-    return engine == all.end() || engine->second.m_model != aRun.m_model.m_name;
+    return engine == all.end() ||
+           engine->second.m_models.count(aRun.m_model.m_name) == 0;
   });
   if (engines.empty()) {
     AbandonRun(aRun);
--- a/src/libserve/simulated_fleet_test.h
+++ b/src/libserve/simulated_fleet_test.h
@@ -70,8 +70,7 @@
     return { m_workers, "", 0 };
   }
   HttpRequest Observe() const override { return { "GET", "observe", {}, "" }; }
-  EngineObservation ParseObservation(const std::string&,
-                                     const std::string&) const override
+  EngineObservation ParseObservation(const std::string&) const override
   {
     return {};
   }
--- a/src/libserve/weights_test.cpp
+++ b/src/libserve/weights_test.cpp
@@ -43,15 +43,14 @@
 {
 public:
   using ListProtocol::ListProtocol;
-  EngineObservation ParseObservation(const std::string& aBody,
-                                     const std::string&) const override
+  EngineObservation ParseObservation(const std::string& aBody) const override
   {
     EngineObservation observation;
     long long version = 0;
     long long sequence = 0;
     int isBusy = 0;
     std::sscanf(aBody.c_str(), "%lld %d %lld", &version, &isBusy, &sequence);
-    observation.m_weights = std::to_string(version);
+    observation.m_weights["m"] = std::to_string(version);
     observation.m_isBusy = isBusy != 0;
     observation.m_sequence = sequence;
     return observation;
