Cache scope: names the model

Cause: stores name parts by scope and id only, and the scope held the weight version and the isolated account. Workers keep their models apart, stores and the entries' part keys did not.

Change: MakeCacheScope takes the model. Its length precedes it, so that no model and account together read like another pair.

--- a/src/include/fulmarquay/control/PartStore.h
+++ b/src/include/fulmarquay/control/PartStore.h
@@ -26,10 +26,13 @@
   return Checksum64(aId, Checksum64(aScope));
 }
 
-/// Returns the cache scope for a weight version, limited to one account if
-/// aAccount is not empty.
+/// Returns the cache scope for a weight version of a model, limited to one
+/// account if aAccount is not empty. Workers keep the parts of their models
+/// apart, stores do not.
 std::string
-MakeCacheScope(std::int64_t aWeights, const std::string& aAccount);
+MakeCacheScope(std::int64_t aWeights,
+               const std::string& aModel,
+               const std::string& aAccount);
 
 /// Returns the weight version of a scope; -1 for text that is not in the format
 /// of MakeCacheScope.
--- a/src/libcontrol/PartStore.cpp
+++ b/src/libcontrol/PartStore.cpp
@@ -7,13 +7,20 @@
 namespace {
 
 constexpr char kScopePrefix = 'w';
+constexpr char kModelSeparator = ':';
 
 } // namespace
 
 std::string
-MakeCacheScope(std::int64_t aWeights, const std::string& aAccount)
+MakeCacheScope(std::int64_t aWeights,
+               const std::string& aModel,
+               const std::string& aAccount)
 {
   std::string scope = kScopePrefix + std::to_string(aWeights);
+  // The dot makes builds without models in their scopes read the version. The
+  // length keeps "a.b" for account "c" apart from "a" for account "b.c".
+  scope += std::string(".") + kModelSeparator + std::to_string(aModel.size()) +
+           kModelSeparator + aModel;
   if (!aAccount.empty()) {
     scope += "." + aAccount;
   }
--- a/src/libcontrol/fleet_test.cpp
+++ b/src/libcontrol/fleet_test.cpp
@@ -387,7 +387,9 @@
   WorkerInfo worker = MakeWorker("a", 1);
   worker.m_weights["n"] = 1;
   fixture.m_protocol->m_page.m_workers = { worker };
-  fixture.m_protocol->m_observation = { { { "m", "1" }, { "n", "1" } }, false, 0 };
+  fixture.m_protocol->m_observation = { { { "m", "1" }, { "n", "1" } },
+                                        false,
+                                        0 };
   fixture.m_context.m_published.SetWeights({ "m", 2 });
   fixture.m_context.m_published.SetWeights({ "n", 3 });
   fixture.m_manager.OnStateApplied();
@@ -624,10 +626,24 @@
   cr_assert_eq(fixture.m_manager.PartCount(), 0U);
 }
 
+// Guards against a part that was saved for one model and read for another one:
+// stores name parts by scope and id only.
+Test(stores, scopes_of_models_and_accounts_differ)
+{
+  const std::vector<std::pair<std::string, std::string>> owners = {
+    { "a", "" }, { "b", "" }, { "a", "b" }, { "a.b", "" }, { "a", "1:b" }
+  };
+  std::set<std::string> scopes;
+  for (const auto& [model, account] : owners) {
+    scopes.insert(MakeCacheScope(1, model, account));
+  }
+  cr_assert_eq(scopes.size(), owners.size());
+}
+
 Test(stores, weight_version_is_parsed_from_a_scope)
 {
-  cr_assert_eq(WeightsOfScope(MakeCacheScope(12, "")), 12);
-  cr_assert_eq(WeightsOfScope(MakeCacheScope(3, "acc.w9")), 3);
+  cr_assert_eq(WeightsOfScope(MakeCacheScope(12, "m", "")), 12);
+  cr_assert_eq(WeightsOfScope(MakeCacheScope(3, "m", "acc.w9")), 3);
   for (const char* foreign : { "", "w", "x1", "w1x", "1" }) {
     cr_assert_eq(WeightsOfScope(foreign), -1, "%s", foreign);
   }
--- a/src/libserve/Placement.cpp
+++ b/src/libserve/Placement.cpp
@@ -106,7 +106,8 @@
 {
   std::vector<PartCopies> parts;
   for (const std::uint64_t key :
-       PartKeys(MakeCacheScope(aVersion, aCriteria.m_account),
+       PartKeys(MakeCacheScope(
+                  aVersion, aCriteria.m_request->m_model, aCriteria.m_account),
                 aCriteria.m_request->m_parts)) {
     PartCopies& part = parts.emplace_back();
     part.m_key = key;
--- a/src/libserve/RelayDispatch.cpp
+++ b/src/libserve/RelayDispatch.cpp
@@ -345,6 +345,7 @@
   // The scope contains the weight version, because workers and stores keep
   // parts of earlier versions and must not serve them.
   return MakeCacheScope(RequiredWeights(aActive, aWorker),
+                        aActive.m_request.m_model,
                         aActive.m_cacheAccount);
 }
 
--- a/src/libserve/relay_test.cpp
+++ b/src/libserve/relay_test.cpp
@@ -385,7 +385,8 @@
     entry.SendRequest("/resumable/x");
     cr_assert_eq(entry.m_protocol.m_sentParameters.back().m_worker, "w3");
     cr_assert_eq(entry.m_protocol.m_sentParameters.back().m_weights, 2);
-    cr_assert_eq(entry.m_protocol.m_sentParameters.back().m_cacheScope, "w2");
+    cr_assert_eq(entry.m_protocol.m_sentParameters.back().m_cacheScope,
+                 MakeCacheScope(2, "m", ""));
   }
 }
 
@@ -490,6 +491,23 @@
   }
 }
 
+// Guards against a store's part of one model that is read for another one.
+Test(relay, models_share_no_parts)
+{
+  Entry entry;
+  std::set<std::string> scopes;
+  for (const char* model : { "m", "n" }) {
+    entry.m_protocol.m_model = model;
+    WorkerInfo worker = Worker("w1", 1);
+    worker.m_weights["n"] = 1;
+    entry.SetWorkers({ worker }, 1);
+    entry.SendRequest("/resumable/x");
+    scopes.insert(entry.m_protocol.m_sentParameters.back().m_cacheScope);
+    entry.Answer(200, "ps", "");
+  }
+  cr_assert_eq(scopes.size(), 2U);
+}
+
 Test(relay, a_service_without_models_is_served_while_weights_are_named)
 {
   for (const std::int64_t named : { -1, 3 }) {
@@ -532,7 +550,7 @@
   Entry entry;
   StorePush push;
   push.m_to = 1;
-  push.m_changes = { { 0, PartKey("w1", "shared"), 80 } };
+  push.m_changes = { { 0, PartKey(MakeCacheScope(1, "m", ""), "shared"), 80 } };
   push.m_hasStores = true;
   // A fetch occupies the store's link for 0.1 s.
   push.m_stores = {
