Requests that HTTP can't bear end their call, not the process

Cause: two faults. Each part that a store holds gets an address in Kv-Fetch that is longer than the part, and their number had no bound. Beast throws for a field above 65,533 bytes, in a posted handler, and that ends the process.

Change: PartMap plans transfers for the first 512 parts, and none for prompts of over 16,384. HttpClient encodes a request before anything is registered; an exception there ends this call as NotEncoded, which an entry answers with 431 without a suspicion against workers or neighbours. A peer that is no IP address ends its call as not sent. HttpServer bounds heads to what Beast holds.

--- a/src/include/fulmarquay/core/LogEvent.h
+++ b/src/include/fulmarquay/core/LogEvent.h
@@ -52,6 +52,7 @@
   UpstreamFailed = 3001,
   UpstreamLeaving = 3002,
   AnswerMismatch = 3003,
+  RequestNotEncoded = 3004,
   OutcomeUnknown = 3101,
   OutcomePending = 3102,
   DrainStarted = 3201,
--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -375,6 +375,7 @@
   void OnComplete(ActiveRequest& aActive);
   void OnNotExecuted(ActiveRequest& aActive);
   void OnNotSent(ActiveRequest& aActive, const std::string& aReason);
+  void OnNotEncoded(ActiveRequest& aActive);
   void OnBroken(ActiveRequest& aActive, const std::string& aReason);
   bool MayResume(const ActiveRequest& aActive) const;
   /// Whether the request may be sent again although it may have run.
--- a/src/include/fulmarquay/wire/HttpClient.h
+++ b/src/include/fulmarquay/wire/HttpClient.h
@@ -17,10 +17,18 @@
 {
   Complete,   ///< the complete response was received
   NotSent,    ///< no byte of the request left this process
+  NotEncoded, ///< like NotSent: the request can't be sent to any peer
   Incomplete, ///< may have been executed; the response is missing or incomplete
   TimedOut,   ///< like Incomplete, caused by a time limit of the HttpCall
 };
 
+/// Whether the request certainly did not reach the peer.
+inline bool
+IsNotSent(CallResult aEnd)
+{
+  return aEnd == CallResult::NotSent || aEnd == CallResult::NotEncoded;
+}
+
 /// Receives the response of a call. Called on the client's thread.
 class HttpCallHandler
 {
--- a/src/include/fulmarquay/wire/HttpStatus.h
+++ b/src/include/fulmarquay/wire/HttpStatus.h
@@ -15,6 +15,7 @@
 constexpr int kStatusConflict = 409;
 constexpr int kStatusMisdirected = 421;
 constexpr int kStatusTooManyRequests = 429;
+constexpr int kStatusHeaderTooLarge = 431;
 constexpr int kStatusServerError = 500;
 constexpr int kStatusBadGateway = 502;
 constexpr int kStatusUnavailable = 503;
--- a/src/libcore/LogEvent.cpp
+++ b/src/libcore/LogEvent.cpp
@@ -225,6 +225,12 @@
       "warning",
       "A late, misdirected or duplicate part of an answer was dropped.",
       "Check the upstream if it recurs." },
+    { LogEvent::RequestNotEncoded,
+      "RequestNotEncoded",
+      "error",
+      "A request to an upstream is larger or other than HTTP allows and was "
+      "not sent.",
+      "Find the field in `reason`; bound what produces it." },
     { LogEvent::OutcomeUnknown,
       "OutcomeUnknown",
       "warning",
--- a/src/libserve/ChatFlow.cpp
+++ b/src/libserve/ChatFlow.cpp
@@ -470,9 +470,9 @@
   const bool isRefused =
     aEnd == CallResult::Complete && run->m_status != kStatusOk;
   // An engine that was reached has not run the prompt only if it refused it.
-  const bool isNotRun = aEnd == CallResult::NotSent ||
-                        (isRefused && (run->m_status < kStatusServerError ||
-                                       run->m_status == kStatusUnavailable));
+  const bool isNotRun =
+    IsNotSent(aEnd) || (isRefused && (run->m_status < kStatusServerError ||
+                                      run->m_status == kStatusUnavailable));
   run->m_mayHaveRun = run->m_mayHaveRun || !isNotRun;
   m_context.Log(LogEvent::UpstreamFailed,
                 { { "engine", run->m_engine.Value() },
--- a/src/libserve/PartMap.cpp
+++ b/src/libserve/PartMap.cpp
@@ -21,6 +21,13 @@
 constexpr double kMicrosPerSecond = 1e6;
 constexpr Duration kSweepInterval(1'000'000);
 constexpr std::size_t kMaxUsedKeys = 400;
+/// Fetches and saves that a request lists. The first parts are the shared ones,
+/// and a later part is of use only with all before it.
+constexpr std::size_t kMaxTransfers = 512;
+/// A list has a place for each part of the prompt, so that requests with more
+/// parts list none. Together with kMaxTransfers and the longest address, a list
+/// stays below the 64 KiB that a header field holds.
+constexpr std::size_t kMaxListedParts = 16'384;
 
 } // namespace
 
@@ -236,7 +243,8 @@
 {
   const TimePoint now = aInput.m_now;
   std::vector<LinkUse> reserved;
-  if (aRequest.m_parts.size() < 2) {
+  if (aRequest.m_parts.size() < 2 ||
+      aRequest.m_parts.size() > kMaxListedParts) {
     return reserved;
   }
   const bool mayUseStores =
@@ -247,7 +255,8 @@
       return now >= aEach.second.m_retryAt;
     });
   }
-  const std::size_t shared = aRequest.m_parts.size() - 1;
+  const std::size_t shared =
+    std::min(aRequest.m_parts.size() - 1, kMaxTransfers);
   aParameters.m_fetches.resize(aRequest.m_parts.size());
   aParameters.m_saveAddresses.resize(aRequest.m_parts.size());
   bool isContiguous = true;
--- a/src/libserve/RelayResponses.cpp
+++ b/src/libserve/RelayResponses.cpp
@@ -314,7 +314,9 @@
     return;
   }
   ReleaseWorker(*active);
-  if (IsPassed(*active)) {
+  if (aEnd == CallResult::NotEncoded) {
+    OnNotEncoded(*active);
+  } else if (IsPassed(*active)) {
     OnPassEnd(*active, aEnd, aReason);
   } else if (aEnd == CallResult::NotSent) {
     OnNotSent(*active, aReason);
@@ -433,6 +435,22 @@
   Place(aActive);
 }
 
+void
+RelayFlow::OnNotEncoded(ActiveRequest& aActive)
+{
+  // The same for all workers and entries, and none of them has failed.
+  --aActive.m_sendCount;
+  if (const WorkerState* worker = m_workers.Find(aActive.m_worker)) {
+    m_limiter.OnNotSent(worker->m_info);
+  }
+  const std::string reason = "the request can't be forwarded";
+  if (aActive.m_isStreaming || aActive.m_mayHaveRun) {
+    Fail(aActive, kStatusBadGateway, reason);
+    return;
+  }
+  Refuse(aActive, kStatusHeaderTooLarge, reason, Duration(0));
+}
+
 bool
 RelayFlow::MayResume(const ActiveRequest& aActive) const
 {
--- a/src/libserve/ServiceFlow.cpp
+++ b/src/libserve/ServiceFlow.cpp
@@ -252,7 +252,7 @@
   m_context.Log(
     LogEvent::UpstreamFailed,
     { { "service", run.m_service.m_id.Value() }, { "why", aReason } });
-  run.m_mayHaveRun = run.m_mayHaveRun || aEnd != CallResult::NotSent;
+  run.m_mayHaveRun = run.m_mayHaveRun || !IsNotSent(aEnd);
   const bool mayRetry =
     aEnd == CallResult::NotSent || IsSafeMethod(run.m_request.m_method);
   const bool hasAttemptsLeft =
@@ -283,7 +283,7 @@
   m_context.Log(
     LogEvent::UpstreamFailed,
     { { "service", run.m_service.m_id.Value() }, { "why", aReason } });
-  if (aEnd == CallResult::NotSent) {
+  if (IsNotSent(aEnd)) {
     Refuse(run, { 502, "not_run", "call service", aReason, kRetryAfter });
     FinishOnce(aId, OnceOutcome::NotRun);
     return;
--- a/src/libserve/relay_refusals_test.cpp
+++ b/src/libserve/relay_refusals_test.cpp
@@ -40,6 +40,22 @@
   cr_assert_not(other.m_calls.back().m_needsNewConnection);
 }
 
+// Guards against a request that can't be encoded and counts as a failure of
+// each worker that it is tried at.
+Test(refusals, a_request_that_cannot_be_encoded_is_refused_at_once)
+{
+  Entry entry;
+  for (int i = 0; i < 5; ++i) {
+    entry.SendRequest("/resumable/x");
+    const std::size_t calls = entry.m_calls.size();
+    entry.End(CallResult::NotEncoded);
+    cr_assert_eq(entry.m_status, 431);
+    cr_assert_eq(entry.m_calls.size(), calls);
+  }
+  entry.AdvanceTicks(1'000);
+  cr_assert(entry.m_probes.empty(), "no worker is suspected");
+}
+
 Test(refusals, an_unproved_refusal_of_a_request_that_may_not_be_repeated)
 {
   for (const char* path : { "/once/x", "/stream/x" }) {
--- a/src/libserve/stores_test.cpp
+++ b/src/libserve/stores_test.cpp
@@ -3,6 +3,9 @@
 #include "fulmarquay/serve/PartMap.h"
 #include "fulmarquay/serve/StoreFetchLimiter.h"
 
+#include <algorithm>
+#include <string>
+
 // Included last because its macros clash with names in other headers.
 #include <criterion/criterion.h>
 
@@ -49,6 +52,46 @@
 
 } // namespace
 
+// Guards against lists of stores that are larger than a header field: an
+// address is longer than the part that it is listed for.
+Test(part_map, transfers_of_a_prompt_of_many_parts_are_bounded)
+{
+  for (const std::size_t parts : { 2'737UL, 16'384UL, 60'000UL }) {
+    PartMap map;
+    const TimePoint now(Duration(1'000'000'000));
+    map.OnLeaseConfirmed(now + 4'000 * kMillisecond, 3'000 * kMillisecond);
+    RelayRequest request;
+    std::vector<PartChange> changes;
+    for (std::size_t i = 0; i < parts; ++i) {
+      request.m_parts.push_back({ std::to_string(i), 1 });
+      if (i % 2 == 0) {
+        changes.push_back({ 0, PartKey("w1", std::to_string(i)), 1 });
+      }
+    }
+    cr_assert(map.Apply(Push(0, 1, {})));
+    cr_assert(map.Apply(Push(1, 2, changes)));
+    DispatchParameters parameters;
+    parameters.m_cacheScope = "w1";
+    map.PlanTransfers(MakePlanInput(now, 50'000), request, parameters);
+    const auto hasAddress = [](const auto& aEach) {
+      return !aEach.m_address.empty();
+    };
+    const auto fetches = std::count_if(
+      parameters.m_fetches.begin(), parameters.m_fetches.end(), hasAddress);
+    const auto saves =
+      std::count_if(parameters.m_saveAddresses.begin(),
+                    parameters.m_saveAddresses.end(),
+                    [](const std::string& aEach) { return !aEach.empty(); });
+    cr_assert_leq(fetches, 512);
+    cr_assert_leq(saves, 512);
+    cr_assert_leq(parameters.m_fetches.size(), 16'384U);
+    if (parts < 16'384) {
+      cr_assert_eq(parameters.m_fetches.size(), parts, "a place for each part");
+      cr_assert(hasAddress(parameters.m_fetches.at(0)), "the first parts");
+    }
+  }
+}
+
 Test(part_map, a_part_is_saved_once_and_then_fetched)
 {
   PartMap map;
--- a/src/libwire/HttpClient.cpp
+++ b/src/libwire/HttpClient.cpp
@@ -137,6 +137,8 @@
   /// Takes a kept connection that was opened before a time, or any one if that
   /// is zero; null if there is none.
   ConnectionPtr TakeIdle(const Endpoint& aPeer, TimePoint aConnectedBefore);
+  /// Throws std::exception if HTTP or Beast can't bear the request.
+  static http::request<http::string_body> EncodeRequest(const HttpCall& aCall);
   void Connect(const ActiveCallPtr& aActive);
   void WriteRequest(const ActiveCallPtr& aActive);
   void ReadHead(const ActiveCallPtr& aActive);
@@ -205,24 +207,41 @@
   return nullptr;
 }
 
-void
-HttpClient::Impl::Start(HttpCall aCall)
+http::request<http::string_body>
+HttpClient::Impl::EncodeRequest(const HttpCall& aCall)
 {
-  auto active = std::make_shared<ActiveCall>();
-  active->m_call = std::move(aCall);
-  const HttpRequest& source = active->m_call.m_request;
-  auto& request = active->m_request;
+  const HttpRequest& source = aCall.m_request;
+  http::request<http::string_body> request;
   request.version(11);
   request.method_string(source.m_method);
   request.target(source.m_target);
   if (FindHeader(source.m_headers, "Host").empty()) {
-    request.set(http::field::host, active->m_call.m_peer.ToString());
+    request.set(http::field::host, aCall.m_peer.ToString());
   }
   for (const HttpHeader& header : source.m_headers) {
     request.insert(header.m_name, header.m_value);
   }
   request.body() = source.m_body;
   request.prepare_payload();
+  return request;
+}
+
+void
+HttpClient::Impl::Start(HttpCall aCall)
+{
+  auto active = std::make_shared<ActiveCall>();
+  active->m_call = std::move(aCall);
+  try {
+    active->m_request = EncodeRequest(active->m_call);
+  } catch (const std::exception& e) {
+    // Beast throws for fields that it can't hold. Nothing of this call is
+    // registered yet, and others are not affected.
+    WriteLog(
+      LogEvent::RequestNotEncoded,
+      { { "peer", active->m_call.m_peer.ToString() }, { "reason", e.what() } });
+    m_handler.OnEnd(active->m_call.m_call, CallResult::NotEncoded, e.what());
+    return;
+  }
   m_activeCalls[active->m_call.m_call] = active;
   active->m_startedAt = MonotonicNow();
   const bool needsNewConnection =
@@ -294,7 +313,13 @@
 {
   aActive->m_connection = std::make_shared<Connection>(m_context);
   const Endpoint& peer = aActive->m_call.m_peer;
-  const tcp::endpoint endpoint(asio::ip::make_address(peer.Ip()), peer.Port());
+  error_code error;
+  const auto address = asio::ip::make_address(peer.Ip(), error);
+  if (error) {
+    Fail(aActive, error);
+    return;
+  }
+  const tcp::endpoint endpoint(address, peer.Port());
   aActive->m_connection->m_stream.expires_after(
     aActive->m_call.m_connectTimeout);
   auto self = shared_from_this();
--- a/src/libwire/HttpServer.cpp
+++ b/src/libwire/HttpServer.cpp
@@ -35,6 +35,10 @@
 /// Above this the connection of a slowly reading caller is closed.
 constexpr std::size_t kMaxQueuedBytes = 8U << 20U;
 
+/// Beast holds the length of a header field in 16 bits and throws for longer
+/// ones while it reads, where nothing could be answered.
+constexpr std::size_t kMaxHeadBytes = 65'535;
+
 /// HTTP/1.1, as Beast numbers versions.
 constexpr unsigned kFirstVersionWithChunks = 11;
 
@@ -237,8 +241,8 @@
 HttpServer::Impl::Session::ReadRequest()
 {
   m_parser.emplace();
-  m_parser->header_limit(
-    static_cast<std::uint32_t>(m_server->m_limits.m_maxHeaderBytes));
+  m_parser->header_limit(static_cast<std::uint32_t>(
+    std::min(m_server->m_limits.m_maxHeaderBytes, kMaxHeadBytes)));
   m_parser->body_limit(m_server->m_limits.m_maxBodyBytes);
   m_stream.expires_after(m_server->m_limits.m_readTimeout);
   auto self = shared_from_this();
--- a/src/libwire/http_client_test.cpp
+++ b/src/libwire/http_client_test.cpp
@@ -353,6 +353,30 @@
   cr_assert_eq(client.m_end, CallResult::Incomplete);
 }
 
+// Guards against a process that ends, with the calls of all others, because one
+// request is larger than the HTTP library bears.
+Test(http_client, a_request_that_cannot_be_encoded_ends_only_its_call)
+{
+  const ScriptedServer server({ ResponseText("1", "a"), "" });
+  for (const HttpHeader& header :
+       { HttpHeader{ "Kv-Fetch", std::string(70'000, 'x') },
+         HttpHeader{ std::string(70'000, 'x'), "y" } }) {
+    TestClient client;
+    HttpCall call = CallTo(server, "0");
+    call.m_request.m_headers.push_back(header);
+    client.Call(call);
+    cr_assert_eq(client.m_end, CallResult::NotEncoded);
+  }
+  TestClient client;
+  HttpCall lost = CallTo(server, "0");
+  lost.m_peer = Endpoint("worker.example", 80);
+  client.Call(lost);
+  cr_assert_eq(client.m_end, CallResult::NotSent);
+  client.Call(CallTo(server, "1"));
+  cr_assert_eq(client.m_body, "a");
+  client.Call(CallTo(server, "2"));
+}
+
 // Guards against a stream that reaches another process at its worker's address.
 Test(http_client, a_call_may_be_limited_to_connections_opened_before_a_time)
 {
--- a/src/libwire/wire_test.cpp
+++ b/src/libwire/wire_test.cpp
@@ -132,10 +132,10 @@
 class EchoServer : public HttpHandler
 {
 public:
-  EchoServer()
+  explicit EchoServer(std::size_t aMaxHeaderBytes = 1024)
     : m_server(m_context,
                *this,
-               HttpServerLimits{ 1024, 4096, Duration(300'000), 8 })
+               HttpServerLimits{ aMaxHeaderBytes, 4096, Duration(300'000), 8 })
   {
     {
       tcp::acceptor portFinder(
@@ -362,6 +362,27 @@
 
 } // namespace
 
+// Guards against a process that ends because a caller's header field is longer
+// than the HTTP library bears, where the limit in force allows it.
+Test(http_server, fields_longer_than_the_library_bears_are_refused)
+{
+  EchoServer server(256U << 10U);
+  const std::vector<std::string> fields = {
+    "X: " + std::string(65'600, 'v') + "\r\n",
+    std::string(65'600, 'n') + ": v\r\n",
+    "X: " + std::string(65'530, 'v') + "\r\n",
+  };
+  for (const std::string& field : fields) {
+    const std::string response = server.Exchange(
+      "POST / HTTP/1.1\r\nHost: x\r\n" + field + "Content-Length: 1\r\n\r\na");
+    cr_assert(response.starts_with("HTTP/1.1 431"), "%s", response.c_str());
+  }
+  const std::string response = server.Exchange(
+    "POST / HTTP/1.1\r\nHost: x\r\nX: " + std::string(60'000, 'v') +
+    "\r\nContent-Length: 1\r\n\r\na");
+  cr_assert(response.starts_with("HTTP/1.1 200"), "%s", response.c_str());
+}
+
 Test(http_server, a_caller_that_stops_reading_is_disconnected)
 {
   LargeResponse fixture;
