Keys on open routes: refused while the key lease is missing

Cause: Authenticate looked at the lease only to refuse on routes that need a key. On the others it left the account out, for a known key as for an unknown one; without the lease the document may lack a new account too.

Change: a request that brings a key is refused with 503, not run, while the lease is missing, whatever its route. Requests without a key are served as before. No message, record or command changed.

A row of refusals_by_route_and_key asserted the fault (a known key on an open route without the lease is served); it is replaced by 503, and rows for unknown keys are added.

--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -322,7 +322,10 @@
   const std::string& key = aActive.m_request.m_key;
   const bool needsKey =
     m_routes.Document().m_needsKeys && !aRule.m_allowsAnonymous;
-  if (needsKey && !HasKeyLease()) {
+  // Also on a route that needs none, a key names an account with a name, a
+  // cache and a priority of its own, which only a confirmed document proves.
+  // Unknown keys are no exception: the document may lack a new account.
+  if ((needsKey || !key.empty()) && !HasKeyLease()) {
     Refuse(aActive,
            kStatusUnavailable,
            "keys not confirmed",
@@ -344,10 +347,6 @@
     }
     return !needsKey;
   }
-  if (!HasKeyLease()) {
-    // An anonymous route serves the caller without an account.
-    return true;
-  }
   aActive.m_account = std::string(account.m_name);
   aActive.m_cacheAccount =
     account.m_rule->m_isIsolated ? aActive.m_account : "";
--- a/src/libserve/relay_test.cpp
+++ b/src/libserve/relay_test.cpp
@@ -144,11 +144,13 @@
     int m_status;
   };
   const std::vector<Case> cases = {
-    { "/once/x", "key", true, 0 },   { "/once/x", "other", true, 401 },
-    { "/once/x", "", true, 401 },    { "/open/x", "", true, 0 },
-    { "/none/x", "key", true, 404 }, { "/once/x", "key", false, 503 },
-    { "/open/x", "", false, 0 },     { "/none/x", "key", false, 503 },
-    { "/open/x", "key", false, 0 },  { "/once/x", "other", false, 503 },
+    { "/once/x", "key", true, 0 },      { "/once/x", "other", true, 401 },
+    { "/once/x", "", true, 401 },       { "/open/x", "", true, 0 },
+    { "/none/x", "key", true, 404 },    { "/once/x", "key", false, 503 },
+    { "/open/x", "", false, 0 },        { "/none/x", "key", false, 503 },
+    { "/open/x", "key", false, 503 },   { "/once/x", "other", false, 503 },
+    { "/open/x", "key", true, 0 },      { "/open/x", "other", true, 0 },
+    { "/open/x", "other", false, 503 },
   };
   for (const Case& each : cases) {
     Entry entry;
@@ -165,6 +167,29 @@
   }
 }
 
+// Guards against keys that are not looked up without a key lease: a request of
+// an isolated account would run without its name, in the cache that all share.
+Test(relay, a_key_on_an_open_route_is_not_served_without_its_account)
+{
+  Entry entry;
+  RouteDocument document = entry.m_flow.Routes().Document();
+  document.m_revision = Revision(4);
+  document.m_accounts["acc"].m_isIsolated = true;
+  entry.m_flow.OnRoutes(MakeDelta(entry.m_flow.Routes().Document(), document));
+  entry.SendRequest("/open/x", "key");
+  cr_assert_eq(entry.m_protocol.m_sentParameters.back().m_account, "acc");
+  entry.AdvanceClock(5'000); // a freeze
+  const std::size_t calls = entry.m_calls.size();
+  entry.SendRequest("/open/x", "key");
+  cr_assert_eq(entry.m_calls.size(), calls);
+  cr_assert_eq(entry.m_status, 503);
+  entry.SendRequest("/open/x", "");
+  cr_assert_eq(entry.m_calls.size(), calls + 1, "without a key");
+  entry.Confirm();
+  entry.SendRequest("/open/x", "key");
+  cr_assert_eq(entry.m_protocol.m_sentParameters.back().m_account, "acc");
+}
+
 Test(relay, the_account_is_identified_by_the_key_only)
 {
   Entry entry;
