Simulated fleet: draws in floating point without a narrowing

Cause: clang-tidy finds a narrowing of std::size_t to double in two comparisons of software_fleet_test.h.

--- a/src/libserve/software_fleet_test.h
+++ b/src/libserve/software_fleet_test.h
@@ -110,7 +110,7 @@
   {
     std::vector<std::pair<CallerId, std::size_t>> callers;
     for (const auto& [caller, attempt] : m_pending) {
-      if (Below(1'000) < aShare * 1'000) {
+      if (IsDrawn(aShare)) {
         callers.emplace_back(caller, attempt.m_entry);
       }
     }
@@ -183,6 +183,12 @@
     bool m_isResumed = false;
   };
 
+  /// True with a probability.
+  bool IsDrawn(double aProbability)
+  {
+    return static_cast<double>(Below(1'000)) < aProbability * 1'000;
+  }
+
   static FleetSize WithPeerMessages(FleetSize aSize)
   {
     aSize.m_hasPeerMessages = true;
@@ -261,7 +267,7 @@
         const std::string version =
           Workers()[aRunning.m_worker].m_software.Value();
         const bool isBroken =
-          version == m_brokenSoftware && Below(1'000) < m_brokenShare * 1'000;
+          version == m_brokenSoftware && IsDrawn(m_brokenShare);
         SendEvent(
           aRunning, after + 1, { version, *connectedAt, isBroken ? 3 : -1 });
       });
