HttpServer: bytes that callers do not take are bounded for all together

Callers: a worker that sends sound events without end, to callers that read slowly, takes the memory of the entry, whose other requests end with it (report on bytes without end; the sites allow 110 MB).

Cause: what a caller has not taken is queued up to 8 MiB for each connection, without a bound for all of them. Not the cause, tried with real processes: heads and single bodies, events and skipped answers without end (8 to 64 MB at most).

Change: above 24 MiB together, the connections with most queued bytes are closed, from a handler of their own, and logged (SlowCallerClosed). Buffers that were written are released. No message, record or command changed.

--- a/src/include/fulmarquay/core/LogEvent.h
+++ b/src/include/fulmarquay/core/LogEvent.h
@@ -21,6 +21,7 @@
   PeerConnected = 1101,
   PeerLost = 1102,
   BadFrame = 1103,
+  SlowCallerClosed = 1104,
   BecameLeader = 2001,
   LostLeadership = 2002,
   DiskFormatted = 2003,
--- a/src/include/fulmarquay/wire/HttpServer.h
+++ b/src/include/fulmarquay/wire/HttpServer.h
@@ -82,6 +82,10 @@
   /// responses were passed to the system.
   bool IsIdle() const;
 
+  /// Bytes of responses that callers have not taken yet; bounded for each
+  /// connection and for all together.
+  std::size_t QueuedBytes() const;
+
   /// The number of received requests whose response has not ended.
   std::size_t Running() const;
 
--- a/src/libcore/LogEvent.cpp
+++ b/src/libcore/LogEvent.cpp
@@ -147,6 +147,12 @@
       "warning",
       "A frame or message could not be decoded; its connection is closed.",
       "Check that both sides run compatible versions." },
+    { LogEvent::SlowCallerClosed,
+      "SlowCallerClosed",
+      "warning",
+      "A caller took its answer too slowly, and the bytes queued for it or for "
+      "all callers reached their limit; its connection was closed.",
+      "Find the worker whose answers have no end if it recurs." },
     { LogEvent::BecameLeader,
       "BecameLeader",
       "info",
--- a/src/libwire/HttpServer.cpp
+++ b/src/libwire/HttpServer.cpp
@@ -4,8 +4,10 @@
 
 #include "ResponseText.h"
 #include "fulmarquay/core/Error.h"
+#include "fulmarquay/core/LogEvent.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -34,6 +36,10 @@
 constexpr int kStalledChecks = 2;
 /// Above this the connection of a slowly reading caller is closed.
 constexpr std::size_t kMaxQueuedBytes = 8U << 20U;
+/// Above this for all connections together, those with most are closed. Strings
+/// may take twice their size, which together with the answers that a relay
+/// holds has to stay well below the memory of an entry's VM.
+constexpr std::size_t kMaxAllQueuedBytes = 24U << 20U;
 
 /// Beast holds the length of a header field in 16 bits and throws for longer
 /// ones while it reads, where nothing could be answered.
@@ -82,12 +88,20 @@
   std::uint64_t m_nextCaller;
   bool m_isStopping = false;
   bool m_closesAfterResponse = false; ///< set by CloseAfterResponses
+  std::size_t m_queuedBytes = 0;      ///< sum of the sessions' QueuedBytes
 
   bool IsIdle() const;
+  /// Closes connections, once the running handler has returned, until the
+  /// queued bytes are within their limit. The handler may be in the middle of a
+  /// change that the end of another connection must not interrupt.
+  void BoundQueuedBytesSoon();
 
 private:
   void Accept();
   void CloseStalled();
+  void BoundQueuedBytes();
+
+  bool m_isBoundDue = false; ///< BoundQueuedBytes was posted
 };
 
 /// One caller connection: reads a request, passes it to the handler, writes the
@@ -116,6 +130,8 @@
   void CloseIfStalled();
   /// Whether a request was received in part or bytes of a response are left.
   bool IsBusy() const;
+  /// Bytes that are held until the caller has taken them.
+  std::size_t QueuedBytes() const { return m_queued.size() + m_writing.size(); }
 
 private:
   void OnRead(const error_code& aError);
@@ -188,6 +204,37 @@
                       [](const SessionPtr& aEach) { return aEach->IsBusy(); });
 }
 
+void
+HttpServer::Impl::BoundQueuedBytesSoon()
+{
+  if (m_queuedBytes <= kMaxAllQueuedBytes || m_isBoundDue) {
+    return;
+  }
+  m_isBoundDue = true;
+  asio::post(m_context, [self = shared_from_this()] {
+    self->m_isBoundDue = false;
+    self->BoundQueuedBytes();
+  });
+}
+
+void
+HttpServer::Impl::BoundQueuedBytes()
+{
+  while (m_queuedBytes > kMaxAllQueuedBytes) {
+    const auto largest =
+      std::max_element(m_sessions.begin(),
+                       m_sessions.end(),
+                       [](const SessionPtr& aLeft, const SessionPtr& aRight) {
+                         return aLeft->QueuedBytes() < aRight->QueuedBytes();
+                       });
+    const SessionPtr session = *largest;
+    WriteLog(LogEvent::SlowCallerClosed,
+             { { "queued", std::to_string(session->QueuedBytes()) },
+               { "queued_by_all", std::to_string(m_queuedBytes) } });
+    session->Close();
+  }
+}
+
 void
 HttpServer::Impl::Accept()
 {
@@ -356,10 +403,15 @@
     return;
   }
   m_queued += aBytes;
+  m_server->m_queuedBytes += aBytes.size();
   if (m_queued.size() > kMaxQueuedBytes) {
+    WriteLog(LogEvent::SlowCallerClosed,
+             { { "queued", std::to_string(QueuedBytes()) },
+               { "queued_by_all", std::to_string(m_server->m_queuedBytes) } });
     Close();
     return;
   }
+  m_server->BoundQueuedBytesSoon();
   Write();
 }
 
@@ -417,10 +469,12 @@
 void
 HttpServer::Impl::Session::OnWritten(const error_code& aError)
 {
-  m_writing.clear();
   if (m_isClosed) {
     return;
   }
+  m_server->m_queuedBytes -= m_writing.size();
+  // Releases the memory too: a kept connection may be idle for long.
+  m_writing = std::string();
   if (aError) {
     Close();
     return;
@@ -481,6 +535,8 @@
   m_stream.socket().close(ignored);
   auto self = shared_from_this();
   m_server->m_sessions.erase(self);
+  m_server->m_queuedBytes -= QueuedBytes();
+  m_queued = std::string();
   if (m_server->m_activeRequests.erase(m_caller) != 0) {
     m_server->m_handler.OnCallerDisconnected(m_caller);
   }
@@ -592,6 +648,12 @@
   return m_impl->IsIdle();
 }
 
+std::size_t
+HttpServer::QueuedBytes() const
+{
+  return m_impl->m_queuedBytes;
+}
+
 std::size_t
 HttpServer::Running() const
 {
--- a/src/libwire/wire_test.cpp
+++ b/src/libwire/wire_test.cpp
@@ -362,6 +362,72 @@
 
 } // namespace
 
+namespace {
+
+/// Streams the number of bytes in each request's body.
+class BytesServer : public HttpHandler
+{
+public:
+  BytesServer()
+    : m_server(m_context,
+               *this,
+               HttpServerLimits{ 1024, 4096, Duration(5'000'000), 64 })
+  {
+    tcp::acceptor portFinder(
+      m_context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    m_port = portFinder.local_endpoint().port();
+    portFinder.close();
+    m_server.Listen(Endpoint("127.0.0.1", m_port));
+  }
+  void OnRequest(CallerId aCaller, HttpRequest aRequest) override
+  {
+    m_server.StreamHead(aCaller, HttpResponse());
+    m_server.StreamData(aCaller, std::string(std::stoul(aRequest.m_body), 'x'));
+  }
+  void OnCallerDisconnected(CallerId) override { ++m_disconnected; }
+
+  /// Sends a request on a new connection, and runs the server for a while.
+  tcp::socket Request(std::size_t aBytes)
+  {
+    tcp::socket socket(m_callers);
+    socket.connect({ asio::ip::make_address("127.0.0.1"), m_port });
+    const std::string body = std::to_string(aBytes);
+    asio::write(socket,
+                asio::buffer("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                             std::to_string(body.size()) + "\r\n\r\n" + body));
+    m_context.run_for(std::chrono::milliseconds(20));
+    m_context.restart();
+    return socket;
+  }
+
+  asio::io_context m_callers;
+  asio::io_context m_context;
+  HttpServer m_server;
+  std::uint16_t m_port = 0;
+  int m_disconnected = 0;
+};
+
+} // namespace
+
+// Guards against answers without end to callers that read slowly, each within
+// its own limit, that together take the memory of the process.
+Test(http_server, bytes_that_callers_do_not_take_are_bounded_together)
+{
+  constexpr std::size_t kMebibyte = 1U << 20U;
+  BytesServer server;
+  std::vector<tcp::socket> callers;
+  callers.push_back(server.Request(10));
+  for (int i = 0; i < 30; ++i) {
+    callers.push_back(server.Request(7 * kMebibyte));
+    cr_assert_leq(server.m_server.QueuedBytes(), 24 * kMebibyte);
+  }
+  cr_assert_geq(server.m_disconnected, 20);
+  char byte = 0;
+  cr_assert_eq(callers.front().receive(asio::buffer(&byte, 1)), 1U);
+  cr_assert_eq(byte, 'H', "a caller with a small answer is not closed");
+  cr_assert_geq(server.m_server.Running(), 2U);
+}
+
 // Guards against a process that ends because a caller's header field is longer
 // than the HTTP library bears, where the limit in force allows it.
 Test(http_server, fields_longer_than_the_library_bears_are_refused)
