--- a/src/libwire/HttpServer.cpp
+++ b/src/libwire/HttpServer.cpp
@@ -227,11 +227,10 @@
                        [](const SessionPtr& aLeft, const SessionPtr& aRight) {
                          return aLeft->QueuedBytes() < aRight->QueuedBytes();
                        });
-    const SessionPtr session = *largest;
     WriteLog(LogEvent::SlowCallerClosed,
-             { { "queued", std::to_string(session->QueuedBytes()) },
+             { { "queued", std::to_string((*largest)->QueuedBytes()) },
                { "queued_by_all", std::to_string(m_queuedBytes) } });
-    session->Close();
+    (*largest)->Close();
   }
 }
 
