Ends of processes and of callers' connections leave a line

Callers saw connections that ended without an answer, and the entry's log had no line about them. Cause of the gap: a daemon that an exception ended wrote ProcessFailed into a buffer that nobody wrote out, and lost the lines before it; a signal of its own fault left nothing; a caller's end, a reset, a stalled caller and a full queue looked alike; no line told one process from the next.

Change: RunDaemon closes the log after an exception; ReportCrashes logs ProcessCrashed for signals and ProcessFailed for std::terminate; ProcessStarted has build, pid and boot; ProcessStopped is the last line of a planned stop, so that its absence tells of a kill; MemoryGrew and `resident_bytes` show memory before a limit ends the process; the leader logs EntryRestarted; RequestAbandoned and the new RequestCut say who ended the connection; dropped lines are counted by event.

Measured: without CloseLog in RunDaemon, process_end/exception_out_of_the_event_loop and process_end/lack_of_memory fail; with it core (12), daemon (7), fleet_node (2) pass. No message, record or command changed.

--- a/src/fulmarquay-standin/StandinRole.cpp
+++ b/src/fulmarquay-standin/StandinRole.cpp
@@ -52,7 +52,7 @@
 }
 
 void
-StandinRole::OnCallerDisconnected(CallerId aCaller)
+StandinRole::OnCallerDisconnected(CallerId aCaller, DisconnectReason)
 {
   m_disconnected[aCaller] = true;
 }
--- a/src/fulmarquay-standin/StandinRole.h
+++ b/src/fulmarquay-standin/StandinRole.h
@@ -21,7 +21,7 @@
   StandinRole(boost::asio::io_context& aContext, const Endpoint& aListen);
 
   void OnRequest(CallerId aCaller, HttpRequest aRequest) override;
-  void OnCallerDisconnected(CallerId aCaller) override;
+  void OnCallerDisconnected(CallerId aCaller, DisconnectReason) override;
 
 protected:
   /// Handles each request except `/fault?NAME=VALUE`.
--- a/src/include/fulmarquay/control/ControlNode.h
+++ b/src/include/fulmarquay/control/ControlNode.h
@@ -173,6 +173,8 @@
            std::vector<std::pair<std::string, std::string>> aFields) override;
 
   void OnMessage(ConnectionId aFrom, const EntryHeartbeat& aMessage);
+  /// Logs that another process of the entry sends heartbeats than before.
+  void LogRestart(const EntryHeartbeat& aHeartbeat);
   void OnMessage(ConnectionId aFrom, const BeginOnceRequest& aMessage);
   void OnMessage(ConnectionId aFrom, const FinishOnceRequest& aMessage);
   void OnMessage(ConnectionId aFrom, const SubmitRequest& aMessage);
--- a/src/include/fulmarquay/core/LogBuffer.h
+++ b/src/include/fulmarquay/core/LogBuffer.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace fulmarquay {
@@ -19,15 +20,20 @@
 
   explicit LogBuffer(std::size_t aMaxBytes = kMaxBytes);
 
-  /// Adds a line that ends with a newline.
-  void Add(const std::string& aLine, bool aIsHighPriority);
+  /// Adds a line that ends with a newline. `aEvent` is the number of its event.
+  void Add(const std::string& aLine, bool aIsHighPriority, int aEvent = 0);
 
-  /// Returns the number of lines dropped since the last call.
-  std::uint64_t TakeDroppedCount();
+  /// Returns the lines dropped since the last call, by the numbers of their
+  /// events.
+  std::map<int, std::uint64_t> TakeDropped();
 
   /// Writes as many bytes as the descriptor accepts without blocking.
   void Flush(int aDescriptor);
 
+  /// Like Flush, but waits until the descriptor accepts more bytes, each time
+  /// for at most `aWaitMs`.
+  void FlushWaiting(int aDescriptor, int aWaitMs);
+
   /// Bytes not yet written.
   std::size_t Size() const { return m_pending.size() - m_writtenBytes; }
 
@@ -35,7 +41,7 @@
   std::size_t m_maxBytes;
   std::string m_pending;
   std::size_t m_writtenBytes = 0; ///< prefix of m_pending already written
-  std::uint64_t m_droppedLines = 0;
+  std::map<int, std::uint64_t> m_dropped;
 };
 
 } // namespace fulmarquay
--- a/src/include/fulmarquay/core/LogEvent.h
+++ b/src/include/fulmarquay/core/LogEvent.h
@@ -18,6 +18,9 @@
   SettingsReloaded = 1005,
   LogLinesLeftOut = 1006,
   SettingsRefused = 1007,
+  ProcessStopped = 1008,
+  ProcessCrashed = 1009,
+  MemoryGrew = 1010,
   PeerConnected = 1101,
   PeerLost = 1102,
   BadFrame = 1103,
@@ -37,6 +40,7 @@
   RoutesInForce = 2112,
   RoutesRefused = 2113,
   EntryLost = 2201,
+  EntryRestarted = 2202,
   OrderIssued = 2301,
   WeightsNamed = 2302,
   OrderEnded = 2303,
@@ -68,6 +72,7 @@
   RequestPassed = 3308,
   PassedRequestReceived = 3309,
   PassRefused = 3310,
+  RequestCut = 3311,
   WorkerSuspected = 3401,
   WorkerAnnouncedLeaving = 3402,
   WorkerPaused = 3403,
@@ -119,6 +124,23 @@
 void
 FlushLog();
 
+/// Ends the buffering and writes the buffered lines, waiting for a slow reader
+/// for a limited time. To be called before the process ends, also after an
+/// error.
+void
+CloseLog();
+
+/// From now on logs ProcessCrashed, after the buffered lines, when the process
+/// ends by a signal of its own fault or by std::terminate. To be called after
+/// StartLog.
+void
+ReportCrashes();
+
+/// Logs ProcessStarted with the build and the id of the process, then the given
+/// fields.
+void
+LogProcessStarted(const std::vector<LogField>& aFields);
+
 /// Logs an event. Thread-safe.
 void
 WriteLog(LogEvent aEvent, const std::vector<LogField>& aFields = {});
--- a/src/include/fulmarquay/daemon/ControlServer.h
+++ b/src/include/fulmarquay/daemon/ControlServer.h
@@ -2,6 +2,7 @@
 #define FULMARQUAY_DAEMON_CONTROLSERVER_H
 
 #include "fulmarquay/daemon/DiskWriter.h"
+#include "fulmarquay/daemon/MemoryLog.h"
 #include "fulmarquay/daemon/PeerLinks.h"
 #include "fulmarquay/daemon/SyncHttpServer.h"
 #include "fulmarquay/daemon/SettingsReload.h"
@@ -44,7 +45,7 @@
              CallResult aEnd,
              const std::string& aReason) override;
   void OnRequest(CallerId aCaller, HttpRequest aRequest) override;
-  void OnCallerDisconnected(CallerId aCaller) override;
+  void OnCallerDisconnected(CallerId aCaller, DisconnectReason) override;
 
 private:
   explicit ControlServer(const Builder& aBuilder);
@@ -71,6 +72,7 @@
   boost::asio::io_context m_context;
   boost::asio::steady_timer m_tickTimer;
   boost::asio::steady_timer m_stopTimer;
+  MemoryLog m_memory;
   boost::asio::signal_set m_signals;
   std::unique_ptr<DiskFolder> m_folder;
   std::unique_ptr<LogStore> m_store;
--- a/src/include/fulmarquay/daemon/EntryServer.h
+++ b/src/include/fulmarquay/daemon/EntryServer.h
@@ -2,6 +2,7 @@
 #define FULMARQUAY_DAEMON_ENTRYSERVER_H
 
 #include "fulmarquay/core/Settings.h"
+#include "fulmarquay/daemon/MemoryLog.h"
 #include "fulmarquay/daemon/SyncHttpServer.h"
 #include "fulmarquay/daemon/SettingsReload.h"
 #include "fulmarquay/serve/EntryNode.h"
@@ -36,7 +37,8 @@
   void OnFrame(ConnectionId aConnection, Frame aFrame) override;
   void OnClosed(ConnectionId aConnection) override;
   void OnRequest(CallerId aCaller, HttpRequest aRequest) override;
-  void OnCallerDisconnected(CallerId aCaller) override;
+  void OnCallerDisconnected(CallerId aCaller,
+                            DisconnectReason aReason) override;
   void OnHead(CallId aCall, const HttpResponse& aHead) override;
   void OnData(CallId aCall, std::string aData) override;
   void OnEnd(CallId aCall,
@@ -87,6 +89,7 @@
   std::vector<ControlLink> m_control;
   std::map<Endpoint, ConnectionId> m_peers;
   int m_ticks = 0;
+  MemoryLog m_memory;
   TimePoint m_stopBy; ///< end of the process; not set while it serves
   SettingsReload m_reload;
   HttpServerLimits m_configuredLimits; ///< from the settings
--- a/src/include/fulmarquay/daemon/SyncHttpServer.h
+++ b/src/include/fulmarquay/daemon/SyncHttpServer.h
@@ -24,7 +24,7 @@
 
 private:
   void OnRequest(CallerId aCaller, HttpRequest aRequest) override;
-  void OnCallerDisconnected(CallerId aCaller) override;
+  void OnCallerDisconnected(CallerId aCaller, DisconnectReason) override;
 
   Handler m_handler;
   HttpServer m_server;
--- a/src/include/fulmarquay/serve/EntryEvents.h
+++ b/src/include/fulmarquay/serve/EntryEvents.h
@@ -4,6 +4,7 @@
 #include "fulmarquay/cache/CacheMessages.h"
 #include "fulmarquay/control/ControlMessages.h"
 #include "fulmarquay/core/LogEvent.h"
+#include "fulmarquay/wire/DisconnectReason.h"
 #include "fulmarquay/wire/HttpClient.h"
 #include "fulmarquay/wire/HttpMessage.h"
 
@@ -17,7 +18,9 @@
 
 /// A timer tick, every few tens of milliseconds.
 struct EntryTick
-{};
+{
+  Bytes m_resident{}; ///< memory of this process
+};
 
 /// A complete request of a caller, or one that another entry passed on.
 struct CallerRequest
@@ -31,6 +34,7 @@
 struct CallerDisconnected
 {
   CallerId m_caller;
+  DisconnectReason m_reason = DisconnectReason::CallerClosed;
 };
 
 /// Status and headers of an upstream's answer.
--- a/src/include/fulmarquay/serve/EntryNode.h
+++ b/src/include/fulmarquay/serve/EntryNode.h
@@ -62,6 +62,8 @@
   /// All metrics in the text exposition format.
   std::string RenderMetrics();
 
+  const EntryIdentity& Self() const { return m_context.Self(); }
+
   /// Revision of the route document in force; 0: none.
   Revision RoutesRevision() const;
 
@@ -122,6 +124,7 @@
   std::uint64_t m_leaderTerm = 0;
   bool m_isDraining = false;
   bool m_isStopped = false;
+  Bytes m_resident{}; ///< memory of this process, for the metrics
   TimePoint m_drainStartedAt;
 };
 
--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -86,7 +86,9 @@
   /// Starts a caller's request. `aIsPassed`: the caller is another entry, which
   /// reaches no worker.
   void Start(CallerId aCaller, HttpRequest aRequest, bool aIsPassed = false);
-  void OnCallerDisconnected(CallerId aCaller);
+  void OnCallerDisconnected(
+    CallerId aCaller,
+    DisconnectReason aReason = DisconnectReason::CallerClosed);
   void OnTick();
 
   void OnHead(CallId aCall, const HttpResponse& aHead) override;
--- a/src/include/fulmarquay/wire/HttpServer.h
+++ b/src/include/fulmarquay/wire/HttpServer.h
@@ -4,6 +4,7 @@
 #include "fulmarquay/core/Endpoint.h"
 #include "fulmarquay/core/StrongId.h"
 #include "fulmarquay/core/Units.h"
+#include "fulmarquay/wire/DisconnectReason.h"
 #include "fulmarquay/wire/HttpMessage.h"
 
 #include <boost/asio/io_context.hpp>
@@ -20,9 +21,10 @@
   virtual ~HttpHandler() = default;
   /// A complete request. The handler sends exactly one response for this id.
   virtual void OnRequest(CallerId aCaller, HttpRequest aRequest) = 0;
-  /// The caller disconnected before its response was complete. Responses to
-  /// this id are dropped from now on.
-  virtual void OnCallerDisconnected(CallerId aCaller) = 0;
+  /// The caller's connection ended before its response was complete. Responses
+  /// to this id are dropped from now on.
+  virtual void OnCallerDisconnected(CallerId aCaller,
+                                    DisconnectReason aReason) = 0;
 };
 
 /// Limits on connections and requests.
--- a/src/libcontrol/ControlNode.cpp
+++ b/src/libcontrol/ControlNode.cpp
@@ -98,6 +98,7 @@
     Refuse(aFrom, RequestId(0));
     return;
   }
+  LogRestart(aMessage);
   EntrySession& session = m_entries.OnHeartbeat(m_now, aFrom, aMessage);
   if (m_fleet) {
     // Before the reply, which renews the lease of the shares that are pushed.
@@ -119,6 +120,21 @@
   }
 }
 
+void
+ControlNode::LogRestart(const EntryHeartbeat& aHeartbeat)
+{
+  const EntrySession* session = m_entries.Find(aHeartbeat.m_vm);
+  if (session == nullptr || session->m_last.m_boot == aHeartbeat.m_boot) {
+    return;
+  }
+  const Duration silence = m_now - session->m_heartbeatAt;
+  Emit(LogLine{ LogEvent::EntryRestarted,
+                { { "entry", aHeartbeat.m_vm.Value() },
+                  { "boot", HexOf(aHeartbeat.m_boot.Value()) },
+                  { "previous_boot", HexOf(session->m_last.m_boot.Value()) },
+                  { "silent_ms", std::to_string(ToMillis(silence)) } } });
+}
+
 void
 ControlNode::OnMessage(ConnectionId aFrom, const BeginOnceRequest& aMessage)
 {
--- a/src/libcontrol/fleet_test.cpp
+++ b/src/libcontrol/fleet_test.cpp
@@ -685,6 +685,14 @@
     }
   }
 
+  void SendHeartbeat(const std::string& aVm, std::uint64_t aBoot)
+  {
+    EntryHeartbeat heartbeat;
+    heartbeat.m_vm = VmId(aVm);
+    heartbeat.m_boot = BootId(aBoot);
+    Feed(ControlMessageReceived{ ConnectionId(1), heartbeat });
+  }
+
   int Logged(LogEvent aEvent) { return m_logged[aEvent]; }
   const ControlNode& Node() const { return *m_node; }
   int OrderCalls() const { return m_orderCalls; }
@@ -726,6 +734,21 @@
   cr_assert_eq(replica.Logged(LogEvent::WeightsNamed), 1);
 }
 
+Test(fleet_node, the_leader_logs_that_an_entry_was_started_again)
+{
+  SingleReplica replica({});
+  replica.Advance(2'000);
+  replica.SendHeartbeat("e1", 7);
+  replica.SendHeartbeat("e2", 8);
+  replica.Advance(1'000);
+  replica.SendHeartbeat("e1", 7);
+  cr_assert_eq(replica.Logged(LogEvent::EntryRestarted), 0);
+  replica.SendHeartbeat("e1", 9);
+  replica.SendHeartbeat("e1", 9);
+  replica.SendHeartbeat("e2", 8);
+  cr_assert_eq(replica.Logged(LogEvent::EntryRestarted), 1);
+}
+
 Test(entries, held_tokens_of_other_live_entries_are_summed)
 {
   EntryRegistry entries(Duration(5'000'000));
--- a/src/libcore/LogBuffer.cpp
+++ b/src/libcore/LogBuffer.cpp
@@ -14,11 +14,11 @@
 }
 
 void
-LogBuffer::Add(const std::string& aLine, bool aIsHighPriority)
+LogBuffer::Add(const std::string& aLine, bool aIsHighPriority, int aEvent)
 {
   const std::size_t limit = aIsHighPriority ? m_maxBytes : m_maxBytes / 2;
   if (Size() + aLine.size() > limit) {
-    ++m_droppedLines;
+    ++m_dropped[aEvent];
     return;
   }
   if (m_writtenBytes >= m_maxBytes / 2) {
@@ -28,20 +28,26 @@
   m_pending += aLine;
 }
 
-std::uint64_t
-LogBuffer::TakeDroppedCount()
+std::map<int, std::uint64_t>
+LogBuffer::TakeDropped()
 {
-  return std::exchange(m_droppedLines, 0);
+  return std::exchange(m_dropped, {});
 }
 
 void
 LogBuffer::Flush(int aDescriptor)
+{
+  FlushWaiting(aDescriptor, 0);
+}
+
+void
+LogBuffer::FlushWaiting(int aDescriptor, int aWaitMs)
 {
   while (m_writtenBytes < m_pending.size()) {
     // A pipe that polls as writable accepts PIPE_BUF bytes without blocking.
     pollfd state{ aDescriptor, POLLOUT, 0 };
     const bool isWritable =
-      ::poll(&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
+      ::poll(&state, 1, aWaitMs) == 1 && (state.revents & POLLOUT) != 0;
     if (!isWritable) {
       return;
     }
--- a/src/libcore/Program.cpp
+++ b/src/libcore/Program.cpp
@@ -34,6 +34,7 @@
       return static_cast<int>(ExitCode::Ok);
     }
     aRun(settings, line);
+    CloseLog();
     return static_cast<int>(ExitCode::Ok);
   } catch (const SettingsError& e) {
     for (const std::string& problem : e.Problems()) {
@@ -47,6 +48,7 @@
   } catch (const std::exception& e) {
     WriteLog(LogEvent::ProcessFailed, { { "reason", e.what() } });
   }
+  CloseLog();
   return static_cast<int>(ExitCode::Failed);
 }
 
--- a/src/libcore/core_test.cpp
+++ b/src/libcore/core_test.cpp
@@ -213,8 +213,11 @@
   cr_assert_eq(buffer.Size(), 500U);
   buffer.Add("failure\n", true);
   cr_assert_eq(buffer.Size(), 508U);
-  cr_assert_eq(buffer.TakeDroppedCount(), 15U);
-  cr_assert_eq(buffer.TakeDroppedCount(), 0U);
+  buffer.Add(line + "\n", false, 3301);
+  const std::map<int, std::uint64_t> dropped = buffer.TakeDropped();
+  cr_assert(dropped ==
+            (std::map<int, std::uint64_t>{ { 0, 15 }, { 3301, 1 } }));
+  cr_assert(buffer.TakeDropped().empty());
 }
 
 Test(log_buffer, flush_to_unread_pipe_does_not_block)
--- a/src/libdaemon/ControlServer.cpp
+++ b/src/libdaemon/ControlServer.cpp
@@ -181,6 +181,8 @@
 {
   const Replica& replica = m_node->Consensus();
   const bool isLeading = replica.HoldsLease(MonotonicNow());
+  m_metrics.Gauge("resident_bytes",
+                  static_cast<double>(m_memory.Resident().Count()));
   m_metrics.Gauge("leads", isLeading ? 1 : 0);
   m_metrics.Gauge("term", static_cast<double>(replica.CurrentTerm().Value()));
   m_metrics.Gauge("commit", static_cast<double>(replica.Commit().Value()));
@@ -245,7 +247,7 @@
 void
 ControlServer::Run()
 {
-  WriteLog(LogEvent::ProcessStarted);
+  LogProcessStarted({ { "replica", HexOf(m_node->Consensus().Id().Value()) } });
   m_signals.async_wait([this](const boost::system::error_code& aError, int) {
     if (!aError) {
       Stop();
@@ -253,11 +255,12 @@
   });
   m_peers.SetMembership(m_node->Consensus().Members());
   m_peers.Reconnect();
+  ReportCrashes();
   BufferLog();
   Tick();
   m_context.run();
   m_diskWriter.reset();
-  FlushLog();
+  WriteLog(LogEvent::ProcessStopped);
 }
 
 void
@@ -272,6 +275,7 @@
       m_peers.Reconnect();
     }
     ProcessEvent(ReplicaEvent(ReplicaTick{}));
+    m_memory.Sample(MonotonicNow());
     FlushLog();
     Tick();
   });
@@ -376,7 +380,7 @@
 }
 
 void
-ControlServer::OnCallerDisconnected(CallerId aCaller)
+ControlServer::OnCallerDisconnected(CallerId aCaller, DisconnectReason)
 {
   m_operatorCalls.erase(aCaller);
 }
--- a/src/libdaemon/EntryServer.cpp
+++ b/src/libdaemon/EntryServer.cpp
@@ -4,6 +4,7 @@
 
 #include "fulmarquay/control/ProgramSettings.h"
 #include "fulmarquay/core/Clock.h"
+#include "fulmarquay/core/Digest.h"
 #include "fulmarquay/core/Settings.h"
 
 #include <csignal>
@@ -202,13 +203,15 @@
 void
 EntryServer::Run()
 {
-  WriteLog(LogEvent::ProcessStarted);
+  LogProcessStarted({ { "vm", m_node.Self().m_vm.Value() },
+                      { "boot", HexOf(m_node.Self().m_boot.Value()) } });
   AwaitSignal();
   ConnectControl();
+  ReportCrashes();
   BufferLog();
   Tick();
   m_context.run();
-  FlushLog();
+  WriteLog(LogEvent::ProcessStopped);
 }
 
 void
@@ -236,7 +239,8 @@
     if (++m_ticks % kTicksPerReconnect == 0) {
       ConnectControl();
     }
-    ProcessEvent(EntryTick{});
+    m_memory.Sample(MonotonicNow());
+    ProcessEvent(EntryTick{ m_memory.Resident() });
     ApplyRouteLimits();
     StopWhenIdle();
     FlushLog();
@@ -411,9 +415,9 @@
 }
 
 void
-EntryServer::OnCallerDisconnected(CallerId aCaller)
+EntryServer::OnCallerDisconnected(CallerId aCaller, DisconnectReason aReason)
 {
-  ProcessEvent(CallerDisconnected{ aCaller });
+  ProcessEvent(CallerDisconnected{ aCaller, aReason });
 }
 
 void
--- a/src/libdaemon/SyncHttpServer.cpp
+++ b/src/libdaemon/SyncHttpServer.cpp
@@ -20,7 +20,7 @@
 }
 
 void
-SyncHttpServer::OnCallerDisconnected(CallerId)
+SyncHttpServer::OnCallerDisconnected(CallerId, DisconnectReason)
 {
   // OnRequest has already responded; no state is kept for a caller.
 }
--- a/src/libdaemon/daemon_test.cpp
+++ b/src/libdaemon/daemon_test.cpp
@@ -1,13 +1,23 @@
 #include <utility>
 
+#include "fulmarquay/core/LogEvent.h"
+#include "fulmarquay/core/MemoryWatch.h"
+#include "fulmarquay/core/Program.h"
 #include "fulmarquay/core/SettingsSpec.h"
 #include "fulmarquay/daemon/SettingsReload.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <functional>
+#include <stdexcept>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
 
 // Included last because its macros clash with names in other headers.
 #include <criterion/criterion.h>
@@ -54,3 +64,141 @@
   cr_assert(applied == (std::vector<std::int64_t>{ 1, 3 }));
   std::filesystem::remove_all(folder);
 }
+
+namespace {
+
+/// Runs `aBody` as a daemon with a buffered log; returns its exit code.
+int
+RunTestDaemon(const std::function<void()>& aBody)
+{
+  char path[] = "/tmp/fulmarquay-daemon-XXXXXX";
+  const std::string folder = ::mkdtemp(path);
+  const std::string file = folder + "/f.ini";
+  WriteFile(file, "[s]\nn = 1\n");
+  std::string words[] = { "test-daemon", "--settings", file };
+  char* arguments[] = { words[0].data(), words[1].data(), words[2].data() };
+  CommandSpec spec;
+  spec.m_program = words[0];
+  return RunDaemon(3, arguments, spec, MakeSpec(), [&](auto&&...) {
+    std::filesystem::remove_all(folder);
+    StartLog("test-daemon", "text");
+    ReportCrashes();
+    LogProcessStarted({});
+    BufferLog();
+    WriteLog(LogEvent::RequestSent, { { "id", "last" } });
+    aBody();
+  });
+}
+
+/// What a child process that runs `aBody` as a daemon writes to its standard
+/// output.
+std::string
+OutputOfDaemon(const std::function<void()>& aBody)
+{
+  int ends[2];
+  cr_assert_eq(::pipe(ends), 0);
+  const pid_t child = ::fork();
+  if (child == 0) {
+    ::dup2(ends[1], STDOUT_FILENO);
+    ::close(ends[0]);
+    ::close(ends[1]);
+    std::_Exit(RunTestDaemon(aBody));
+  }
+  ::close(ends[1]);
+  std::string output;
+  char bytes[4096];
+  for (ssize_t size = 0; (size = ::read(ends[0], bytes, sizeof(bytes))) > 0;) {
+    output.append(bytes, static_cast<std::size_t>(size));
+  }
+  ::close(ends[0]);
+  int status = 0;
+  ::waitpid(child, &status, 0);
+  return output;
+}
+
+bool
+Contains(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+} // namespace
+
+Test(process_end, exception_out_of_the_event_loop_leaves_its_line)
+{
+  const std::string output = OutputOfDaemon([] {
+    boost::asio::io_context context;
+    boost::asio::post(context, [] { throw std::length_error("too long"); });
+    context.run();
+  });
+  cr_assert(Contains(output, "name=ProcessStarted"), "%s", output.c_str());
+  cr_assert(Contains(output, "id=\"last\""), "%s", output.c_str());
+  cr_assert(Contains(output, "name=ProcessFailed"), "%s", output.c_str());
+  cr_assert(Contains(output, "reason=\"too long\""), "%s", output.c_str());
+}
+
+Test(process_end, exception_of_another_thread_leaves_its_line)
+{
+  const std::string output = OutputOfDaemon(
+    [] { std::thread([] { throw std::length_error("in a thread"); }).join(); });
+  cr_assert(Contains(output, "id=\"last\""), "%s", output.c_str());
+  cr_assert(Contains(output, "reason=\"in a thread\""), "%s", output.c_str());
+}
+
+Test(process_end, crash_leaves_the_last_lines_and_its_signal)
+{
+  for (const int signal : { SIGSEGV, SIGFPE, SIGBUS, SIGILL, SIGABRT }) {
+    const std::string output = OutputOfDaemon([=] { std::raise(signal); });
+    cr_assert(Contains(output, "id=\"last\""), "%s", output.c_str());
+    cr_assert(Contains(output, "name=ProcessCrashed"), "%s", output.c_str());
+    cr_assert(Contains(output, "signal=\"" + std::to_string(signal) + "\""),
+              "%s",
+              output.c_str());
+  }
+}
+
+Test(process_end, lack_of_memory_leaves_its_line)
+{
+  const std::string output = OutputOfDaemon([] {
+    const rlimit limit{ 1U << 30U, 1U << 30U };
+    ::setrlimit(RLIMIT_AS, &limit);
+    std::vector<std::string> held;
+    boost::asio::io_context context;
+    boost::asio::post(context, [&] {
+      for (;;) {
+        held.emplace_back(std::size_t{ 64U << 20U }, 'x');
+      }
+    });
+    context.run();
+  });
+  cr_assert(Contains(output, "id=\"last\""), "%s", output.c_str());
+  cr_assert(Contains(output, "name=ProcessFailed"), "%s", output.c_str());
+  cr_assert(Contains(output, "bad_alloc"), "%s", output.c_str());
+}
+
+Test(process_end, a_killed_process_leaves_no_line_of_its_end)
+{
+  const std::string output = OutputOfDaemon([] {
+    FlushLog();
+    std::raise(SIGKILL);
+  });
+  cr_assert(Contains(output, "id=\"last\""), "%s", output.c_str());
+  cr_assert_not(Contains(output, "ProcessFailed"), "%s", output.c_str());
+  cr_assert_not(Contains(output, "ProcessStopped"), "%s", output.c_str());
+}
+
+Test(memory_watch, each_step_is_told_once)
+{
+  MemoryWatch watch;
+  const TimePoint start(Duration(1'000'000));
+  const std::int64_t step = MemoryWatch::kStep.Count();
+  cr_assert(watch.IsDue(start));
+  cr_assert_not(watch.OnSample(start, Bytes(step - 1)).has_value());
+  cr_assert_not(watch.IsDue(start + MemoryWatch::kInterval - Duration(1)));
+  cr_assert(watch.OnSample(start, Bytes(step)).has_value());
+  cr_assert_not(watch.OnSample(start, Bytes(step + 1)).has_value());
+  cr_assert_not(watch.OnSample(start, Bytes(1)).has_value());
+  cr_assert_not(watch.OnSample(start, Bytes(step)).has_value());
+  cr_assert(watch.OnSample(start, Bytes(3 * step)).has_value());
+  cr_assert_eq(watch.Resident().Count(), 3 * step);
+}
--- a/src/libserve/EntryNode.cpp
+++ b/src/libserve/EntryNode.cpp
@@ -208,8 +208,9 @@
 }
 
 void
-EntryNode::On(const EntryTick&)
+EntryNode::On(const EntryTick& aEvent)
 {
+  m_resident = aEvent.m_resident;
   m_control.OnTick();
   m_config.OnTick(m_control.HasLease());
   m_cache.OnTick();
@@ -276,6 +277,8 @@
 EntryNode::RenderMetrics()
 {
   m_context.Counters().Gauge("running", static_cast<double>(Running()));
+  m_context.Counters().Gauge("resident_bytes",
+                             static_cast<double>(m_resident.Count()));
   if (m_relay) {
     m_context.Counters().Gauge("blocked_parts",
                                static_cast<double>(m_relay->BlockedParts()));
@@ -432,7 +435,7 @@
 EntryNode::On(const CallerDisconnected& aEvent)
 {
   if (m_relay) {
-    m_relay->OnCallerDisconnected(aEvent.m_caller);
+    m_relay->OnCallerDisconnected(aEvent.m_caller, aEvent.m_reason);
   }
   m_chat.OnCallerDisconnected(aEvent.m_caller);
   m_services.OnCallerDisconnected(aEvent.m_caller);
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -376,16 +376,23 @@
 }
 
 void
-RelayFlow::OnCallerDisconnected(CallerId aCaller)
+RelayFlow::OnCallerDisconnected(CallerId aCaller, DisconnectReason aReason)
 {
   const auto found = m_byCaller.find(aCaller);
   if (found == m_byCaller.end()) {
     return;
   }
   ActiveRequest& active = *found->second;
-  m_context.Log(LogEvent::RequestAbandoned,
+  const bool isOwnDecision = IsOwnDecision(aReason);
+  m_context.Counters().Count("relay_disconnected_total",
+                             "reason=\"" + std::string(NameOf(aReason)) + "\"");
+  m_context.Log(isOwnDecision ? LogEvent::RequestCut
+                              : LogEvent::RequestAbandoned,
                 { { "id", active.m_request.m_id },
+                  { "why", std::string(NameOf(aReason)) },
                   { "worker", active.m_worker.Value() },
+                  { "streaming", active.m_isStreaming ? "yes" : "no" },
+                  { "event", std::to_string(active.m_eventSplitter.LastId()) },
                   { "age_ms", FormatMillis(Age(active)) } });
   Remove(active);
 }
--- a/src/libwire/HttpServer.cpp
+++ b/src/libwire/HttpServer.cpp
@@ -118,7 +118,8 @@
   void ReadRequest();
   void Queue(const std::string& aBytes);
   void Finish(bool aKeepOpen);
-  void Close();
+  /// The reason matters only while a request is running.
+  void Close(DisconnectReason aReason = DisconnectReason::CallerClosed);
   /// Closes the connection with a reset, which no caller takes for the end of a
   /// complete response.
   void Reset();
@@ -230,7 +231,7 @@
     WriteLog(LogEvent::SlowCallerClosed,
              { { "queued", std::to_string((*largest)->QueuedBytes()) },
                { "queued_by_all", std::to_string(m_queuedBytes) } });
-    (*largest)->Close();
+    (*largest)->Close(DisconnectReason::Overfull);
   }
 }
 
@@ -272,7 +273,7 @@
   while (!m_sessions.empty()) {
     const SessionPtr session = *m_sessions.begin();
     m_sessions.erase(m_sessions.begin());
-    session->Close();
+    session->Close(DisconnectReason::Stopped);
   }
 }
 
@@ -343,7 +344,9 @@
       const bool isDisconnected =
         size == 0 && readError != asio::error::would_block;
       if (isDisconnected) {
-        self->Close();
+        self->Close(readError == asio::error::eof
+                      ? DisconnectReason::CallerClosed
+                      : DisconnectReason::CallerReset);
       }
     });
 }
@@ -407,7 +410,7 @@
     WriteLog(LogEvent::SlowCallerClosed,
              { { "queued", std::to_string(QueuedBytes()) },
                { "queued_by_all", std::to_string(m_server->m_queuedBytes) } });
-    Close();
+    Close(DisconnectReason::Overfull);
     return;
   }
   m_server->BoundQueuedBytesSoon();
@@ -453,7 +456,7 @@
   m_hasWritten = false;
   m_stalledChecks = isStalled ? m_stalledChecks + 1 : 0;
   if (m_stalledChecks >= kStalledChecks) {
-    Close();
+    Close(DisconnectReason::Stalled);
   }
 }
 
@@ -475,7 +478,7 @@
   // Releases the memory too: a kept connection may be idle for long.
   m_writing = std::string();
   if (aError) {
-    Close();
+    Close(DisconnectReason::CallerReset);
     return;
   }
   if (!m_queued.empty()) {
@@ -524,7 +527,7 @@
 }
 
 void
-HttpServer::Impl::Session::Close()
+HttpServer::Impl::Session::Close(DisconnectReason aReason)
 {
   if (m_isClosed) {
     return;
@@ -537,7 +540,7 @@
   m_server->m_queuedBytes -= QueuedBytes();
   m_queued = std::string();
   if (m_server->m_activeRequests.erase(m_caller) != 0) {
-    m_server->m_handler.OnCallerDisconnected(m_caller);
+    m_server->m_handler.OnCallerDisconnected(m_caller, aReason);
   }
 }
 
--- a/src/libwire/wire_test.cpp
+++ b/src/libwire/wire_test.cpp
@@ -157,7 +157,7 @@
     response.m_body = "echo:" + aRequest.m_body;
     m_server.Respond(aCaller, response);
   }
-  void OnCallerDisconnected(CallerId) override {}
+  void OnCallerDisconnected(CallerId, DisconnectReason) override {}
 
   /// Sends bytes, then reads until the server closes the connection.
   std::string Exchange(const std::string& aBytes, bool aCloseWrite = true)
@@ -218,7 +218,7 @@
       m_server.StreamEnd(aCaller, m_isComplete);
     });
   }
-  void OnCallerDisconnected(CallerId) override {}
+  void OnCallerDisconnected(CallerId, DisconnectReason) override {}
 
   /// Sends a request; returns what is received and how the connection ends.
   std::pair<std::string, boost::system::error_code> Exchange(
@@ -321,7 +321,7 @@
     response.m_body = std::string(kBytes, 'x');
     m_server.Respond(aCaller, response);
   }
-  void OnCallerDisconnected(CallerId) override {}
+  void OnCallerDisconnected(CallerId, DisconnectReason) override {}
 
   void Run(Duration aTime)
   {
@@ -384,7 +384,11 @@
     m_server.StreamHead(aCaller, HttpResponse());
     m_server.StreamData(aCaller, std::string(std::stoul(aRequest.m_body), 'x'));
   }
-  void OnCallerDisconnected(CallerId) override { ++m_disconnected; }
+  void OnCallerDisconnected(CallerId, DisconnectReason aReason) override
+  {
+    ++m_disconnected;
+    m_reasons.insert(aReason);
+  }
 
   /// Sends a request on a new connection, and runs the server for a while.
   tcp::socket Request(std::size_t aBytes)
@@ -405,6 +409,7 @@
   HttpServer m_server;
   std::uint16_t m_port = 0;
   int m_disconnected = 0;
+  std::set<DisconnectReason> m_reasons;
 };
 
 } // namespace
@@ -428,6 +433,34 @@
   cr_assert_geq(server.m_server.Running(), 2U);
 }
 
+Test(http_server, a_disconnection_says_who_ended_it)
+{
+  constexpr std::size_t kOneCallersLimit = 8U << 20U;
+  const auto runAfter = [](BytesServer& aServer) {
+    aServer.m_context.run_for(std::chrono::milliseconds(50));
+    aServer.m_context.restart();
+  };
+  BytesServer closed;
+  tcp::socket leaving = closed.Request(10);
+  // Unread bytes would make the end a reset.
+  std::string answer(leaving.available(), ' ');
+  asio::read(leaving, asio::buffer(answer));
+  leaving.close();
+  runAfter(closed);
+  cr_assert(closed.m_reasons == std::set{ DisconnectReason::CallerClosed });
+
+  BytesServer reset;
+  tcp::socket caller = reset.Request(10);
+  caller.set_option(asio::socket_base::linger(true, 0));
+  caller.close();
+  runAfter(reset);
+  cr_assert(reset.m_reasons == std::set{ DisconnectReason::CallerReset });
+
+  BytesServer overfull;
+  const tcp::socket slow = overfull.Request(2 * kOneCallersLimit);
+  cr_assert(overfull.m_reasons == std::set{ DisconnectReason::Overfull });
+}
+
 // Guards against a process that ends because a caller's header field is longer
 // than the HTTP library bears, where the limit in force allows it.
 Test(http_server, fields_longer_than_the_library_bears_are_refused)
