Daemons survive the end of their log's reader and an early reload signal

Callers saw: all requests of an entry end at once, without an answer. Cause: the log goes to standard output; when its reader ends, the next write raises SIGPIPE, whose default ends the process, without a line. SIGHUP before its handler is set does the same.

Change: both signals are ignored from the start of a daemon; the reload handler replaces that.

--- a/src/libcore/Program.cpp
+++ b/src/libcore/Program.cpp
@@ -2,6 +2,7 @@
 
 #include "fulmarquay/core/LogEvent.h"
 
+#include <csignal>
 #include <iostream>
 
 namespace fulmarquay {
@@ -27,6 +28,10 @@
     std::cerr << aSpec.m_program << ": --settings FILE is needed; see --help\n";
     return static_cast<int>(ExitCode::Usage);
   }
+  // The end of the log's reader fails a write, which drops lines.
+  std::signal(SIGPIPE, SIG_IGN);
+  // The default action ends the process; a later handler replaces this one.
+  std::signal(SIGHUP, SIG_IGN);
   try {
     const Settings settings = Settings::Load(file, aSettings);
     if (isCheck) {
--- a/src/libdaemon/daemon_test.cpp
+++ b/src/libdaemon/daemon_test.cpp
@@ -187,6 +187,49 @@
   cr_assert_not(Contains(output, "ProcessStopped"), "%s", output.c_str());
 }
 
+// Guards against an end of the process, with all requests that it runs, when
+// the reader of its log ends.
+Test(process_end, a_log_reader_that_ends_does_not_end_the_process)
+{
+  constexpr int kReachedEnd = 7;
+  int ends[2];
+  cr_assert_eq(::pipe(ends), 0);
+  const pid_t child = ::fork();
+  if (child == 0) {
+    ::dup2(ends[1], STDOUT_FILENO);
+    ::close(ends[0]);
+    ::close(ends[1]);
+    RunTestDaemon([] {
+      for (int i = 0; i < 20; ++i) {
+        WriteLog(LogEvent::RequestSent, { { "id", "later" } });
+        FlushLog();
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+      }
+      std::_Exit(kReachedEnd);
+    });
+    std::_Exit(0);
+  }
+  ::close(ends[1]);
+  char byte = 0;
+  cr_assert_eq(::read(ends[0], &byte, 1), 1);
+  ::close(ends[0]);
+  int status = 0;
+  ::waitpid(child, &status, 0);
+  cr_assert(WIFEXITED(status), "ended by signal %d", WTERMSIG(status));
+  cr_assert_eq(WEXITSTATUS(status), kReachedEnd);
+}
+
+// Guards against an end of the process when the settings change while it
+// starts.
+Test(process_end, a_reload_signal_during_the_start_does_not_end_the_process)
+{
+  const std::string output = OutputOfDaemon([] {
+    std::raise(SIGHUP);
+    WriteLog(LogEvent::ProcessStopped);
+  });
+  cr_assert(Contains(output, "ProcessStopped"), "%s", output.c_str());
+}
+
 Test(memory_watch, each_step_is_told_once)
 {
   MemoryWatch watch;
