--- a/src/libdaemon/daemon_test.cpp
+++ b/src/libdaemon/daemon_test.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -219,6 +220,33 @@
   cr_assert_eq(WEXITSTATUS(status), kReachedEnd);
 }
 
+// Guards against an end of the process when its log's file may not grow.
+Test(process_end, a_log_file_at_its_size_limit_does_not_end_the_process)
+{
+  constexpr int kReachedEnd = 7;
+  constexpr rlim_t kMaxFileBytes = 4096;
+  std::FILE* file = std::tmpfile();
+  const pid_t child = ::fork();
+  if (child == 0) {
+    ::dup2(::fileno(file), STDOUT_FILENO);
+    RunTestDaemon([] {
+      const rlimit limit{ kMaxFileBytes, kMaxFileBytes };
+      ::setrlimit(RLIMIT_FSIZE, &limit);
+      for (int i = 0; i < 100; ++i) {
+        WriteLog(LogEvent::RequestSent, { { "id", "later" } });
+        FlushLog();
+      }
+      std::_Exit(kReachedEnd);
+    });
+    std::_Exit(0);
+  }
+  int status = 0;
+  ::waitpid(child, &status, 0);
+  std::fclose(file);
+  cr_assert(WIFEXITED(status), "ended by signal %d", WTERMSIG(status));
+  cr_assert_eq(WEXITSTATUS(status), kReachedEnd);
+}
+
 // Guards against an end of the process when the settings change while it
 // starts.
 Test(process_end, a_reload_signal_during_the_start_does_not_end_the_process)
