Listeners pause after a failed accept

Cause: HttpServer and FrameHub accepted again at once after an error. Without file descriptors (EMFILE) each attempt fails at once, so that the event loop spins, and no line says so. Change: after an error the listener logs AcceptFailed (1106, at most one line a second, with the count) and accepts again after 50 ms; connections wait in the system's queue meanwhile.

--- a/src/include/fulmarquay/core/LogEvent.h
+++ b/src/include/fulmarquay/core/LogEvent.h
@@ -25,6 +25,7 @@
   PeerLost = 1102,
   BadFrame = 1103,
   SlowCallerClosed = 1104,
+  AcceptFailed = 1106,
   BecameLeader = 2001,
   LostLeadership = 2002,
   DiskFormatted = 2003,
--- a/src/libcore/LogCatalogue.cpp
+++ b/src/libcore/LogCatalogue.cpp
@@ -67,6 +67,12 @@
       "A caller took its answer too slowly, and the bytes queued for it or for "
       "all callers reached their limit; its connection was closed.",
       "Find the worker whose answers have no end if it recurs." },
+    { LogEvent::AcceptFailed,
+      "AcceptFailed",
+      "error",
+      "Connections can't be accepted, mostly because the process has no file "
+      "descriptors left; tried again after 50 ms. At most one line a second.",
+      "Find what holds the descriptors, or raise their limit." },
     { LogEvent::BecameLeader,
       "BecameLeader",
       "info",
--- a/src/libwire/FrameHub.cpp
+++ b/src/libwire/FrameHub.cpp
@@ -2,6 +2,7 @@
 
 #include "fulmarquay/wire/FrameHub.h"
 
+#include "AcceptPause.h"
 #include "fulmarquay/core/Error.h"
 #include "fulmarquay/core/LogEvent.h"
 
@@ -50,6 +51,7 @@
     : m_context(aContext)
     , m_handler(aHandler)
     , m_acceptor(aContext)
+    , m_acceptPause(aContext)
   {
   }
 
@@ -90,6 +92,7 @@
   asio::io_context& m_context;
   FrameHandler& m_handler;
   tcp::acceptor m_acceptor;
+  AcceptPause m_acceptPause;
   std::map<ConnectionId, ConnectionPtr> m_connections;
   std::uint64_t m_nextId = 1;
   FrameTraffic m_traffic;
@@ -119,11 +122,19 @@
       if (!self->m_acceptor.is_open()) {
         return;
       }
-      if (!aError) {
-        auto connection = std::make_shared<Connection>(std::move(aSocket));
-        const ConnectionId id = self->Register(connection);
-        self->OnOpened(id, connection);
+      if (aError) {
+        const std::weak_ptr<Impl> weak = self;
+        self->m_acceptPause.Start(self->m_acceptor, aError, [weak] {
+          const auto hub = weak.lock();
+          if (hub && hub->m_acceptor.is_open()) {
+            hub->Accept();
+          }
+        });
+        return;
       }
+      auto connection = std::make_shared<Connection>(std::move(aSocket));
+      const ConnectionId id = self->Register(connection);
+      self->OnOpened(id, connection);
       self->Accept();
     });
 }
--- a/src/libwire/HttpServer.cpp
+++ b/src/libwire/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include "fulmarquay/wire/HttpServer.h"
 
+#include "AcceptPause.h"
 #include "ResponseText.h"
 #include "fulmarquay/core/Error.h"
 #include "fulmarquay/core/LogEvent.h"
@@ -64,6 +65,7 @@
     , m_handler(aHandler)
     , m_limits(aLimits)
     , m_acceptor(aContext)
+    , m_acceptPause(aContext)
     , m_stallTimer(aContext)
     , m_nextCaller(aFirstCaller.Value())
   {
@@ -82,6 +84,7 @@
   HttpHandler& m_handler;
   HttpServerLimits m_limits;
   tcp::acceptor m_acceptor;
+  AcceptPause m_acceptPause;
   asio::steady_timer m_stallTimer;
   std::map<CallerId, SessionPtr> m_activeRequests;
   std::set<SessionPtr> m_sessions;
@@ -244,9 +247,19 @@
       if (!self->m_acceptor.is_open()) {
         return;
       }
+      if (aError) {
+        const std::weak_ptr<Impl> weak = self;
+        self->m_acceptPause.Start(self->m_acceptor, aError, [weak] {
+          const auto server = weak.lock();
+          if (server && server->m_acceptor.is_open()) {
+            server->Accept();
+          }
+        });
+        return;
+      }
       const bool isBelowLimit =
         self->m_sessions.size() < self->m_limits.m_connections;
-      if (!aError && isBelowLimit) {
+      if (isBelowLimit) {
         error_code ignored;
         aSocket.set_option(tcp::no_delay(true), ignored);
         auto session = std::make_shared<Session>(self, std::move(aSocket));
--- a/src/libwire/wire_test.cpp
+++ b/src/libwire/wire_test.cpp
@@ -13,7 +13,9 @@
 #include <boost/asio/write.hpp>
 #include <cstdint>
 #include <random>
+#include <sys/resource.h>
 #include <thread>
+#include <unistd.h>
 
 // Included last because its macros clash with names in other headers.
 #include <criterion/criterion.h>
@@ -461,6 +463,54 @@
   cr_assert(overfull.m_reasons == std::set{ DisconnectReason::Overfull });
 }
 
+namespace {
+
+/// While it exists, this process can open no more descriptors.
+class NoDescriptors
+{
+public:
+  NoDescriptors()
+  {
+    ::getrlimit(RLIMIT_NOFILE, &m_before);
+    const int lowestFree = ::dup(STDERR_FILENO);
+    ::close(lowestFree);
+    rlimit limit = m_before;
+    limit.rlim_cur = static_cast<rlim_t>(lowestFree);
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+  }
+  ~NoDescriptors() { ::setrlimit(RLIMIT_NOFILE, &m_before); }
+
+private:
+  rlimit m_before{};
+};
+
+/// Handlers that run in 300 ms of an idle server to which nobody can connect;
+/// a failed accept that is repeated at once runs tens of thousands.
+constexpr std::size_t kMaxIdleHandlers = 30;
+constexpr std::chrono::milliseconds kIdleTime(300);
+
+} // namespace
+
+// Guards against an entry that spends its processor time on accepting while it
+// has no descriptor left.
+Test(http_server, without_descriptors_it_pauses_and_accepts_afterwards)
+{
+  BytesServer server;
+  const tcp::socket running = server.Request(10);
+  tcp::socket waiting(server.m_callers);
+  waiting.connect({ asio::ip::make_address("127.0.0.1"), server.m_port });
+  {
+    const NoDescriptors none;
+    const std::size_t handlers = server.m_context.run_for(kIdleTime);
+    server.m_context.restart();
+    cr_assert_leq(handlers, kMaxIdleHandlers, "%zu handlers", handlers);
+  }
+  asio::write(waiting, asio::buffer(Post("10")));
+  server.m_context.run_for(kIdleTime);
+  cr_assert_eq(server.m_server.Running(), 2U);
+  cr_assert_eq(server.m_disconnected, 0, "a running request goes on");
+}
+
 // Guards against a process that ends because a caller's header field is longer
 // than the HTTP library bears, where the limit in force allows it.
 Test(http_server, fields_longer_than_the_library_bears_are_refused)
@@ -639,3 +689,27 @@
   cr_assert_eq(handler.m_connected, 0);
   cr_assert_eq(handler.m_closed, 1);
 }
+
+Test(frame_hub, without_descriptors_it_pauses_and_accepts_afterwards)
+{
+  asio::io_context context;
+  std::uint16_t port = 0;
+  {
+    const tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+    port = tcp::acceptor(context, any).local_endpoint().port();
+  }
+  ClosedCounter handler;
+  FrameHub hub(context, handler);
+  hub.Listen(Endpoint("127.0.0.1", port));
+  asio::io_context callers;
+  tcp::socket waiting(callers);
+  waiting.connect({ asio::ip::make_address("127.0.0.1"), port });
+  {
+    const NoDescriptors none;
+    const std::size_t handlers = context.run_for(kIdleTime);
+    context.restart();
+    cr_assert_leq(handlers, kMaxIdleHandlers, "%zu handlers", handlers);
+  }
+  context.run_for(kIdleTime);
+  cr_assert_eq(handler.m_connected, 1);
+}
