Connections above the limit are logged

Cause: HttpServer closed connections above its limit without a line, so that a log could not show them. Change: CallersTurnedAway (1107) with the number of open connections, the limit and the count, at most one line a second. Measured: the test, 31 connections above a limit of 64, found 0 lines before and finds the two that it expects, with counts of 1 and 30.

--- a/src/include/fulmarquay/core/LogEvent.h
+++ b/src/include/fulmarquay/core/LogEvent.h
@@ -26,6 +26,7 @@
   BadFrame = 1103,
   SlowCallerClosed = 1104,
   AcceptFailed = 1106,
+  CallersTurnedAway = 1107,
   BecameLeader = 2001,
   LostLeadership = 2002,
   DiskFormatted = 2003,
--- a/src/libcore/LogCatalogue.cpp
+++ b/src/libcore/LogCatalogue.cpp
@@ -73,6 +73,12 @@
       "Connections can't be accepted, mostly because the process has no file "
       "descriptors left; tried again after 50 ms. At most one line a second.",
       "Find what holds the descriptors, or raise their limit." },
+    { LogEvent::CallersTurnedAway,
+      "CallersTurnedAway",
+      "warning",
+      "As many connections are open as are allowed; further ones were closed "
+      "unread. At most one line a second.",
+      "Add entries, or raise `descriptors` and the limit of the process." },
     { LogEvent::BecameLeader,
       "BecameLeader",
       "info",
--- a/src/libwire/HttpServer.cpp
+++ b/src/libwire/HttpServer.cpp
@@ -3,6 +3,7 @@
 #include "fulmarquay/wire/HttpServer.h"
 
 #include "AcceptPause.h"
+#include "LimitedLog.h"
 #include "ResponseText.h"
 #include "fulmarquay/core/Error.h"
 #include "fulmarquay/core/LogEvent.h"
@@ -85,6 +86,7 @@
   HttpServerLimits m_limits;
   tcp::acceptor m_acceptor;
   AcceptPause m_acceptPause;
+  LimitedLog m_turnedAwayLog{ LogEvent::CallersTurnedAway };
   asio::steady_timer m_stallTimer;
   std::map<CallerId, SessionPtr> m_activeRequests;
   std::set<SessionPtr> m_sessions;
@@ -265,6 +267,10 @@
         auto session = std::make_shared<Session>(self, std::move(aSocket));
         self->m_sessions.insert(session);
         session->ReadRequest();
+      } else {
+        self->m_turnedAwayLog.Add(
+          { { "connections", std::to_string(self->m_sessions.size()) },
+            { "limit", std::to_string(self->m_limits.m_connections) } });
       }
       self->Accept();
     });
--- a/src/libwire/wire_test.cpp
+++ b/src/libwire/wire_test.cpp
@@ -1,6 +1,7 @@
 #include <utility>
 
 #include "fulmarquay/core/Error.h"
+#include "fulmarquay/core/LogEvent.h"
 #include "fulmarquay/wire/Codec.h"
 #include "fulmarquay/wire/Frame.h"
 #include "fulmarquay/wire/FrameHub.h"
@@ -12,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <cstdint>
+#include <cstdio>
 #include <random>
 #include <sys/resource.h>
 #include <thread>
@@ -511,6 +513,63 @@
   cr_assert_eq(server.m_disconnected, 0, "a running request goes on");
 }
 
+namespace {
+
+/// Collects what this process logs.
+class CapturedLog
+{
+public:
+  CapturedLog()
+    : m_file(std::tmpfile())
+  {
+    ::dup2(::fileno(m_file), STDOUT_FILENO);
+    StartLog("wire_test", "text");
+  }
+  ~CapturedLog() { std::fclose(m_file); }
+
+  /// The lines of an event, by its name.
+  std::vector<std::string> Lines(const std::string& aEvent) const
+  {
+    std::vector<std::string> lines;
+    std::rewind(m_file);
+    for (char line[1000]; std::fgets(line, sizeof(line), m_file) != nullptr;) {
+      if (std::string(line).find("name=" + aEvent + " ") != std::string::npos) {
+        lines.emplace_back(line);
+      }
+    }
+    return lines;
+  }
+
+private:
+  std::FILE* m_file;
+};
+
+} // namespace
+
+Test(http_server, connections_above_the_limit_are_logged_once_a_second)
+{
+  const CapturedLog log;
+  BytesServer server;
+  std::vector<tcp::socket> callers;
+  for (int i = 0; i < 64; ++i) {
+    callers.push_back(server.Request(10));
+  }
+  for (int i = 0; i < 30; ++i) {
+    callers.emplace_back(server.m_callers);
+    callers.back().connect({ asio::ip::make_address("127.0.0.1"),
+                             server.m_port });
+  }
+  server.m_context.run_for(kIdleTime);
+  server.m_context.restart();
+  cr_assert_eq(server.m_server.Running(), 64U);
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  callers.push_back(server.Request(10));
+  const auto lines = log.Lines("CallersTurnedAway");
+  cr_assert_eq(lines.size(), 2U, "%zu lines", lines.size());
+  cr_assert_neq(lines[0].find("count=\"1\""), std::string::npos);
+  cr_assert_neq(lines[1].find("count=\"30\""), std::string::npos);
+}
+
 // Guards against a process that ends because a caller's header field is longer
 // than the HTTP library bears, where the limit in force allows it.
 Test(http_server, fields_longer_than_the_library_bears_are_refused)
