The last flush of a log waits for a limited time in all

Cause: CloseLog waited up to 500 ms for each piece of 4 KiB, so that a reader that takes little at a time could hold a crashed process, with its open connections, for a minute. Change: the time is counted over all pieces, on the clock that a signal handler may read.

--- a/src/include/fulmarquay/core/LogBuffer.h
+++ b/src/include/fulmarquay/core/LogBuffer.h
@@ -30,8 +30,8 @@
   /// Writes as many bytes as the descriptor accepts without blocking.
   void Flush(int aDescriptor);
 
-  /// Like Flush, but waits until the descriptor accepts more bytes, each time
-  /// for at most `aWaitMs`.
+  /// Like Flush, but waits until the descriptor accepts more bytes, for at most
+  /// `aWaitMs` in all. Async-signal-safe.
   void FlushWaiting(int aDescriptor, int aWaitMs);
 
   /// Bytes not yet written.
--- a/src/libcore/LogBuffer.cpp
+++ b/src/libcore/LogBuffer.cpp
@@ -2,12 +2,27 @@
 
 #include <algorithm>
 #include <climits>
+#include <ctime>
 #include <poll.h>
 #include <unistd.h>
 #include <utility>
 
 namespace fulmarquay {
 
+namespace {
+
+std::int64_t
+BootMillis()
+{
+  constexpr std::int64_t kMillisPerSecond = 1'000;
+  constexpr std::int64_t kNanosPerMilli = 1'000'000;
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return now.tv_sec * kMillisPerSecond + now.tv_nsec / kNanosPerMilli;
+}
+
+} // namespace
+
 LogBuffer::LogBuffer(std::size_t aMaxBytes)
   : m_maxBytes(aMaxBytes)
 {
@@ -43,11 +58,17 @@
 void
 LogBuffer::FlushWaiting(int aDescriptor, int aWaitMs)
 {
+  int waitMs = aWaitMs;
   while (m_writtenBytes < m_pending.size()) {
     // A pipe that polls as writable accepts PIPE_BUF bytes without blocking.
     pollfd state{ aDescriptor, POLLOUT, 0 };
+    const std::int64_t startedAt = waitMs > 0 ? BootMillis() : 0;
     const bool isWritable =
-      ::poll(&state, 1, aWaitMs) == 1 && (state.revents & POLLOUT) != 0;
+      ::poll(&state, 1, waitMs) == 1 && (state.revents & POLLOUT) != 0;
+    if (waitMs > 0) {
+      waitMs = static_cast<int>(
+        std::max<std::int64_t>(0, waitMs - (BootMillis() - startedAt)));
+    }
     if (!isWritable) {
       return;
     }
--- a/src/libcore/Program.cpp
+++ b/src/libcore/Program.cpp
@@ -28,8 +28,8 @@
     std::cerr << aSpec.m_program << ": --settings FILE is needed; see --help\n";
     return static_cast<int>(ExitCode::Usage);
   }
-  // A log that can't be written fails a write, which drops lines: its reader has
-  // ended, or its file may not grow.
+  // A log that can't be written fails a write, which drops lines: its reader
+  // has ended, or its file may not grow.
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGXFSZ, SIG_IGN);
   // The default action ends the process; a later handler replaces this one.
--- a/src/libcore/core_test.cpp
+++ b/src/libcore/core_test.cpp
@@ -1,3 +1,4 @@
+#include "fulmarquay/core/Clock.h"
 #include "fulmarquay/core/Digest.h"
 #include "fulmarquay/core/Endpoint.h"
 #include "fulmarquay/core/IniDocument.h"
@@ -7,9 +8,12 @@
 #include "fulmarquay/core/Settings.h"
 #include "fulmarquay/core/SettingsSpec.h"
 
+#include <chrono>
+#include <climits>
 #include <set>
 #include <stdexcept>
 #include <string_view>
+#include <thread>
 #include <unistd.h>
 
 // Included last because its macros clash with names in other headers.
@@ -239,6 +243,31 @@
                bufferedBytes);
 }
 
+Test(log_buffer, a_slow_reader_delays_the_last_flush_for_a_limited_time)
+{
+  constexpr int kWaitMs = 200;
+  int ends[2];
+  cr_assert_eq(::pipe(ends), 0);
+  // The reader takes much longer for all bytes than the flush may wait.
+  std::thread reader([&] {
+    char bytes[PIPE_BUF];
+    while (::read(ends[0], bytes, sizeof(bytes)) > 0) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+  });
+  LogBuffer buffer(1U << 20U);
+  for (int i = 0; i < 8'000; ++i) {
+    buffer.Add(std::string(99, 'x') + "\n", true);
+  }
+  const TimePoint startedAt = MonotonicNow();
+  buffer.FlushWaiting(ends[1], kWaitMs);
+  const Duration elapsed = MonotonicNow() - startedAt;
+  ::close(ends[1]);
+  reader.join();
+  cr_assert_gt(buffer.Size(), 0U);
+  cr_assert_lt(elapsed, std::chrono::milliseconds(5 * kWaitMs));
+}
+
 Test(endpoint, addresses_with_a_port_out_of_range_or_a_nul_are_rejected)
 {
   using namespace std::string_view_literals;
