A frame above the limit is left out instead of ending the process

FrameHub::Send threw Error for a body above 16 MiB. Messages are mostly sent from ticks and from handlers of other connections, where nothing catches it, so that the whole process ends. By reading, reports of reads of prompts with thousands of parts can get there, and the full state of very large stores. The frame is now left out with a line (BadFrame, "send frame"); its owner sends a newer one later, as after a lost connection. Test frame_hub/a_frame_above_the_limit_is_left_out_alone: failed before ("encode frame: body above the limit" left the test), passes now.

--- a/src/libwire/FrameHub.cpp
+++ b/src/libwire/FrameHub.cpp
@@ -236,6 +236,16 @@
     return;
   }
   const ConnectionPtr connection = found->second;
+  if (aFrame.m_body.size() > kMaxFrameBytes) {
+    // The receiver would close the connection. Without the message, its owner
+    // sends a newer one later.
+    WriteLog(LogEvent::BadFrame,
+             { { "step", "send frame" },
+               { "reason",
+                 "body of " + std::to_string(aFrame.m_body.size()) +
+                   " bytes, above the limit" } });
+    return;
+  }
   connection->m_queued += EncodeFrame(aFrame);
   ++m_traffic.m_framesOut;
   if (connection->m_queued.size() > kMaxQueuedBytes) {
--- a/src/libwire/wire_test.cpp
+++ b/src/libwire/wire_test.cpp
@@ -772,3 +772,46 @@
   context.run_for(kIdleTime);
   cr_assert_eq(handler.m_connected, 1);
 }
+
+namespace {
+
+/// Keeps the frames that a hub receives.
+class FrameKeeper : public ClosedCounter
+{
+public:
+  void OnFrame(ConnectionId, Frame aFrame) override
+  {
+    m_frames.push_back(std::move(aFrame));
+  }
+
+  std::vector<Frame> m_frames;
+};
+
+} // namespace
+
+Test(frame_hub, a_frame_above_the_limit_is_left_out_alone)
+{
+  asio::io_context context;
+  std::uint16_t port = 0;
+  {
+    tcp::acceptor any(context,
+                      tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    port = any.local_endpoint().port();
+  }
+  FrameKeeper receiver;
+  FrameHub listening(context, receiver);
+  listening.Listen(Endpoint("127.0.0.1", port));
+  ClosedCounter sender;
+  FrameHub hub(context, sender);
+  const ConnectionId connection = hub.Connect(Endpoint("127.0.0.1", port));
+  const std::string tooLong(kMaxFrameBytes + 1, 'x');
+  hub.Send(connection, { Channel::Control, tooLong });
+  hub.Send(connection, { Channel::Control, "next" });
+  for (int i = 0; i < 40 && receiver.m_frames.empty(); ++i) {
+    context.run_for(std::chrono::milliseconds(50));
+    context.restart();
+  }
+  cr_assert_eq(receiver.m_frames.size(), 1);
+  cr_assert_eq(receiver.m_frames.at(0).m_body, "next");
+  cr_assert_eq(sender.m_closed, 0);
+}
