An address of one process that can't be parsed ends no other process

Endpoint::Parse throws std::invalid_argument, which is no Error: FrameHub does not catch it, and the process ends. Entries parsed what the leader passes on, and the leader passed on what any entry or replica states about itself, unchecked. By reading, one heartbeat with an address like "e2:7100" ends all entries of its data centre, and each one again after its start; one request to join ends one leader after another. The tests show the exceptions of the reducers and of PeerLinks; no real process was run. A process of this version can't state such an address, as its settings are checked by the same parser; one of another version or another program can. Leaders now don't answer such a heartbeat and log it; entries leave out such peers, replicas and workers, before any state changes, with a line (BadFrame) and the count unusable_addresses_total; a replica reaches such a member over that one's own connections.

--- a/src/include/fulmarquay/daemon/PeerLinks.h
+++ b/src/include/fulmarquay/daemon/PeerLinks.h
@@ -40,6 +40,8 @@
 
   void Send(ReplicaId aTo, const Frame& aFrame);
   void SendToAll(const Frame& aFrame);
+  /// Replicas that connections are opened to.
+  std::size_t Size() const { return m_links.size(); }
   void OnClosed(ConnectionId aConnection);
 
 private:
--- a/src/libcontrol/ControlNode.cpp
+++ b/src/libcontrol/ControlNode.cpp
@@ -1,5 +1,6 @@
 #include "fulmarquay/control/ControlNode.h"
 
+#include "fulmarquay/core/AddressText.h"
 #include "fulmarquay/core/Digest.h"
 #include "fulmarquay/core/Settings.h"
 
@@ -98,6 +99,18 @@
     Refuse(aFrom, RequestId(0));
     return;
   }
+  for (const std::string* address :
+       { &aMessage.m_address, &aMessage.m_relayAddress }) {
+    if (!address->empty() && !ReadAddress(*address)) {
+      // The other entries would get it as that of a peer.
+      Emit(LogLine{
+        LogEvent::BadFrame,
+        { { "step", "read heartbeat" },
+          { "reason",
+            "an address of " + aMessage.m_vm.Value() + " is not IP:PORT" } } });
+      return;
+    }
+  }
   LogRestart(aMessage);
   EntrySession& session = m_entries.OnHeartbeat(m_now, aFrom, aMessage);
   if (m_fleet) {
--- a/src/libcontrol/fleet_test.cpp
+++ b/src/libcontrol/fleet_test.cpp
@@ -693,6 +693,14 @@
     Feed(ControlMessageReceived{ ConnectionId(1), heartbeat });
   }
 
+  /// Returns the replies to a heartbeat.
+  std::vector<HeartbeatReply> SendHeartbeat(const EntryHeartbeat& aHeartbeat)
+  {
+    m_replies.clear();
+    Feed(ControlMessageReceived{ ConnectionId(1), aHeartbeat });
+    return m_replies;
+  }
+
   int Logged(LogEvent aEvent) { return m_logged[aEvent]; }
   const ControlNode& Node() const { return *m_node; }
   int OrderCalls() const { return m_orderCalls; }
@@ -708,6 +716,10 @@
         Feed(ReplicaEvent(DiskSynced{ batch->m_number }));
       } else if (const auto* call = std::get_if<StartUpstreamCall>(&effect)) {
         m_orderCalls += call->m_call.m_request.m_method == "POST" ? 1 : 0;
+      } else if (const auto* send = std::get_if<SendControl>(&effect)) {
+        if (const auto* reply = std::get_if<HeartbeatReply>(&send->m_message)) {
+          m_replies.push_back(*reply);
+        }
       }
     }
   }
@@ -715,6 +727,7 @@
   TimePoint m_now{ Duration(1'000'000'000) };
   std::unique_ptr<ControlNode> m_node;
   std::map<LogEvent, int> m_logged;
+  std::vector<HeartbeatReply> m_replies;
   int m_orderCalls = 0;
 };
 
@@ -848,3 +861,30 @@
     }
   }
 }
+
+// The other entries would get the address, and ended on it at versions up to
+// 2026-12-05.
+Test(fleet_node, an_entry_that_states_no_address_is_named_to_no_other)
+{
+  for (const char* odd : { "e2", "e2:7100", "10.0.0.2", "10.0.0.2:70000" }) {
+    for (const bool isRelayAddress : { false, true }) {
+      SingleReplica replica({});
+      replica.Advance(2'000);
+      EntryHeartbeat sound;
+      sound.m_vm = VmId("e1");
+      sound.m_dataCentre = DataCentreId("dc1");
+      sound.m_address = "10.0.0.1:1";
+      sound.m_relayAddress = "10.0.0.1:2";
+      EntryHeartbeat other = sound;
+      other.m_vm = VmId("e2");
+      (isRelayAddress ? other.m_relayAddress : other.m_address) = odd;
+      cr_assert(replica.SendHeartbeat(other).empty(), "'%s'", odd);
+      cr_assert_eq(replica.Logged(LogEvent::BadFrame), 1, "'%s'", odd);
+      const std::vector<HeartbeatReply> replies = replica.SendHeartbeat(sound);
+      cr_assert_eq(replies.size(), 1);
+      cr_assert_eq(replies[0].m_peers.size(), 1, "'%s'", odd);
+      cr_assert_eq(replies[0].m_loadPeers.size(), 1, "'%s'", odd);
+      cr_assert_eq(replies[0].m_relayPeers.size(), 0, "'%s'", odd);
+    }
+  }
+}
--- a/src/libdaemon/PeerLinks.cpp
+++ b/src/libdaemon/PeerLinks.cpp
@@ -1,5 +1,8 @@
 #include "fulmarquay/daemon/PeerLinks.h"
 
+#include "fulmarquay/core/AddressText.h"
+#include "fulmarquay/core/LogEvent.h"
+
 #include <utility>
 
 namespace fulmarquay {
@@ -31,8 +34,16 @@
   const auto addMembers = [this](const std::vector<Member>& aMembers) {
     for (const Member& member : aMembers) {
       m_vmByReplica[member.m_id] = member.m_vm;
-      if (member.m_vm != m_ownVm && m_links.count(member.m_vm) == 0) {
-        m_links[member.m_vm].m_address = Endpoint::Parse(member.m_address);
+      if (member.m_vm == m_ownVm || m_links.count(member.m_vm) != 0) {
+        continue;
+      }
+      if (const auto address = ReadAddress(member.m_address)) {
+        m_links[member.m_vm].m_address = *address;
+      } else {
+        // It is reached over the connections that it opens.
+        WriteLog(LogEvent::BadFrame,
+                 { { "step", "read member" },
+                   { "reason", member.m_vm + " has no IP:PORT" } });
       }
     }
   };
--- a/src/libdaemon/daemon_test.cpp
+++ b/src/libdaemon/daemon_test.cpp
@@ -4,6 +4,7 @@
 #include "fulmarquay/core/MemoryWatch.h"
 #include "fulmarquay/core/Program.h"
 #include "fulmarquay/core/SettingsSpec.h"
+#include "fulmarquay/daemon/PeerLinks.h"
 #include "fulmarquay/daemon/SettingsReload.h"
 
 #include <boost/asio/io_context.hpp>
@@ -273,3 +274,31 @@
   cr_assert(watch.OnSample(start, Bytes(3 * step)).has_value());
   cr_assert_eq(watch.Resident().Count(), 3 * step);
 }
+
+namespace {
+
+class IgnoringHandler : public FrameHandler
+{
+public:
+  void OnConnected(ConnectionId) override {}
+  void OnFrame(ConnectionId, Frame) override {}
+  void OnClosed(ConnectionId) override {}
+};
+
+} // namespace
+
+// A member states its address itself, and may join from another version.
+Test(peer_links, a_member_without_an_address_hides_no_other)
+{
+  boost::asio::io_context context;
+  IgnoringHandler handler;
+  FrameHub hub(context, handler);
+  PeerLinks links(hub, "vm1", {});
+  Membership membership;
+  membership.m_voters = { { ReplicaId(1), "vm1", "10.0.0.1:1" },
+                          { ReplicaId(2), "vm2", "core-b-1:7100" },
+                          { ReplicaId(3), "vm3", "127.0.0.1:1" } };
+  links.SetMembership(membership);
+  links.Reconnect();
+  cr_assert_eq(links.Size(), 1);
+}
--- a/src/libserve/ControlSession.cpp
+++ b/src/libserve/ControlSession.cpp
@@ -1,5 +1,7 @@
 #include "fulmarquay/serve/ControlSession.h"
 
+#include "fulmarquay/core/AddressText.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -90,10 +92,18 @@
 std::size_t
 ControlSession::LinkOf(const std::string& aReplica)
 {
-  const Endpoint address = Endpoint::Parse(aReplica);
-  const auto found = std::find(m_replicas.begin(), m_replicas.end(), address);
+  const std::optional<Endpoint> address = ReadAddress(aReplica);
+  if (!address) {
+    // Each replica states its own address, which must not end this process.
+    m_context.Counters().Count("unusable_addresses_total");
+    m_context.Log(LogEvent::BadFrame,
+                  { { "step", "read replicas" },
+                    { "reason", "an address is not IP:PORT" } });
+    return m_replicas.size();
+  }
+  const auto found = std::find(m_replicas.begin(), m_replicas.end(), *address);
   if (found == m_replicas.end() && m_discoversReplicas) {
-    return AddReplica(address);
+    return AddReplica(*address);
   }
   return static_cast<std::size_t>(found - m_replicas.begin());
 }
--- a/src/libserve/EntryNode.cpp
+++ b/src/libserve/EntryNode.cpp
@@ -1,5 +1,6 @@
 #include "fulmarquay/serve/EntryNode.h"
 
+#include "fulmarquay/core/AddressText.h"
 #include "fulmarquay/core/Digest.h"
 #include "fulmarquay/core/Error.h"
 #include "fulmarquay/wire/FrameHub.h"
@@ -24,6 +25,24 @@
   return aTarget.substr(0, aTarget.find('?'));
 }
 
+/// Leaves out the peers without a usable address. Each process states its own,
+/// which must not keep the others from their peers.
+template<typename Peer>
+void
+DropUnusable(EntryContext& aContext, std::vector<Peer>& aPeers)
+{
+  std::erase_if(aPeers, [&](const Peer& aEach) {
+    if (ReadAddress(aEach.m_address)) {
+      return false;
+    }
+    aContext.Counters().Count("unusable_addresses_total");
+    aContext.Log(LogEvent::BadFrame,
+                 { { "step", "read peers" },
+                   { "reason", aEach.m_vm.Value() + " has no IP:PORT" } });
+    return true;
+  });
+}
+
 } // namespace
 
 EntryNode::EntryNode(EntryOptions aOptions)
@@ -106,10 +125,16 @@
 void
 EntryNode::OnHeartbeatReply(const HeartbeatReply& aReply)
 {
+  std::vector<EntryPeer> peers = aReply.m_peers;
+  std::vector<EntryPeer> loadPeers = aReply.m_loadPeers;
+  std::vector<RelayPeer> relayPeers = aReply.m_relayPeers;
+  DropUnusable(m_context, peers);
+  DropUnusable(m_context, loadPeers);
+  DropUnusable(m_context, relayPeers);
   m_heldPeersVersion = aReply.m_peersVersion;
   m_heldLoadPeersVersion = aReply.m_loadPeersVersion;
   m_limits.SetLiveEntries(aReply.m_liveEntries);
-  m_config.OnConfirmed(aReply.m_revision, aReply.m_peers);
+  m_config.OnConfirmed(aReply.m_revision, peers);
   if (!m_relay) {
     return;
   }
@@ -128,12 +153,12 @@
   }
   m_relay->OnWeightsReport(aReply.m_weights, m_control.LastConfirmed());
   m_relay->OnOtherEntriesHeldTokens(aReply.m_otherEntriesHeldTokens);
-  if (!aReply.m_loadPeers.empty()) {
-    m_relay->OnLoadPeers(aReply.m_loadPeers);
+  if (!loadPeers.empty()) {
+    m_relay->OnLoadPeers(loadPeers);
   }
   if (aReply.m_relayPeersVersion != m_heldRelayPeersVersion) {
     m_heldRelayPeersVersion = aReply.m_relayPeersVersion;
-    m_relay->OnRelayPeers(aReply.m_relayPeers);
+    m_relay->OnRelayPeers(relayPeers);
   }
   m_relay->OnStoreLeaseConfirmed(m_control.LastConfirmed() +
                                    Duration(aReply.m_storeDataValidUs),
--- a/src/libserve/WorkerTable.cpp
+++ b/src/libserve/WorkerTable.cpp
@@ -1,5 +1,7 @@
 #include "fulmarquay/serve/WorkerTable.h"
 
+#include "fulmarquay/core/AddressText.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -35,6 +37,11 @@
   });
   std::map<WorkerId, WorkerState> workers;
   for (const WorkerInfo& info : aList.m_workers) {
+    const std::optional<Endpoint> address = ReadAddress(info.m_address);
+    if (!address) {
+      // The leader leaves these out and logs them.
+      continue;
+    }
     WorkerState state;
     const auto known = m_workers.find(info.m_id);
     if (known != m_workers.end() &&
@@ -52,7 +59,7 @@
       state.m_hasAnnouncedLeaving = announced->second.m_isLeaving;
       state.m_pausedUntil = announced->second.m_pausedUntil;
     }
-    state.m_address = Endpoint::Parse(info.m_address);
+    state.m_address = *address;
     workers[info.m_id] = std::move(state);
   }
   m_workers = std::move(workers);
