The dump of an entry bears names of any bytes

EntryNode::Dump rendered its JSON strictly, and the library throws for text that is not UTF-8. A peer whose name has such bytes, which the leader passes on as it is, ends an entry when it is asked for its dump, as nothing catches that exception in the event loop (by reading; the test shows the exception). Such bytes are now replaced, as in the log and in answers. Test odd_messages/the_dump_bears_names_of_any_bytes: failed before (type_error.316, invalid UTF-8 byte), passes now.

--- a/src/libserve/EntryNode.cpp
+++ b/src/libserve/EntryNode.cpp
@@ -590,7 +590,8 @@
                                 { "own_running", state.m_ownRunning },
                                 { "failures", state.m_failures } });
   }
-  return dump.dump();
+  return dump.dump(
+    -1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
 } // namespace fulmarquay
--- a/src/libserve/odd_messages_test.cpp
+++ b/src/libserve/odd_messages_test.cpp
@@ -113,3 +113,14 @@
     cr_assert_eq(workers.Number(), 3);
   }
 }
+
+Test(odd_messages, the_dump_bears_names_of_any_bytes)
+{
+  EntryNode node(RelayOptionsOf(false));
+  node.Reduce(kNow, ControlLinkChanged{ 0, true });
+  HeartbeatReply reply;
+  reply.m_peers = { { VmId("\xff\xfe"), BootId(2), "10.0.0.2:1" } };
+  node.Reduce(kNow, ControlReply{ 0, reply });
+  const auto dump = nlohmann::json::parse(node.Dump(FrameTraffic()));
+  cr_assert_eq(dump["peers"].size(), 1);
+}
