A store delta with fewer stores than the map has is not applied

Copies of parts are kept by the place of their store in the list. A delta with a shorter list left copies whose place lies behind its end, and the next plan of a prompt read there. Such a delta is now refused like one that does not fit, and the entry gets the whole state. Test odd_messages/ a_delta_with_fewer_stores_is_not_applied: failed before (it was applied), passes now.

--- a/src/libserve/PartMap.cpp
+++ b/src/libserve/PartMap.cpp
@@ -57,7 +57,10 @@
 bool
 PartMap::Apply(const StorePush& aPush)
 {
-  if (aPush.m_from != 0 && aPush.m_from != m_state) {
+  // Copies of parts are at the places of their stores in the list.
+  const bool hasFewerStores =
+    aPush.m_hasStores && aPush.m_stores.size() < m_stores.size();
+  if (aPush.m_from != 0 && (aPush.m_from != m_state || hasFewerStores)) {
     return false;
   }
   if (aPush.m_from == 0) {
--- a/src/libserve/odd_messages_test.cpp
+++ b/src/libserve/odd_messages_test.cpp
@@ -124,3 +124,24 @@
   const auto dump = nlohmann::json::parse(node.Dump(FrameTraffic()));
   cr_assert_eq(dump["peers"].size(), 1);
 }
+
+Test(odd_messages, a_delta_with_fewer_stores_is_not_applied)
+{
+  PartMap parts;
+  StorePush full;
+  full.m_to = 1;
+  full.m_hasStores = true;
+  full.m_stores.resize(2);
+  full.m_stores[0].m_isUp = true;
+  full.m_stores[1].m_isUp = true;
+  full.m_changes = { { 1, 77, 10 } };
+  cr_assert(parts.Apply(full));
+  StorePush fewer;
+  fewer.m_from = 1;
+  fewer.m_to = 2;
+  fewer.m_hasStores = true;
+  fewer.m_stores.resize(1);
+  cr_assert_not(parts.Apply(fewer));
+  parts.OnLeaseConfirmed(kNow + Duration(1'000'000), Duration(1'000'000));
+  cr_assert_not_null(parts.NearestStore(kNow, 77, DataCentreId("dc1")));
+}
