A document of routes that fits into no frame is refused

The operator's port took bodies of up to 16 MiB, as much as a frame holds. The record of the log has the text and some fields, so that a text a few bytes shorter was written to the leader's disk and could be sent to no replica: by reading, the send threw and ended the leader, each time that it led again. Many short keys are longer as hashes: their push to the entries exceeded a frame the same way. Documents whose text or push takes more than half a frame are now answered as invalid (400). Test operators/ a_document_that_fits_into_no_frame_is_invalid: before, such a document was proposed without an answer, and the test crashed for the lack of one; passes now. Not run with real processes.

--- a/src/libcontrol/FleetManager.cpp
+++ b/src/libcontrol/FleetManager.cpp
@@ -3,6 +3,7 @@
 #include "fulmarquay/control/ControlNode.h"
 #include "fulmarquay/control/EntryRegistry.h"
 #include "fulmarquay/core/Error.h"
+#include "fulmarquay/wire/Frame.h"
 #include "fulmarquay/wire/HttpStatus.h"
 
 #include <boost/algorithm/string/join.hpp>
@@ -25,6 +26,17 @@
 constexpr unsigned kTermShiftBits = 24;
 /// A logged page token is cut to this length.
 constexpr std::size_t kMaxLoggedTokenBytes = 100;
+/// A committed document that fits into no frame could reach neither replicas
+/// nor entries any more. Half of a frame leaves room for the other fields.
+constexpr std::size_t kMaxDocumentBytes = kMaxFrameBytes / 2;
+
+bool
+FitsIntoFrames(const PublishRoutes& aRequest)
+{
+  const RoutePush push{ MakeDelta(RouteDocument(), aRequest.m_document) };
+  return aRequest.m_source.size() <= kMaxDocumentBytes &&
+         PackMessage(ControlMessage(push)).size() <= kMaxDocumentBytes;
+}
 
 } // namespace
 
@@ -56,7 +68,10 @@
 void
 FleetManager::On(CallerId aCaller, const PublishRoutes& aRequest)
 {
-  const std::vector<std::string> problems = FindProblems(aRequest.m_document);
+  std::vector<std::string> problems = FindProblems(aRequest.m_document);
+  if (!FitsIntoFrames(aRequest)) {
+    problems.push_back("the document is too large");
+  }
   if (!problems.empty()) {
     On(aCaller, InvalidRequest{ problems });
     return;
--- a/src/libcontrol/fleet_test.cpp
+++ b/src/libcontrol/fleet_test.cpp
@@ -5,6 +5,7 @@
 #include "fulmarquay/control/FleetManager.h"
 #include "fulmarquay/control/StoreManager.h"
 #include "fulmarquay/core/Error.h"
+#include "fulmarquay/wire/Frame.h"
 
 #include <map>
 #include <set>
@@ -217,6 +218,32 @@
     fixture.m_context.LastAnswer(), Kind::Invalid, "invalid and old");
 }
 
+// A frame of a committed document above the limit ended one leader after the
+// other.
+Test(operators, a_document_that_fits_into_no_frame_is_invalid)
+{
+  using Kind = OperatorAnswer::Kind;
+  FleetFixture fixture;
+  const std::size_t proposed = fixture.m_context.m_proposed.size();
+  PublishRoutes longText = MakeValidRoutes(3);
+  longText.m_source = std::string(kMaxFrameBytes - 100, ' ');
+  fixture.m_manager.OnOperatorRequest(CallerId(1), longText);
+  cr_assert_eq(fixture.m_context.LastAnswer(), Kind::Invalid);
+  // Keys take more bytes as hashes than in the text.
+  PublishRoutes manyKeys = MakeValidRoutes(3);
+  AccountRule& account = manyKeys.m_document.m_accounts["t"];
+  for (std::size_t i = 0; i < kMaxFrameBytes / 60; ++i) {
+    std::string hash = std::to_string(i);
+    hash.resize(64, 'x');
+    account.m_keyHashes.push_back(std::move(hash));
+  }
+  fixture.m_manager.OnOperatorRequest(CallerId(2), manyKeys);
+  cr_assert_eq(fixture.m_context.LastAnswer(), Kind::Invalid);
+  cr_assert_eq(fixture.m_context.m_proposed.size(), proposed);
+  fixture.m_manager.OnOperatorRequest(CallerId(3), MakeValidRoutes(3));
+  cr_assert_eq(fixture.m_context.m_proposed.size(), proposed + 1);
+}
+
 Test(operators, requests_are_refused_without_a_lease)
 {
   using Kind = OperatorAnswer::Kind;
