A refused probe no longer cuts the answers of a silent worker

Callers of workers that were silent for 0.5 to 1.2 s and took no new connection lost streams whose kept connections were sound: after 400 ms of silence the entry probed the worker, and a refused probe ended all its calls. What may not be repeated ended at once.

Cause: OnProbeEnd took a refused connection as the end of the worker's running calls. Now the probe only bars new requests. Running calls move to another worker if they may be repeated, the pool has an available one and the budget allows it; all others wait for their answers until their own deadline.

Calls at a VM that is lost without a reset now end at their deadlines.

--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -372,6 +372,8 @@
   /// Probes some workers of pools that are unreached.
   void ProbeUnreachedPools();
   void OnProbeEnd(const WorkerId& aWorker, CallResult aEnd);
+  /// Sends a worker's calls to others where that is allowed and possible.
+  void MoveCallsFrom(const WorkerId& aWorker);
 
   // Completion of a call.
   void OnComplete(ActiveRequest& aActive);
--- a/src/libserve/RelayProbes.cpp
+++ b/src/libserve/RelayProbes.cpp
@@ -109,18 +109,34 @@
   m_context.Log(LogEvent::WorkerSuspected,
                 { { "worker", aWorker.Value() },
                   { "why", "silent, and takes no connection" } });
-  std::vector<CallId> lost;
+  MoveCallsFrom(aWorker);
+}
+
+void
+RelayFlow::MoveCallsFrom(const WorkerId& aWorker)
+{
+  std::vector<CallId> calls;
   for (const auto& [call, active] : m_byCall) {
     if (active->m_worker == aWorker && !IsPassed(*active)) {
-      lost.push_back(call);
+      calls.push_back(call);
     }
   }
-  for (const CallId call : lost) {
+  for (const CallId call : calls) {
     ActiveRequest* active = Find(call);
+    // The others stay: a worker may be silent and still send its answers.
+    const bool canMove =
+      active != nullptr && MayRepeat(*active) &&
+      !m_workers.Available(m_context.Now(), active->m_pool).empty() &&
+      TakeRetry(*active);
+    if (!canMove) {
+      continue;
+    }
     m_context.Cancel(call);
     ReleaseWorker(*active);
     active->m_mayHaveRun = true;
-    OnBroken(*active, "the worker is gone");
+    active->m_eventSplitter.DropPartial();
+    ReleaseBody(*active);
+    Place(*active);
   }
 }
 
--- a/src/libserve/relay_test.cpp
+++ b/src/libserve/relay_test.cpp
@@ -283,6 +283,38 @@
   }
 }
 
+Test(relay, a_refused_probe_does_not_cut_an_answer_that_may_come)
+{
+  for (const char* path : { "/once/x", "/stream/x", "/resumable/x" }) {
+    const bool isStream = path != std::string("/once/x");
+    Entry entry;
+    entry.SetWorkers({ Worker("w1", 1) });
+    entry.SendRequest(path);
+    if (isStream) {
+      entry.Head(200, "ps");
+      entry.Data("id: 0\ndata: a\n\n");
+    }
+    entry.AdvanceTicks(600);
+    cr_assert_eq(entry.m_probes.size(), 1U, "%s", path);
+    entry.AdvanceClock(1);
+    entry.m_flow.OnEnd(entry.m_probes[0].m_call, CallResult::NotSent, "");
+    entry.CollectEffects();
+    entry.AdvanceTicks(100);
+    cr_assert_eq(entry.m_answers, 0, "%s", path);
+    cr_assert_eq(entry.m_cancels, 0, "%s", path);
+    if (isStream) {
+      entry.Data("id: 1\ndata: b\n\n");
+      entry.End(CallResult::Complete);
+      cr_assert(entry.m_isComplete, "%s", path);
+      cr_assert_neq(entry.m_body.find("data: b"), std::string::npos);
+    } else {
+      entry.Answer(200, "p", "ok");
+      cr_assert_eq(entry.m_status, 200);
+    }
+    cr_assert_eq(entry.m_calls.size(), 1U);
+  }
+}
+
 Test(relay, a_suspected_worker_is_probed_before_new_requests)
 {
   Entry entry;
