Stores: any success status of a free order counts as freed

Change: 2xx counts; the line for BadFrame says that a part of a message may be left out. Measured: stores/parts_are_freed_by_any_success_status failed before (one more list call).

--- a/src/libcontrol/StoreManager.cpp
+++ b/src/libcontrol/StoreManager.cpp
@@ -208,8 +208,9 @@
 StoreManager::OnFreeAnswer(Store& aStore, const UpstreamCallEnded& aAnswer)
 {
   aStore.m_isFreeing = false;
-  const bool isSuccess =
-    aAnswer.m_end == CallResult::Complete && aAnswer.m_status == kStatusOk;
+  const bool isSuccess = aAnswer.m_end == CallResult::Complete &&
+                         aAnswer.m_status >= kStatusOk &&
+                         aAnswer.m_status < kStatusRedirect;
   if (!isSuccess) {
     // Parts that were not freed are in no map and would occupy the store
     // forever; the list adds them again.
--- a/src/libcontrol/fleet_test.cpp
+++ b/src/libcontrol/fleet_test.cpp
@@ -596,6 +596,29 @@
   cr_assert_eq(fixture.m_manager.PartCount(), 1U);
 }
 
+// Guards against a list of all parts after each free order of a store that
+// accepts it with another success status than 200.
+Test(stores, parts_are_freed_by_any_success_status)
+{
+  constexpr int kAccepted = 202;
+  StoreFixture fixture;
+  fixture.m_freeStatus = kAccepted;
+  fixture.AddEvent("a", 100);
+  fixture.Advance(8'000);
+  const auto countLists = [&] {
+    return std::count_if(fixture.m_context.m_calls.begin(),
+                         fixture.m_context.m_calls.end(),
+                         [](const HttpCall& aEach) {
+                           return aEach.m_request.m_target == "list";
+                         });
+  };
+  const auto before = countLists();
+  fixture.m_manager.OnNewestWeights({ { "m", 2 } });
+  fixture.Advance(20'000);
+  cr_assert_eq(fixture.m_freed, "a ");
+  cr_assert_eq(countLists(), before);
+}
+
 Test(stores, copy_of_an_earlier_answer_changes_nothing)
 {
   StoreFixture fixture;
--- a/src/libcore/LogCatalogue.cpp
+++ b/src/libcore/LogCatalogue.cpp
@@ -59,7 +59,8 @@
     { LogEvent::BadFrame,
       "BadFrame",
       "warning",
-      "A frame or message could not be decoded; its connection is closed.",
+      "A frame or message could not be decoded, and its connection is closed; "
+      "or a part of it could not be used and is left out.",
       "Check that both sides run compatible versions." },
     { LogEvent::SlowCallerClosed,
       "SlowCallerClosed",
