Bodies of requests are bounded together

Change: the bodies of requests that are read or run are counted, from their length or chunk by chunk; what does not fit is refused as not run (503, Retry-After, the connection closes after the rest was dropped for at most 5 s), logged (BodiesRefused, 1108) and in the metrics. Callers get 16 MiB, entries that pass requests on 8 MiB; bodies above 64 KiB leave a quarter to smaller ones. A call takes the body instead of copying it, and frees it once sent.

--- a/src/fulmarquay-standin/StandinRole.cpp
+++ b/src/fulmarquay-standin/StandinRole.cpp
@@ -26,10 +26,13 @@
 StandinRole::StandinRole(boost::asio::io_context& aContext,
                          const Endpoint& aListen)
   : m_context(aContext)
-  , m_server(
-      aContext,
-      *this,
-      HttpServerLimits{ 16U << 10U, 64U << 20U, Duration(600'000'000), 8192 })
+  , m_server(aContext,
+             *this,
+             HttpServerLimits{ 16U << 10U,
+                               64U << 20U,
+                               Duration(600'000'000),
+                               8192,
+                               1U << 30U })
 {
   m_server.Listen(aListen);
 }
--- a/src/include/fulmarquay/core/LogEvent.h
+++ b/src/include/fulmarquay/core/LogEvent.h
@@ -27,6 +27,7 @@
   SlowCallerClosed = 1104,
   AcceptFailed = 1106,
   CallersTurnedAway = 1107,
+  BodiesRefused = 1108,
   BecameLeader = 2001,
   LostLeadership = 2002,
   DiskFormatted = 2003,
--- a/src/include/fulmarquay/serve/EntryEvents.h
+++ b/src/include/fulmarquay/serve/EntryEvents.h
@@ -20,6 +20,8 @@
 struct EntryTick
 {
   Bytes m_resident{}; ///< memory of this process
+  Bytes m_bodies{};   ///< bodies of requests that are read or run
+  std::uint64_t m_refusedBodies = 0; ///< since the start
 };
 
 /// A complete request of a caller, or one that another entry passed on.
--- a/src/include/fulmarquay/serve/EntryNode.h
+++ b/src/include/fulmarquay/serve/EntryNode.h
@@ -124,7 +124,7 @@
   std::uint64_t m_leaderTerm = 0;
   bool m_isDraining = false;
   bool m_isStopped = false;
-  Bytes m_resident{}; ///< memory of this process, for the metrics
+  EntryTick m_lastTick; ///< for the metrics
   TimePoint m_drainStartedAt;
 };
 
--- a/src/include/fulmarquay/wire/HttpServer.h
+++ b/src/include/fulmarquay/wire/HttpServer.h
@@ -37,6 +37,11 @@
   /// disconnected within three times as long.
   Duration m_readTimeout = Duration(10'000'000);
   std::size_t m_connections = 4096; ///< further connections are closed
+  /// Maximum size of the bodies of all requests that are read or run. Larger
+  /// bodies than usual leave a part of it to the others. What can't be held is
+  /// refused with 503 before it is read. At least one body of m_maxBodyBytes is
+  /// held.
+  std::size_t m_maxAllBodyBytes = 16U << 20U;
 };
 
 /// An HTTP/1.1 server with keep-alive. Requests on one connection are handled
@@ -88,6 +93,12 @@
   /// connection and for all together.
   std::size_t QueuedBytes() const;
 
+  /// Bytes of the bodies of requests that are read or run.
+  std::size_t BodyBytes() const;
+
+  /// The number of requests that were refused because of their body.
+  std::uint64_t RefusedBodies() const;
+
   /// The number of received requests whose response has not ended.
   std::size_t Running() const;
 
--- a/src/libcore/LogCatalogue.cpp
+++ b/src/libcore/LogCatalogue.cpp
@@ -80,6 +80,12 @@
       "As many connections are open as are allowed; further ones were closed "
       "unread. At most one line a second.",
       "Add entries, or raise `descriptors` and the limit of the process." },
+    { LogEvent::BodiesRefused,
+      "BodiesRefused",
+      "warning",
+      "Bodies of requests were refused as not run, because those that are held "
+      "have reached their limit. At most one line a second.",
+      "Add entries, or give them more memory, if it recurs." },
     { LogEvent::BecameLeader,
       "BecameLeader",
       "info",
--- a/src/libdaemon/EntryServer.cpp
+++ b/src/libdaemon/EntryServer.cpp
@@ -26,6 +26,11 @@
 /// Callers' connections get half of the file descriptors; the other half is for
 /// workers, replicas and listeners.
 constexpr double kCallerDescriptorDivisor = 2;
+/// Bodies of callers' requests at once. Together with those that other entries
+/// pass on (kRelayBodyDivisor), of which a second copy exists while they are
+/// sent, and with the answers that wait, this has to fit the smallest VM.
+constexpr std::size_t kMaxAllBodyBytes = 16U << 20U;
+constexpr std::size_t kRelayBodyDivisor = 2;
 /// Connections of other entries, as a part of the callers': enough for all
 /// callers of another entry.
 constexpr std::size_t kRelayConnectionDivisor = 2;
@@ -96,6 +101,7 @@
     static_cast<std::size_t>(aSettings.Size("entry", "body_limit").Count());
   limits.m_connections = static_cast<std::size_t>(
     aSettings.Number("entry", "descriptors") / kCallerDescriptorDivisor);
+  limits.m_maxAllBodyBytes = kMaxAllBodyBytes;
   return limits;
 }
 
@@ -104,6 +110,7 @@
 {
   aLimits.m_maxHeaderBytes += kRelayHeaderBytes;
   aLimits.m_connections /= kRelayConnectionDivisor;
+  aLimits.m_maxAllBodyBytes /= kRelayBodyDivisor;
   return aLimits;
 }
 
@@ -240,7 +247,11 @@
       ConnectControl();
     }
     m_memory.Sample(MonotonicNow());
-    ProcessEvent(EntryTick{ m_memory.Resident() });
+    ProcessEvent(
+      EntryTick{ m_memory.Resident(),
+                 Bytes(static_cast<std::int64_t>(m_server.BodyBytes() +
+                                                 m_relayServer.BodyBytes())),
+                 m_server.RefusedBodies() + m_relayServer.RefusedBodies() });
     ApplyRouteLimits();
     StopWhenIdle();
     FlushLog();
--- a/src/libserve/EntryNode.cpp
+++ b/src/libserve/EntryNode.cpp
@@ -235,7 +235,7 @@
 void
 EntryNode::On(const EntryTick& aEvent)
 {
-  m_resident = aEvent.m_resident;
+  m_lastTick = aEvent;
   m_control.OnTick();
   m_config.OnTick(m_control.HasLease());
   m_cache.OnTick();
@@ -302,8 +302,12 @@
 EntryNode::RenderMetrics()
 {
   m_context.Counters().Gauge("running", static_cast<double>(Running()));
-  m_context.Counters().Gauge("resident_bytes",
-                             static_cast<double>(m_resident.Count()));
+  m_context.Counters().Gauge(
+    "resident_bytes", static_cast<double>(m_lastTick.m_resident.Count()));
+  m_context.Counters().Gauge("body_bytes",
+                             static_cast<double>(m_lastTick.m_bodies.Count()));
+  m_context.Counters().Gauge("refused_bodies",
+                             static_cast<double>(m_lastTick.m_refusedBodies));
   if (m_relay) {
     m_context.Counters().Gauge("blocked_parts",
                                static_cast<double>(m_relay->BlockedParts()));
--- a/src/libwire/AcceptPause.h
+++ b/src/libwire/AcceptPause.h
@@ -27,9 +27,9 @@
              Retry aRetry)
   {
     boost::system::error_code ignored;
-    m_log.Add({ { "port",
-                  std::to_string(aAcceptor.local_endpoint(ignored).port()) },
-                { "reason", aError.message() } });
+    m_log.Add(
+      { { "port", std::to_string(aAcceptor.local_endpoint(ignored).port()) },
+        { "reason", aError.message() } });
     m_timer.expires_after(kDelay);
     m_timer.async_wait([retry = std::move(aRetry)](
                          const boost::system::error_code&) { retry(); });
--- a/src/libwire/HttpClient.cpp
+++ b/src/libwire/HttpClient.cpp
@@ -137,8 +137,9 @@
   /// Takes a kept connection that was opened before a time, or any one if that
   /// is zero; null if there is none.
   ConnectionPtr TakeIdle(const Endpoint& aPeer, TimePoint aConnectedBefore);
-  /// Throws std::exception if HTTP or Beast can't bear the request.
-  static http::request<http::string_body> EncodeRequest(const HttpCall& aCall);
+  /// Takes the body out of the call. Throws std::exception if HTTP or Beast
+  /// can't bear the request.
+  static http::request<http::string_body> EncodeRequest(HttpCall& aCall);
   void Connect(const ActiveCallPtr& aActive);
   void WriteRequest(const ActiveCallPtr& aActive);
   void ReadHead(const ActiveCallPtr& aActive);
@@ -208,9 +209,9 @@
 }
 
 http::request<http::string_body>
-HttpClient::Impl::EncodeRequest(const HttpCall& aCall)
+HttpClient::Impl::EncodeRequest(HttpCall& aCall)
 {
-  const HttpRequest& source = aCall.m_request;
+  HttpRequest& source = aCall.m_request;
   http::request<http::string_body> request;
   request.version(11);
   request.method_string(source.m_method);
@@ -221,7 +222,7 @@
   for (const HttpHeader& header : source.m_headers) {
     request.insert(header.m_name, header.m_value);
   }
-  request.body() = source.m_body;
+  request.body() = std::move(source.m_body);
   request.prepare_payload();
   return request;
 }
@@ -365,6 +366,8 @@
                         self->Fail(aActive, aError);
                         return;
                       }
+                      // An answer may take long, and a body much memory.
+                      aActive->m_request.body() = std::string();
                       self->ReadHead(aActive);
                     });
 }
--- a/src/libwire/HttpServer.cpp
+++ b/src/libwire/HttpServer.cpp
@@ -16,6 +16,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <algorithm>
+#include <array>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -43,6 +45,18 @@
 /// holds has to stay well below the memory of an entry's VM.
 constexpr std::size_t kMaxAllQueuedBytes = 24U << 20U;
 
+/// Bodies up to this size are refused only at the limit for all bodies; larger
+/// ones leave this part of it (one in kSmallBodyShare) to them, so that a few
+/// large bodies don't bar the usual requests.
+constexpr std::size_t kSmallBodyBytes = 64U << 10U;
+constexpr std::size_t kSmallBodyShare = 4;
+/// Of refused bodies. Clients retry on a new connection.
+constexpr const char* kBodyRetryAfter = "1";
+/// For how long the rest of a refused body is read and dropped. Closing a
+/// connection with unread bytes resets it, and its caller may lose the answer.
+constexpr Duration kDropTime(5'000'000);
+constexpr std::size_t kDropBytes = 16U << 10U;
+
 /// Beast holds the length of a header field in 16 bits and throws for longer
 /// ones while it reads, where nothing could be answered.
 constexpr std::size_t kMaxHeadBytes = 65'535;
@@ -94,8 +108,15 @@
   bool m_isStopping = false;
   bool m_closesAfterResponse = false; ///< set by CloseAfterResponses
   std::size_t m_queuedBytes = 0;      ///< sum of the sessions' QueuedBytes
+  std::size_t m_bodyBytes = 0;        ///< sum of the sessions' m_bodyBytes
+  std::uint64_t m_refusedBodies = 0;
+  LimitedLog m_refusedBodiesLog{ LogEvent::BodiesRefused };
+  /// Bytes that no one looks at, for all sessions.
+  std::array<char, kDropBytes> m_dropped{};
 
   bool IsIdle() const;
+  /// Whether a body of this size may be held beside others of `aOtherBytes`.
+  bool MayHoldBody(std::size_t aBytes, std::size_t aOtherBytes) const;
   /// Closes connections, once the running handler has returned, until the
   /// queued bytes are within their limit. The handler may be in the middle of a
   /// change that the end of another connection must not interrupt.
@@ -140,8 +161,15 @@
   std::size_t QueuedBytes() const { return m_queued.size() + m_writing.size(); }
 
 private:
+  void OnHead(const error_code& aError);
   void OnRead(const error_code& aError);
   void RejectRequest(const error_code& aError);
+  /// Counts a body of this size as held; returns false if that is too much.
+  bool HoldBody(std::uint64_t aBytes);
+  void ReleaseBody();
+  void RefuseBody();
+  /// Reads and drops what still arrives, until the end or kDropTime.
+  void DropRest();
   void Write();
   void WritePiece();
   void OnWritten(const error_code& aError);
@@ -163,7 +191,12 @@
   bool m_isFinished = false;
   bool m_keepOpen = true;
   bool m_usesChunks = true;
+  bool m_dropsRest = false; ///< the body was refused
   bool m_isClosed = false;
+  /// Of the request that is read or runs, from when its size is known.
+  std::size_t m_bodyBytes = 0;
+  std::function<void(std::uint64_t, boost::string_view, error_code&)>
+    m_onChunkHead;
 };
 
 void
@@ -210,6 +243,18 @@
                       [](const SessionPtr& aEach) { return aEach->IsBusy(); });
 }
 
+bool
+HttpServer::Impl::MayHoldBody(std::size_t aBytes, std::size_t aOtherBytes) const
+{
+  const std::size_t forAll = m_limits.m_maxAllBodyBytes;
+  // A single body that is allowed always fits.
+  const std::size_t limit =
+    aBytes <= kSmallBodyBytes
+      ? forAll
+      : std::max(forAll - forAll / kSmallBodyShare, m_limits.m_maxBodyBytes);
+  return aOtherBytes + aBytes <= limit;
+}
+
 void
 HttpServer::Impl::BoundQueuedBytesSoon()
 {
@@ -310,13 +355,94 @@
   m_parser->header_limit(static_cast<std::uint32_t>(
     std::min(m_server->m_limits.m_maxHeaderBytes, kMaxHeadBytes)));
   m_parser->body_limit(m_server->m_limits.m_maxBodyBytes);
+  m_onChunkHead =
+    [this](std::uint64_t aBytes, boost::string_view, error_code& aError) {
+      if (!HoldBody(m_bodyBytes + aBytes)) {
+        aError = make_error_code(boost::system::errc::not_enough_memory);
+      }
+    };
+  m_parser->on_chunk_header(m_onChunkHead);
   m_stream.expires_after(m_server->m_limits.m_readTimeout);
   auto self = shared_from_this();
-  http::async_read(
+  http::async_read_header(
     m_stream,
     m_buffer,
     *m_parser,
-    [self](const error_code& aError, std::size_t) { self->OnRead(aError); });
+    [self](const error_code& aError, std::size_t) { self->OnHead(aError); });
+}
+
+void
+HttpServer::Impl::Session::OnHead(const error_code& aError)
+{
+  if (aError || m_isClosed || m_parser->is_done()) {
+    OnRead(aError);
+    return;
+  }
+  if (!HoldBody(m_parser->content_length().value_or(0))) {
+    RefuseBody();
+    return;
+  }
+  auto self = shared_from_this();
+  http::async_read(m_stream,
+                   m_buffer,
+                   *m_parser,
+                   [self](const error_code& aReadError, std::size_t) {
+                     self->OnRead(aReadError);
+                   });
+}
+
+bool
+HttpServer::Impl::Session::HoldBody(std::uint64_t aBytes)
+{
+  const std::size_t others = m_server->m_bodyBytes - m_bodyBytes;
+  // Bytes that had arrived are still parsed after the end of the connection.
+  if (m_isClosed || !m_server->MayHoldBody(aBytes, others)) {
+    return false;
+  }
+  m_bodyBytes = aBytes;
+  m_server->m_bodyBytes = others + aBytes;
+  return true;
+}
+
+void
+HttpServer::Impl::Session::ReleaseBody()
+{
+  m_server->m_bodyBytes -= m_bodyBytes;
+  m_bodyBytes = 0;
+}
+
+void
+HttpServer::Impl::Session::RefuseBody()
+{
+  ++m_server->m_refusedBodies;
+  m_server->m_refusedBodiesLog.Add(
+    { { "held", std::to_string(m_server->m_bodyBytes) },
+      { "limit", std::to_string(m_server->m_limits.m_maxAllBodyBytes) } });
+  ReleaseBody();
+  m_parser.reset();
+  m_buffer = beast::flat_buffer();
+  m_stream.expires_after(kDropTime);
+  m_isFinished = true;
+  m_keepOpen = false;
+  m_dropsRest = true;
+  const std::string body = "{\"outcome\":\"not_run\",\"step\":\"read body\"}";
+  Queue(StatusLine(503) + "Content-Type: application/json\r\nRetry-After: " +
+        kBodyRetryAfter + "\r\nConnection: close\r\nContent-Length: " +
+        std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
+void
+HttpServer::Impl::Session::DropRest()
+{
+  auto self = shared_from_this();
+  m_stream.async_read_some(asio::buffer(m_server->m_dropped),
+                           [self](const error_code& aError, std::size_t) {
+                             if (aError || self->m_isClosed) {
+                               self->Close();
+                             } else {
+                               self->DropRest();
+                             }
+                           });
 }
 
 void
@@ -325,6 +451,10 @@
   if (m_isClosed) {
     return;
   }
+  if (aError == boost::system::errc::not_enough_memory) {
+    RefuseBody();
+    return;
+  }
   if (aError) {
     RejectRequest(aError);
     return;
@@ -484,7 +614,8 @@
 {
   const bool hasPartOfRequest =
     m_buffer.size() > 0 || (m_parser && m_parser->got_some());
-  return !m_writing.empty() || !m_queued.empty() || hasPartOfRequest;
+  return !m_writing.empty() || !m_queued.empty() || hasPartOfRequest ||
+         m_dropsRest;
 }
 
 void
@@ -517,7 +648,11 @@
   } else {
     error_code ignored;
     m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    Close();
+    if (m_dropsRest) {
+      DropRest();
+    } else {
+      Close();
+    }
   }
 }
 
@@ -543,6 +678,7 @@
   m_isFinished = true;
   m_keepOpen = m_keepOpen && aKeepOpen;
   m_server->m_activeRequests.erase(m_caller);
+  ReleaseBody();
 }
 
 void
@@ -558,6 +694,7 @@
   m_server->m_sessions.erase(self);
   m_server->m_queuedBytes -= QueuedBytes();
   m_queued = std::string();
+  ReleaseBody();
   if (m_server->m_activeRequests.erase(m_caller) != 0) {
     m_server->m_handler.OnCallerDisconnected(m_caller, aReason);
   }
@@ -675,6 +812,18 @@
   return m_impl->m_queuedBytes;
 }
 
+std::size_t
+HttpServer::BodyBytes() const
+{
+  return m_impl->m_bodyBytes;
+}
+
+std::uint64_t
+HttpServer::RefusedBodies() const
+{
+  return m_impl->m_refusedBodies;
+}
+
 std::size_t
 HttpServer::Running() const
 {
--- a/src/libwire/wire_test.cpp
+++ b/src/libwire/wire_test.cpp
@@ -10,7 +10,10 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
 #include <cstdint>
 #include <cstdio>
@@ -556,8 +559,8 @@
   }
   for (int i = 0; i < 30; ++i) {
     callers.emplace_back(server.m_callers);
-    callers.back().connect({ asio::ip::make_address("127.0.0.1"),
-                             server.m_port });
+    callers.back().connect(
+      { asio::ip::make_address("127.0.0.1"), server.m_port });
   }
   server.m_context.run_for(kIdleTime);
   server.m_context.restart();
@@ -570,6 +573,192 @@
   cr_assert_neq(lines[1].find("count=\"30\""), std::string::npos);
 }
 
+namespace {
+
+/// Answers bodies of one byte at once and larger ones when told to, with a
+/// limit for all bodies that three of kLargeBytes reach. On its own thread.
+class BodyHolder : public HttpHandler
+{
+public:
+  static constexpr std::size_t kLargeBytes = 2U << 20U;
+
+  BodyHolder()
+    : m_server(m_context,
+               *this,
+               HttpServerLimits{ 1024,
+                                 kLargeBytes,
+                                 kReadTimeout,
+                                 64,
+                                 4 * kLargeBytes })
+  {
+    tcp::acceptor portFinder(
+      m_context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    m_port = portFinder.local_endpoint().port();
+    portFinder.close();
+    m_server.Listen(Endpoint("127.0.0.1", m_port));
+    m_thread = std::thread([this] { m_context.run(); });
+  }
+  ~BodyHolder() override
+  {
+    m_context.stop();
+    m_thread.join();
+  }
+
+  void OnRequest(CallerId aCaller, HttpRequest aRequest) override
+  {
+    if (aRequest.m_body.size() == 1) {
+      m_server.Respond(aCaller, HttpResponse());
+    } else {
+      m_waiting.push_back(aCaller);
+    }
+  }
+  void OnCallerDisconnected(CallerId, DisconnectReason) override {}
+
+  /// Calls on the server's thread.
+  template<typename Call>
+  auto Ask(Call aCall)
+  {
+    return asio::post(m_context, asio::use_future(aCall)).get();
+  }
+  bool Holds(std::size_t aRequests)
+  {
+    for (int i = 0; i < 200; ++i) {
+      if (Ask([&] { return m_waiting.size(); }) == aRequests) {
+        return true;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return false;
+  }
+  std::size_t BodyBytes()
+  {
+    return Ask([this] { return m_server.BodyBytes(); });
+  }
+  void AnswerAll()
+  {
+    Ask([this] {
+      for (const CallerId caller : std::exchange(m_waiting, {})) {
+        m_server.Respond(caller, HttpResponse());
+      }
+      return 0;
+    });
+  }
+
+  tcp::socket Send(const std::string& aBytes)
+  {
+    tcp::socket socket(m_callers);
+    socket.connect({ asio::ip::make_address("127.0.0.1"), m_port });
+    asio::write(socket, asio::buffer(aBytes));
+    return socket;
+  }
+  /// Reads until the end of the head or of the connection.
+  static std::string ReadHead(tcp::socket& aSocket)
+  {
+    std::string head;
+    boost::system::error_code error;
+    asio::read_until(aSocket, asio::dynamic_buffer(head), "\r\n\r\n", error);
+    return head;
+  }
+  /// Sends the whole request before it reads the answer, as most callers do.
+  /// Returns the answer; throws if the connection is reset.
+  std::string SendAndRead(const std::string& aBytes)
+  {
+    tcp::socket socket = Send(aBytes);
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    std::string response;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(response), error);
+    cr_assert_eq(error, asio::error::eof, "%s", error.message().c_str());
+    return response;
+  }
+
+private:
+  static constexpr Duration kReadTimeout = Duration(5'000'000);
+
+  asio::io_context m_context;
+  asio::io_context m_callers;
+  HttpServer m_server;
+  std::vector<CallerId> m_waiting;
+  std::uint16_t m_port = 0;
+  std::thread m_thread;
+};
+
+/// A request with a body in chunks of 1 KiB.
+std::string
+PostInChunks(std::size_t aBytes)
+{
+  std::string bytes =
+    "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (std::size_t i = 0; i < aBytes; i += 1024) {
+    bytes += "400\r\n" + std::string(1024, 'c') + "\r\n";
+  }
+  return bytes + "0\r\n\r\n";
+}
+
+bool
+IsRefusedAsNotRun(const std::string& aResponse)
+{
+  return aResponse.starts_with("HTTP/1.1 503") &&
+         aResponse.find("Retry-After: 1\r\n") != std::string::npos;
+}
+
+} // namespace
+
+// Guards against many large bodies that together take the memory of an entry.
+Test(http_server,
+     bodies_are_bounded_together_and_small_ones_still_fit,
+     .timeout = 20)
+{
+  for (const bool inChunks : { false, true }) {
+    BodyHolder server;
+    const std::string large =
+      inChunks ? PostInChunks(BodyHolder::kLargeBytes)
+               : Post(std::string(BodyHolder::kLargeBytes, 'b'));
+    std::vector<tcp::socket> callers;
+    for (int i = 0; i < 3; ++i) {
+      callers.push_back(server.Send(large));
+    }
+    cr_assert(server.Holds(3));
+    cr_assert_eq(server.BodyBytes(), 3 * BodyHolder::kLargeBytes);
+
+    cr_assert(IsRefusedAsNotRun(server.SendAndRead(large)));
+    tcp::socket small = server.Send(Post("x"));
+    cr_assert(BodyHolder::ReadHead(small).starts_with("HTTP/1.1 200"));
+    cr_assert(server.Holds(3), "the refused body was not passed on");
+
+    server.AnswerAll();
+    cr_assert_eq(server.BodyBytes(), 0U);
+    callers.push_back(server.Send(large));
+    cr_assert(server.Holds(1), "there is room again");
+    callers.clear();
+    for (int i = 0; i < 200 && server.BodyBytes() > 0; ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    cr_assert_eq(server.BodyBytes(), 0U, "its caller has left");
+  }
+}
+
+Test(http_server,
+     a_body_that_does_not_fit_is_refused_before_it_is_sent,
+     .timeout = 20)
+{
+  BodyHolder server;
+  std::vector<tcp::socket> callers;
+  for (int i = 0; i < 3; ++i) {
+    callers.push_back(
+      server.Send(Post(std::string(BodyHolder::kLargeBytes, 'b'))));
+  }
+  cr_assert(server.Holds(3));
+  tcp::socket refused =
+    server.Send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n");
+  std::string answer;
+  std::thread reader([&] { answer = BodyHolder::ReadHead(refused); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  refused.shutdown(tcp::socket::shutdown_both);
+  reader.join();
+  cr_assert(IsRefusedAsNotRun(answer));
+}
+
 // Guards against a process that ends because a caller's header field is longer
 // than the HTTP library bears, where the limit in force allows it.
 Test(http_server, fields_longer_than_the_library_bears_are_refused)
