--- a/src/libcontrol/FleetManager.cpp
+++ b/src/libcontrol/FleetManager.cpp
@@ -30,16 +30,9 @@
 /// nor entries any more. Half of a frame leaves room for the other fields.
 constexpr std::size_t kMaxDocumentBytes = kMaxFrameBytes / 2;
 
-/// A document is packed to at most this many times its text: a key of one
-/// letter is a hash of 64.
-constexpr std::size_t kMaxPackedGrowth = 32;
-
 bool
 FitsIntoFrames(const PublishRoutes& aRequest)
 {
-  if (aRequest.m_source.size() <= kMaxDocumentBytes / kMaxPackedGrowth) {
-    return true;
-  }
   const RoutePush push{ MakeDelta(RouteDocument(), aRequest.m_document) };
   return aRequest.m_source.size() <= kMaxDocumentBytes &&
          PackMessage(ControlMessage(push)).size() <= kMaxDocumentBytes;
