A crashed process ends although nobody reads its log

Cause: the line about a crash was a blocking write, so that with a full pipe and a reader that does not read, a crashed process stood for as long as it was watched (12 s), with its open connections; std::terminate out of WriteLog waited for the lock that it held itself; a stack overflow left no line, as its handler had no stack; the last line of a failed disk did not wait for the reader.

Change: the line is written only if the log accepts it in time; the terminate handler leaves its line out if the lock is taken; handlers have a stack of their own; DiskWriter closes the log.

--- a/src/libcore/CrashLine.cpp
+++ b/src/libcore/CrashLine.cpp
@@ -4,6 +4,7 @@
 
 #include <charconv>
 #include <cstring>
+#include <poll.h>
 #include <unistd.h>
 
 namespace fulmarquay {
@@ -62,8 +63,16 @@
 }
 
 void
-CrashLine::Write(int aDescriptor, long long aWallMillis, int aSignal) const
+CrashLine::Write(int aDescriptor,
+                 long long aWallMillis,
+                 int aSignal,
+                 int aWaitMs) const
 {
+  // A blocked write would keep a crashed process and its connections.
+  pollfd state{ aDescriptor, POLLOUT, 0 };
+  if (::poll(&state, 1, aWaitMs) != 1 || (state.revents & POLLOUT) == 0) {
+    return;
+  }
   FixedText line;
   line.Add(m_beforeTime);
   line.Add(aWallMillis);
--- a/src/libcore/CrashLine.h
+++ b/src/libcore/CrashLine.h
@@ -16,8 +16,12 @@
             const LogEventInfo& aEvent,
             bool aIsJson);
 
-  /// Writes the line. Async-signal-safe; errors are ignored.
-  void Write(int aDescriptor, long long aWallMillis, int aSignal) const;
+  /// Writes the line unless the descriptor accepts no bytes within `aWaitMs`.
+  /// Async-signal-safe; errors are ignored.
+  void Write(int aDescriptor,
+             long long aWallMillis,
+             int aSignal,
+             int aWaitMs) const;
 
 private:
   std::string m_beforeTime;
--- a/src/libcore/LogEvent.cpp
+++ b/src/libcore/LogEvent.cpp
@@ -4,6 +4,7 @@
 #include "fulmarquay/core/LogBuffer.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions/message.hpp>
 #include <boost/log/sources/logger.hpp>
@@ -25,6 +26,8 @@
 
 /// How long the last lines of a process may wait for a slow reader.
 constexpr int kCloseWaitMs = 500;
+/// Several times what the handler of a crash needs.
+constexpr std::size_t kSignalStackBytes = 64U << 10U;
 
 struct LogState
 {
@@ -127,7 +130,8 @@
   if (lock.owns_lock()) {
     State().m_buffer.FlushWaiting(STDOUT_FILENO, kCloseWaitMs);
   }
-  State().m_crashLine->Write(STDOUT_FILENO, WallMillis(), aSignal);
+  State().m_crashLine->Write(
+    STDOUT_FILENO, WallMillis(), aSignal, kCloseWaitMs);
   std::signal(aSignal, SIG_DFL);
   std::raise(aSignal);
 }
@@ -145,8 +149,12 @@
   } catch (...) {
     reason = "not a std::exception";
   }
-  WriteLog(LogEvent::ProcessFailed, { { "reason", reason } });
-  CloseLog();
+  // The exception may have left WriteLog, whose lock is then still held.
+  if (LogMutex().try_lock()) {
+    LogMutex().unlock();
+    WriteLog(LogEvent::ProcessFailed, { { "reason", reason } });
+    CloseLog();
+  }
   std::abort();
 }
 
@@ -212,8 +220,18 @@
   const LogEventInfo& info = FindEventInfo(LogEvent::ProcessCrashed);
   State().m_crashLine =
     std::make_unique<CrashLine>(State().m_program, info, State().m_isJson);
+  // The handler of a stack overflow needs another stack.
+  static std::array<char, kSignalStackBytes> stack;
+  stack_t alternate{};
+  alternate.ss_sp = stack.data();
+  alternate.ss_size = stack.size();
+  ::sigaltstack(&alternate, nullptr);
+  struct sigaction action
+  {};
+  action.sa_handler = OnCrashSignal;
+  action.sa_flags = SA_ONSTACK;
   for (const int signal : kCrashSignals) {
-    std::signal(signal, OnCrashSignal);
+    ::sigaction(signal, &action, nullptr);
   }
   std::set_terminate(OnTerminate);
 }
--- a/src/libdaemon/DiskWriter.cpp
+++ b/src/libdaemon/DiskWriter.cpp
@@ -71,7 +71,7 @@
                { { "step", e.Step() },
                  { "peer", e.Peer() },
                  { "reason", e.Reason() } });
-      FlushLog();
+      CloseLog();
       std::_Exit(static_cast<int>(ExitCode::DiskLost));
     }
   }
--- a/src/libdaemon/daemon_test.cpp
+++ b/src/libdaemon/daemon_test.cpp
@@ -159,6 +159,52 @@
   }
 }
 
+namespace {
+
+int
+Recurse(int aDepth)
+{
+  volatile char frame[4096] = {};
+  frame[0] = static_cast<char>(aDepth);
+  return aDepth < 0 ? 0 : Recurse(aDepth + 1) + frame[0];
+}
+
+} // namespace
+
+Test(process_end, stack_overflow_leaves_its_signal)
+{
+  const std::string output = OutputOfDaemon([] { std::_Exit(Recurse(1)); });
+  cr_assert(Contains(output, "name=ProcessCrashed"), "%s", output.c_str());
+}
+
+// Guards against a crashed process that keeps its connections because nobody
+// reads its log.
+Test(process_end,
+     a_crash_ends_the_process_while_nobody_reads_its_log,
+     .timeout = 10)
+{
+  int ends[2];
+  cr_assert_eq(::pipe(ends), 0);
+  const pid_t child = ::fork();
+  if (child == 0) {
+    ::dup2(ends[1], STDOUT_FILENO);
+    RunTestDaemon([] {
+      // More than a pipe holds.
+      for (int i = 0; i < 2'000; ++i) {
+        WriteLog(LogEvent::RequestSent, { { "id", "later" } });
+      }
+      FlushLog();
+      std::raise(SIGSEGV);
+    });
+    std::_Exit(0);
+  }
+  int status = 0;
+  ::waitpid(child, &status, 0);
+  ::close(ends[0]);
+  ::close(ends[1]);
+  cr_assert(WIFSIGNALED(status));
+}
+
 Test(process_end, lack_of_memory_leaves_its_line)
 {
   const std::string output = OutputOfDaemon([] {
