A refused probe moves only calls that go on elsewhere, of silent workers

Cause: probes of unreached pools also sample workers that are sending, whose streams were then moved; and a call was cancelled when any worker of its pool was available, also one that is full, was tried already or has another software version, so that it ended without a worker. Change: only calls of a worker that is silent are moved, and only if placement names a worker for the call and it is not blocked. The choice by placement has no test of its own.

--- a/src/libserve/RelayProbes.cpp
+++ b/src/libserve/RelayProbes.cpp
@@ -90,6 +90,10 @@
 RelayFlow::OnProbeEnd(const WorkerId& aWorker, CallResult aEnd)
 {
   WorkerState* worker = m_workers.Find(aWorker);
+  // Probes also sample workers that are sending.
+  const bool isSilent =
+    worker == nullptr ||
+    m_context.Now() >= worker->m_lastActivityAt + kSilenceTimeout;
   if (worker != nullptr) {
     worker->m_isProbeInFlight = false;
     worker->m_lastActivityAt = m_context.Now();
@@ -109,7 +113,9 @@
   m_context.Log(LogEvent::WorkerSuspected,
                 { { "worker", aWorker.Value() },
                   { "why", "silent, and takes no connection" } });
-  MoveCallsFrom(aWorker);
+  if (isSilent) {
+    MoveCallsFrom(aWorker);
+  }
 }
 
 void
@@ -126,7 +132,8 @@
     // The others stay: a worker may be silent and still send its answers.
     const bool canMove =
       active != nullptr && MayRepeat(*active) &&
-      !m_workers.Available(m_context.Now(), active->m_pool).empty() &&
+      !m_partWatch.IsBlocked(active->m_partIds) &&
+      m_placement.Choose(m_workers, CriteriaFor(*active)).m_worker != nullptr &&
       TakeRetry(*active);
     if (!canMove) {
       continue;
--- a/src/libserve/relay_test.cpp
+++ b/src/libserve/relay_test.cpp
@@ -315,6 +315,22 @@
   }
 }
 
+Test(relay, a_refused_probe_does_not_move_a_stream_that_goes_on)
+{
+  Entry entry;
+  entry.SetWorkers({ Worker("w1", 1), Worker("w2", 2) });
+  entry.SendRequest("/resumable/x");
+  entry.Head(200, "ps");
+  entry.Data("id: 0\ndata: a\n\n");
+  entry.AdvanceTicks(600);
+  cr_assert_eq(entry.m_probes.size(), 1U);
+  entry.Data("id: 1\ndata: b\n\n");
+  entry.m_flow.OnEnd(entry.m_probes[0].m_call, CallResult::NotSent, "");
+  entry.CollectEffects();
+  cr_assert_eq(entry.m_cancels, 0);
+  cr_assert_eq(entry.m_calls.size(), 1U);
+}
+
 Test(relay, a_suspected_worker_is_probed_before_new_requests)
 {
   Entry entry;
