--- a/src/libcontrol/fleet_test.cpp
+++ b/src/libcontrol/fleet_test.cpp
@@ -606,11 +606,10 @@
   fixture.AddEvent("a", 100);
   fixture.Advance(8'000);
   const auto countLists = [&] {
-    return std::count_if(fixture.m_context.m_calls.begin(),
-                         fixture.m_context.m_calls.end(),
-                         [](const HttpCall& aEach) {
-                           return aEach.m_request.m_target == "list";
-                         });
+    return std::count_if(
+      fixture.m_context.m_calls.begin(),
+      fixture.m_context.m_calls.end(),
+      [](const HttpCall& aEach) { return aEach.m_request.m_target == "list"; });
   };
   const auto before = countLists();
   fixture.m_manager.OnNewestWeights({ { "m", 2 } });
