--- a/src/libwire/wire_test.cpp
+++ b/src/libwire/wire_test.cpp
@@ -554,6 +554,7 @@
   const CapturedLog log;
   BytesServer server;
   std::vector<tcp::socket> callers;
+  callers.reserve(64);
   for (int i = 0; i < 64; ++i) {
     callers.push_back(server.Request(10));
   }
@@ -715,6 +716,7 @@
       inChunks ? PostInChunks(BodyHolder::kLargeBytes)
                : Post(std::string(BodyHolder::kLargeBytes, 'b'));
     std::vector<tcp::socket> callers;
+    callers.reserve(3);
     for (int i = 0; i < 3; ++i) {
       callers.push_back(server.Send(large));
     }
@@ -744,6 +746,7 @@
 {
   BodyHolder server;
   std::vector<tcp::socket> callers;
+  callers.reserve(3);
   for (int i = 0; i < 3; ++i) {
     callers.push_back(
       server.Send(Post(std::string(BodyHolder::kLargeBytes, 'b'))));
