--- a/src/include/fulmarquay/core/MemoryWatch.h
+++ b/src/include/fulmarquay/core/MemoryWatch.h
@@ -7,8 +7,9 @@
 
 namespace fulmarquay {
 
-/// Tells when the resident memory of a process reaches another step. A process
-/// that is killed at its memory limit can't log it; the steps before show it.
+/// Detects when the resident memory of a process reaches another step. A
+/// process that is killed at its memory limit can't log it; the steps before
+/// show it.
 class MemoryWatch
 {
 public:
