--- a/src/libconsensus/membership_test.cpp
+++ b/src/libconsensus/membership_test.cpp
@@ -1,136 +1,15 @@
 // Membership changes: replacement and removal of unresponsive voters, and
 // rejoining, in a simulated group without message or disk latency.
-#include "fulmarquay/consensus/Replica.h"
-#include "fulmarquay/consensus/ReplicaEffects.h"
-
-#include <deque>
-#include <map>
-#include <memory>
-#include <set>
+#include "replica_group_test.h"
 
 // Included last because its macros clash with names in other headers.
 #include <criterion/criterion.h>
 
 using namespace fulmarquay;
+using namespace fulmarquay::testing;
 
 namespace {
 
-constexpr std::int64_t kTickUs = 20'000;
-
-class ReplicaGroup
-{
-public:
-  explicit ReplicaGroup(int aVoters)
-  {
-    for (int i = 1; i <= aVoters; ++i) {
-      m_initialSnapshot.m_membership.m_voters.push_back(MemberOf(i));
-    }
-    for (int i = 1; i <= aVoters; ++i) {
-      Start(i, m_initialSnapshot);
-    }
-  }
-
-  static Member MemberOf(int aNumber)
-  {
-    const std::string vm = "vm" + std::to_string(aNumber);
-    return { ReplicaId(static_cast<std::uint64_t>(aNumber)), vm, "10.0.0.1:1" };
-  }
-
-  /// Starts a replica without state, which sends join requests.
-  void Join(int aNumber) { Start(aNumber, Snapshot()); }
-
-  void SetIsolated(int aNumber, bool aIsIsolated)
-  {
-    aIsIsolated ? (void)m_isolated.insert(Id(aNumber))
-                : (void)m_isolated.erase(Id(aNumber));
-  }
-
-  void Run(Duration aTime)
-  {
-    const TimePoint end = m_now + aTime;
-    while (m_now < end) {
-      m_now += Duration(kTickUs);
-      for (auto& [id, replica] : m_replicas) {
-        Dispatch(id, ReplicaTick{});
-      }
-    }
-  }
-
-  const Membership& Members() const
-  {
-    const ReplicaId leader = Leader();
-    cr_assert_neq(leader, ReplicaId(0), "no leader");
-    return m_replicas.at(leader)->Members();
-  }
-
-  ReplicaId Leader() const
-  {
-    for (const auto& [id, replica] : m_replicas) {
-      if (replica->HoldsLease(m_now) && m_isolated.count(id) == 0) {
-        return id;
-      }
-    }
-    return ReplicaId(0);
-  }
-
-  bool IsVoter(int aNumber) const { return Members().IsVoter(Id(aNumber)); }
-  static ReplicaId Id(int aNumber) { return MemberOf(aNumber).m_id; }
-
-private:
-  void Start(int aNumber, const Snapshot& aSnapshot)
-  {
-    ReplicaOptions options;
-    options.m_self = MemberOf(aNumber);
-    options.m_seed = static_cast<std::uint64_t>(aNumber);
-    RecoveredState state;
-    state.m_snapshot = aSnapshot;
-    m_replicas[Id(aNumber)] =
-      std::make_unique<Replica>(options, std::move(state), m_now);
-  }
-
-  void Dispatch(ReplicaId aTo, const ReplicaEvent& aEvent)
-  {
-    HandleEffects(aTo, m_replicas.at(aTo)->Reduce(m_now, aEvent));
-    while (!m_pendingEvents.empty()) {
-      const auto [to, event] = std::move(m_pendingEvents.front());
-      m_pendingEvents.pop_front();
-      HandleEffects(to, m_replicas.at(to)->Reduce(m_now, event));
-    }
-  }
-
-  void HandleEffects(ReplicaId aFrom, const ReplicaEffects& aEffects)
-  {
-    for (const ReplicaEffect& effect : aEffects) {
-      if (const auto* send = std::get_if<SendConsensus>(&effect)) {
-        Deliver(aFrom, send->m_message);
-      } else if (const auto* batch = std::get_if<PersistBatch>(&effect)) {
-        m_pendingEvents.emplace_back(aFrom, DiskSynced{ batch->m_number });
-      } else if (const auto* snapshot = std::get_if<PersistSnapshot>(&effect)) {
-        m_pendingEvents.emplace_back(aFrom, DiskSynced{ snapshot->m_number });
-      }
-    }
-  }
-
-  void Deliver(ReplicaId aFrom, const ConsensusMessage& aMessage)
-  {
-    for (const auto& [id, replica] : m_replicas) {
-      const bool isAddressed =
-        aMessage.m_to == id || (aMessage.m_to == ReplicaId(0) && id != aFrom);
-      const bool isDropped =
-        m_isolated.count(aFrom) != 0 || m_isolated.count(id) != 0;
-      if (isAddressed && !isDropped) {
-        m_pendingEvents.emplace_back(id, ConsensusReceived{ aMessage });
-      }
-    }
-  }
-
-  TimePoint m_now{ Duration(1'000'000'000) };
-  Snapshot m_initialSnapshot;
-  std::map<ReplicaId, std::unique_ptr<Replica>> m_replicas;
-  std::set<ReplicaId> m_isolated;
-  std::deque<std::pair<ReplicaId, ReplicaEvent>> m_pendingEvents;
-};
-
 constexpr Duration kSecond(1'000'000);
 
 } // namespace
@@ -173,7 +52,7 @@
   // The group tolerates the loss of another voter.
   group.SetIsolated(1, true);
   group.Run(4 * kSecond);
-  cr_assert_neq(group.Leader(), ReplicaId(0));
+  cr_assert_neq(group.Leader(), 0);
 }
 
 Test(membership, removed_voter_rejoins_after_reconnecting)
@@ -196,3 +75,66 @@
   group.Run(20 * kSecond);
   cr_assert(group.IsVoter(3));
 }
+
+Test(membership, disks_lost_after_a_cut_of_other_vms_leave_a_leader)
+{
+  for (int vms = 3; vms <= 9; ++vms) {
+    ReplicaGroup group(vms);
+    group.Run(3 * kSecond);
+    const int borne = (vms - 1) / 2;
+    for (int cut = 1; cut <= borne; ++cut) {
+      group.SetIsolated(cut, true);
+    }
+    group.Run(7 * kSecond);
+    cr_assert(group.Propose("acknowledged"), "%d VMs", vms);
+    group.Run(kSecond);
+    for (int lost = borne + 1; lost <= 2 * borne; ++lost) {
+      group.LoseDisk(lost);
+    }
+    for (int vm = 1; vm <= 2 * borne; ++vm) {
+      vm <= borne ? group.SetIsolated(vm, false) : group.Start(vm);
+    }
+    group.Run(15 * kSecond);
+    cr_assert_neq(group.Leader(), 0, "%d VMs", vms);
+    cr_assert_eq(group.Applied(group.Leader()),
+                 std::vector<std::string>{ "acknowledged" });
+  }
+}
+
+Test(membership, vm_joins_without_a_seed_that_leads)
+{
+  ReplicaGroup group(5);
+  group.Run(3 * kSecond);
+  std::set<int> followers;
+  for (int vm = 1; vm <= 5; ++vm) {
+    if (vm != group.Leader()) {
+      followers.insert(vm);
+    }
+  }
+  group.Join(6, { *followers.begin(), *followers.rbegin() });
+  group.Run(5 * kSecond);
+  cr_assert(group.IsVoter(6));
+}
+
+Test(membership, disks_lost_after_all_vms_were_replaced_leave_a_leader)
+{
+  ReplicaGroup group(5);
+  group.Run(3 * kSecond);
+  cr_assert(group.Propose("acknowledged"));
+  // Each successor knows the three newest VMs only.
+  for (int vm = 1; vm <= 5; ++vm) {
+    group.Stop(vm);
+    group.Run(2 * kSecond);
+    group.Join(vm + 5, { vm + 2, vm + 3, vm + 4 });
+    group.Run(8 * kSecond);
+  }
+  cr_assert_eq(group.Members().m_voters.size(), 5U);
+  for (const int lost : { 7, 9 }) {
+    group.LoseDisk(lost);
+    group.Start(lost);
+  }
+  group.Run(15 * kSecond);
+  cr_assert_neq(group.Leader(), 0);
+  cr_assert_eq(group.Applied(group.Leader()),
+               std::vector<std::string>{ "acknowledged" });
+}
