Control group: log members, join requests, removals and times without a leader

The users' record could not tell whether replicas joined, how many voters remained, or why a read was refused.

New events: GroupChanged (members at start and after each change), JoinReceived (what a replica did with a join request), NoLeader and LeaderFound (voters, reached, needed), OperatorRefused (why). VoterReplaced gets replica, reason, silent_ms and the remaining voters.

--- a/src/fulmarquay/fulmarquay.cpp
+++ b/src/fulmarquay/fulmarquay.cpp
@@ -170,7 +170,9 @@
                 { "term", aStatus.m_term },
                 { "commit", aStatus.m_commit },
                 { "once_records", aStatus.m_onceRecords },
-                { "feature_level", aStatus.m_featureLevel } };
+                { "feature_level", aStatus.m_featureLevel },
+                { "voters_needed", aStatus.m_votersNeeded },
+                { "voters_reached", aStatus.m_votersReached } };
   json["evacuated"] = Json::array();
   for (const DataCentreId& dataCentre : aStatus.m_evacuated) {
     json["evacuated"].push_back(dataCentre.Value());
@@ -201,6 +203,11 @@
   std::cout << "revision " << aStatus.m_revision.Value() << ", term "
             << aStatus.m_term << ", once-only records " << aStatus.m_onceRecords
             << ", feature level " << aStatus.m_featureLevel << "\n";
+  if (aStatus.m_votersNeeded > 0) {
+    std::cout << "the leader hears from " << aStatus.m_votersReached
+              << " voters, itself included; a commit needs "
+              << aStatus.m_votersNeeded << "\n";
+  }
   for (const DataCentreId& dataCentre : aStatus.m_evacuated) {
     std::cout << "evacuated: " << dataCentre.Value() << "\n";
   }
--- a/src/include/fulmarquay/consensus/Replica.h
+++ b/src/include/fulmarquay/consensus/Replica.h
@@ -88,10 +88,26 @@
   /// Valid on the leader.
   std::uint32_t LowestFeatureLevel() const;
 
+  /// The number of voters that a commit or an election requires.
+  std::size_t VotersNeeded() const
+  {
+    return m_membership.m_voters.size() / 2 + 1;
+  }
+
+  /// The voters that this replica heard from within the voter timeout, itself
+  /// included if it is one. A follower hears from its leader only.
+  std::size_t VotersReached(TimePoint aNow) const;
+
+  /// How long this replica has known no leader; 0 while it knows one.
+  Duration TimeWithoutLeader(TimePoint aNow) const;
+
   /// A snapshot of the state machine at the last applied entry.
   Snapshot MakeSnapshot(std::string aData) const;
 
 protected:
+  /// A voter without a reply for this long counts as silent.
+  static constexpr Duration kVoterTimeout = Duration(2'500'000);
+
   // Virtual so that tests can inject known defects.
   virtual bool MayGrantVote(const VoteRequest& aRequest, ReplicaId aFrom) const;
   virtual bool IsQuorum(std::size_t aCount) const;
@@ -166,7 +182,8 @@
   bool IsCaughtUp(ReplicaId aId) const;
   void PromoteLearner(const Member& aLearner);
   std::optional<Member> FindUnresponsiveVoter() const;
-  void RemoveVoter(const Member& aVoter);
+  void RemoveVoter(const Member& aVoter, bool aIsDiskLost);
+  JoinOutcome AddLearner(const Member& aMember);
   void ProposeMembership(const Membership& aMembership);
   void ContinueTransfer();
   void ReconcileProgress();
@@ -198,6 +215,7 @@
 
   TimePoint m_electionDeadline;
   TimePoint m_lastLeaderContact;
+  std::map<ReplicaId, TimePoint> m_lastHeard; ///< of the other voters
   TimePoint m_nextJoinRequest;
   std::set<ReplicaId> m_votes;
 
--- a/src/include/fulmarquay/consensus/ReplicaEffects.h
+++ b/src/include/fulmarquay/consensus/ReplicaEffects.h
@@ -70,10 +70,34 @@
   Term m_term;
 };
 
-/// The leader removes a voter that did not reply within the voter timeout.
+/// The leader removes a voter.
 struct VoterRemoved
 {
   Member m_voter;
+  bool m_isDiskLost = false; ///< its VM returned under a new id
+  Duration m_silence;        ///< time since its last reply
+};
+
+/// The membership in force at this replica has changed.
+struct MembershipChanged
+{
+  Membership m_membership;
+};
+
+/// What a replica did with a join request.
+enum class JoinOutcome
+{
+  Added,            ///< as a learner
+  KnownMember,      ///< it is a member already
+  ChangeInProgress, ///< the leader can't change the membership now
+  NotLeader,
+};
+
+/// A join request was received.
+struct JoinHandled
+{
+  Member m_member;
+  JoinOutcome m_outcome = JoinOutcome::NotLeader;
 };
 
 using ReplicaEffect = std::variant<SendConsensus,
@@ -84,7 +108,9 @@
                                    ProposalAppended,
                                    ProposalRefused,
                                    LeadershipChanged,
-                                   VoterRemoved>;
+                                   VoterRemoved,
+                                   MembershipChanged,
+                                   JoinHandled>;
 
 /// Effects in the order in which they are to be carried out.
 using ReplicaEffects = std::vector<ReplicaEffect>;
--- a/src/include/fulmarquay/control/ControlMessages.h
+++ b/src/include/fulmarquay/control/ControlMessages.h
@@ -271,6 +271,8 @@
   std::vector<EntryStatus> m_entries;
   std::uint32_t m_featureLevel = 0; ///< lowest of all replicas
   std::set<DataCentreId> m_evacuated;
+  std::uint64_t m_votersNeeded = 0;  ///< for a commit; 0 from older builds
+  std::uint64_t m_votersReached = 0; ///< heard lately, the leader included
   MSGPACK_DEFINE(m_request,
                  m_revision,
                  m_digest,
@@ -280,7 +282,9 @@
                  m_replicas,
                  m_entries,
                  m_featureLevel,
-                 m_evacuated)
+                 m_evacuated,
+                 m_votersNeeded,
+                 m_votersReached)
 };
 
 /// This replica can't serve the request: it is to be resent to the leader, or
--- a/src/include/fulmarquay/control/ControlNode.h
+++ b/src/include/fulmarquay/control/ControlNode.h
@@ -6,6 +6,7 @@
 #include "fulmarquay/control/ControlState.h"
 #include "fulmarquay/control/EntryRegistry.h"
 #include "fulmarquay/control/FleetManager.h"
+#include "fulmarquay/control/GroupMonitor.h"
 #include "fulmarquay/control/Rollout.h"
 #include "fulmarquay/upstream/EngineProtocol.h"
 #include "fulmarquay/wire/HttpClient.h"
@@ -197,6 +198,8 @@
   void Execute(const ProposalRefused& aEffect);
   void Execute(const LeadershipChanged& aEffect);
   void Execute(const VoterRemoved& aEffect);
+  void Execute(const MembershipChanged& aEffect);
+  void Execute(const JoinHandled& aEffect);
 
   // Side effects of an applied command, beside its reply.
   template<typename Other>
@@ -256,6 +259,13 @@
   StatusReply MakeStatus(RequestId aRequest) const;
   std::vector<ReplicaStatus> ListReplicas() const;
 
+  void EmitIfAny(std::optional<LogLine> aLine)
+  {
+    if (aLine) {
+      Emit(std::move(*aLine));
+    }
+  }
+
   template<typename Effect>
   void Emit(Effect aEffect)
   {
@@ -289,6 +299,7 @@
   std::map<CallId, EngineCall> m_engineCalls;
   std::unique_ptr<FleetManager> m_fleet; ///< null without AddFleet
   std::uint32_t m_loggedFeatureLevel = 0;
+  GroupMonitor m_group;
   std::uint64_t m_nextCall = 1;
   std::uint64_t m_nextProposal = 1;
   TimePoint m_leadingSince;
--- a/src/libconsensus/Replica.cpp
+++ b/src/libconsensus/Replica.cpp
@@ -77,6 +77,26 @@
   return m_log.TermAt(aIndex) == m_hardState.m_term;
 }
 
+std::size_t
+Replica::VotersReached(TimePoint aNow) const
+{
+  std::size_t count = m_membership.IsVoter(Id()) ? 1 : 0;
+  for (const auto& [id, heardAt] : m_lastHeard) {
+    count += aNow < heardAt + kVoterTimeout ? 1 : 0;
+  }
+  return count;
+}
+
+Duration
+Replica::TimeWithoutLeader(TimePoint aNow) const
+{
+  const bool isLeading = m_role == ReplicaRole::Leader;
+  const TimePoint knownUntil =
+    isLeading ? std::max(m_leaseEnd, m_leaderSince)
+              : m_lastLeaderContact + m_options.m_timing.m_electionTimeout;
+  return std::max(Duration(0), aNow - knownUntil);
+}
+
 void
 Replica::On(const ReplicaTick&)
 {
@@ -94,6 +114,9 @@
 Replica::On(const ConsensusReceived& aEvent)
 {
   const ConsensusMessage& message = aEvent.m_message;
+  if (m_membership.IsVoter(message.m_from)) {
+    m_lastHeard[message.m_from] = m_now;
+  }
   if (const auto* join = std::get_if<JoinRequest>(&message.m_body)) {
     On(message.m_from, *join);
     return;
@@ -196,6 +219,10 @@
 Replica::RefreshMembership()
 {
   m_membership = m_log.MembershipAt(m_log.LastIndex());
+  std::erase_if(m_lastHeard, [this](const auto& aEach) {
+    return !m_membership.IsVoter(aEach.first);
+  });
+  m_effects.emplace_back(MembershipChanged{ m_membership });
   if (m_role == ReplicaRole::Leader) {
     ReconcileProgress();
   }
--- a/src/libconsensus/ReplicaLeader.cpp
+++ b/src/libconsensus/ReplicaLeader.cpp
@@ -15,9 +15,6 @@
 constexpr std::size_t kSnapshotPartBytes = 256U << 10U;
 /// A learner with at most this lag behind the end of the log has caught up.
 constexpr std::uint64_t kMaxLearnerLagEntries = 64;
-/// A voter without a reply for this long is removed if a learner has caught up
-/// and can replace it, or if the group is larger than kMinVoters.
-constexpr Duration kVoterTimeout(2'500'000);
 /// The smallest group that tolerates the loss of one voter. No voter is
 /// removed from it without a replacement.
 constexpr std::size_t kMinVoters = 3;
@@ -323,16 +320,29 @@
 void
 Replica::On(ReplicaId, const JoinRequest& aRequest)
 {
-  const Member& newMember = aRequest.m_member;
-  if (!MayChangeMembership() || m_membership.Contains(newMember.m_id)) {
-    return;
+  const JoinOutcome outcome = AddLearner(aRequest.m_member);
+  m_effects.emplace_back(JoinHandled{ aRequest.m_member, outcome });
+}
+
+JoinOutcome
+Replica::AddLearner(const Member& aMember)
+{
+  if (m_role != ReplicaRole::Leader) {
+    return JoinOutcome::NotLeader;
+  }
+  if (m_membership.Contains(aMember.m_id)) {
+    return JoinOutcome::KnownMember;
+  }
+  if (!MayChangeMembership()) {
+    return JoinOutcome::ChangeInProgress;
   }
   Membership membership = m_membership;
   std::erase_if(membership.m_learners, [&](const Member& aEach) {
-    return aEach.m_vm == newMember.m_vm;
+    return aEach.m_vm == aMember.m_vm;
   });
-  membership.m_learners.push_back(newMember);
+  membership.m_learners.push_back(aMember);
   ProposeMembership(membership);
+  return JoinOutcome::Added;
 }
 
 bool
@@ -362,7 +372,7 @@
   }
   if (m_membership.m_voters.size() > kMinVoters) {
     if (const std::optional<Member> lost = FindUnresponsiveVoter()) {
-      RemoveVoter(*lost);
+      RemoveVoter(*lost, false);
     }
   }
 }
@@ -382,31 +392,34 @@
 }
 
 void
-Replica::RemoveVoter(const Member& aVoter)
+Replica::RemoveVoter(const Member& aVoter, bool aIsDiskLost)
 {
   Membership membership = m_membership;
   std::erase(membership.m_voters, aVoter);
-  m_effects.emplace_back(VoterRemoved{ aVoter });
+  const Duration silence = m_now - m_progress.at(aVoter.m_id).m_lastReplyAt;
+  m_effects.emplace_back(VoterRemoved{ aVoter, aIsDiskLost, silence });
   ProposeMembership(membership);
 }
 
 void
 Replica::PromoteLearner(const Member& aLearner)
 {
-  Membership membership = m_membership;
-  const auto isReplaced = [&](const Member& aEach) {
-    return aEach.m_vm == aLearner.m_vm && aEach.m_id != Id();
-  };
   // Each proposal changes one voter: the replaced voter is removed first, and
   // a later proposal promotes the learner.
-  if (std::erase_if(membership.m_voters, isReplaced) == 0) {
-    if (const std::optional<Member> lost = FindUnresponsiveVoter()) {
-      RemoveVoter(*lost);
+  for (const Member& voter : m_membership.m_voters) {
+    if (voter.m_vm == aLearner.m_vm && voter.m_id != Id()) {
+      const Member replaced = voter;
+      RemoveVoter(replaced, true);
       return;
     }
-    std::erase(membership.m_learners, aLearner);
-    membership.m_voters.push_back(aLearner);
   }
+  if (const std::optional<Member> lost = FindUnresponsiveVoter()) {
+    RemoveVoter(*lost, false);
+    return;
+  }
+  Membership membership = m_membership;
+  std::erase(membership.m_learners, aLearner);
+  membership.m_voters.push_back(aLearner);
   ProposeMembership(membership);
 }
 
--- a/src/libcontrol/ControlNode.cpp
+++ b/src/libcontrol/ControlNode.cpp
@@ -54,6 +54,10 @@
     m_fleet->OnTick();
   }
   const bool isTick = std::holds_alternative<ReplicaTick>(aEvent);
+  if (isTick) {
+    EmitIfAny(m_group.OnMembership(m_replica->Members()));
+    EmitIfAny(m_group.OnTick(m_now, *m_replica));
+  }
   if (isTick && m_replica->HoldsLease(m_now) && m_now >= m_nextMaintenance) {
     m_nextMaintenance = m_now + kMaintenanceInterval;
     m_entries.Review(m_now);
@@ -364,7 +368,26 @@
 void
 ControlNode::Execute(const VoterRemoved& aEffect)
 {
-  Emit(LogLine{ LogEvent::VoterReplaced, { { "vm", aEffect.m_voter.m_vm } } });
+  // The voter is still among the members: the change follows this effect.
+  const std::size_t voters = m_replica->Members().m_voters.size();
+  Emit(LogLine{ LogEvent::VoterReplaced,
+                { { "vm", aEffect.m_voter.m_vm },
+                  { "replica", HexOf(aEffect.m_voter.m_id.Value()) },
+                  { "reason", aEffect.m_isDiskLost ? "disk lost" : "silent" },
+                  { "silent_ms", std::to_string(ToMillis(aEffect.m_silence)) },
+                  { "voters", std::to_string(voters) } } });
+}
+
+void
+ControlNode::Execute(const MembershipChanged& aEffect)
+{
+  EmitIfAny(m_group.OnMembership(aEffect.m_membership));
+}
+
+void
+ControlNode::Execute(const JoinHandled& aEffect)
+{
+  EmitIfAny(m_group.OnJoin(aEffect));
 }
 
 void
--- a/src/libcontrol/ControlNodeStatus.cpp
+++ b/src/libcontrol/ControlNodeStatus.cpp
@@ -76,6 +76,8 @@
   reply.m_replicas = ListReplicas();
   reply.m_featureLevel = m_replica->LowestFeatureLevel();
   reply.m_evacuated = m_state.Published().Evacuated();
+  reply.m_votersNeeded = m_replica->VotersNeeded();
+  reply.m_votersReached = m_replica->VotersReached(m_now);
   for (const auto& [vm, session] : m_entries.All()) {
     EntryStatus entry;
     entry.m_vm = vm;
@@ -122,6 +124,11 @@
   addNumber("snapshot_index", base.m_index.Value());
   addNumber("voters", m_replica->Members().m_voters.size());
   addNumber("learners", m_replica->Members().m_learners.size());
+  addNumber("voters_needed", m_replica->VotersNeeded());
+  addNumber("voters_reached", m_replica->VotersReached(aNow));
+  addNumber(
+    "without_leader_ms",
+    static_cast<std::uint64_t>(ToMillis(m_replica->TimeWithoutLeader(aNow))));
   addNumber("revision", m_state.Config().Current().Value());
   addText("digest", m_state.Config().Digest());
   addNumber("once_records", m_state.Once().Size());
--- a/src/libcontrol/FleetOperators.cpp
+++ b/src/libcontrol/FleetOperators.cpp
@@ -136,6 +136,13 @@
     m_context.IsLeading() ? "" : m_context.LeaderAddress();
   const auto kind = leader.empty() ? OperatorAnswer::Kind::Unavailable
                                    : OperatorAnswer::Kind::Redirect;
+  if (leader.empty()) {
+    const bool isLeading = m_context.IsLeading();
+    m_context.Log(LogEvent::OperatorRefused,
+                  { { "reason",
+                      isLeading ? "leads without a lease or term start"
+                                : "no leader is known" } });
+  }
   m_context.Answer(aCaller, { kind, leader });
 }
 
--- a/src/libcore/LogCatalogue.cpp
+++ b/src/libcore/LogCatalogue.cpp
@@ -219,9 +219,40 @@
     { LogEvent::VoterReplaced,
       "VoterReplaced",
       "warning",
-      "A voter that was unreachable for too long was removed from the control "
-      "group.",
+      "The leader removes a voter from the control group: its VM returned with "
+      "an empty disk, or it has been silent for silent_ms. voters counts those "
+      "that remain.",
       "Check its VM; the replica rejoins automatically." },
+    { LogEvent::GroupChanged,
+      "GroupChanged",
+      "info",
+      "The members of the control group as this replica knows them, at its "
+      "start and after each change; needed is the number of voters that a "
+      "commit requires.",
+      "Check that each control VM is among the voters." },
+    { LogEvent::JoinReceived,
+      "JoinReceived",
+      "info",
+      "A replica asked to join the control group; outcome tells what this "
+      "replica did. Logged once for each outcome.",
+      "If no replica logs `added`, check that the VM reaches the leader." },
+    { LogEvent::NoLeader,
+      "NoLeader",
+      "warning",
+      "This replica has known no leader for silent_ms; reached counts the "
+      "voters that it heard from lately, itself included.",
+      "Start the missing voters; see OPERATIONS.md, no leader." },
+    { LogEvent::LeaderFound,
+      "LeaderFound",
+      "info",
+      "The control group has a leader again after NoLeader.",
+      "None." },
+    { LogEvent::OperatorRefused,
+      "OperatorRefused",
+      "warning",
+      "An operator's request was refused because this replica doesn't lead "
+      "with a lease and knows no other leader.",
+      "Check NoLeader and LostLeadership lines." },
     { LogEvent::RoutesPublished,
       "RoutesPublished",
       "info",
--- a/src/libdaemon/ControlServer.cpp
+++ b/src/libdaemon/ControlServer.cpp
@@ -187,7 +187,8 @@
 ControlServer::RenderMetrics()
 {
   const Replica& replica = m_node->Consensus();
-  const bool isLeading = replica.HoldsLease(MonotonicNow());
+  const TimePoint now = MonotonicNow();
+  const bool isLeading = replica.HoldsLease(now);
   m_metrics.Gauge("resident_bytes",
                   static_cast<double>(m_memory.Resident().Count()));
   m_metrics.Gauge("leads", isLeading ? 1 : 0);
@@ -195,6 +196,14 @@
   m_metrics.Gauge("commit", static_cast<double>(replica.Commit().Value()));
   m_metrics.Gauge("voters",
                   static_cast<double>(replica.Members().m_voters.size()));
+  m_metrics.Gauge("learners",
+                  static_cast<double>(replica.Members().m_learners.size()));
+  m_metrics.Gauge("voters_needed", static_cast<double>(replica.VotersNeeded()));
+  m_metrics.Gauge("voters_reached",
+                  static_cast<double>(replica.VotersReached(now)));
+  m_metrics.Gauge("without_leader_seconds",
+                  static_cast<double>(replica.TimeWithoutLeader(now).count()) /
+                    1e6);
   m_metrics.Gauge(
     "routes_revision",
     static_cast<double>(m_node->State().Published().Current().Value()));
