Join requests reach a leader that is not a seed

What users saw: after control VMs were replaced, the configuration could not be read. Cause: a new VM sends its join request to the seeds of its settings, three of five VMs, and a replica that does not lead dropped it. While no seed led, the VM never became a member, and removed voters had no successors. With three control VMs the leader is always a seed; five have shown it.

Change: a replica that does not lead forwards the request of the joining replica to its leader, once. The message is the known JoinRequest, so that it works beside older builds: an old leader handles a forwarded request like any other.

--- a/src/include/fulmarquay/consensus/ConsensusMessages.h
+++ b/src/include/fulmarquay/consensus/ConsensusMessages.h
@@ -102,7 +102,8 @@
   MSGPACK_DEFINE(m_isTransfer)
 };
 
-/// Requests that the sender be added to the control group as a learner.
+/// Requests that m_member be added to the control group as a learner. A replica
+/// that does not lead forwards the request of that member to its leader.
 struct JoinRequest
 {
   Member m_member;
--- a/src/include/fulmarquay/consensus/ReplicaEffects.h
+++ b/src/include/fulmarquay/consensus/ReplicaEffects.h
@@ -90,7 +90,8 @@
   Added,            ///< as a learner
   KnownMember,      ///< it is a member already
   ChangeInProgress, ///< the leader can't change the membership now
-  NotLeader,
+  Forwarded,        ///< to the leader
+  NotLeader,        ///< dropped: no leader is known, or it was forwarded
 };
 
 /// A join request was received.
--- a/src/libconsensus/ReplicaLeader.cpp
+++ b/src/libconsensus/ReplicaLeader.cpp
@@ -318,9 +318,16 @@
 }
 
 void
-Replica::On(ReplicaId, const JoinRequest& aRequest)
+Replica::On(ReplicaId aFrom, const JoinRequest& aRequest)
 {
-  const JoinOutcome outcome = AddLearner(aRequest.m_member);
+  JoinOutcome outcome = AddLearner(aRequest.m_member);
+  const bool isForwarded = aFrom != aRequest.m_member.m_id;
+  if (outcome == JoinOutcome::NotLeader && !isForwarded &&
+      m_leader != ReplicaId(0)) {
+    // The sender knows only a few replicas, and the leader may be none of them.
+    Send(m_leader, aRequest);
+    outcome = JoinOutcome::Forwarded;
+  }
   m_effects.emplace_back(JoinHandled{ aRequest.m_member, outcome });
 }
 
--- a/src/libcontrol/GroupMonitor.cpp
+++ b/src/libcontrol/GroupMonitor.cpp
@@ -33,6 +33,8 @@
       return "known member";
     case JoinOutcome::ChangeInProgress:
       return "change in progress";
+    case JoinOutcome::Forwarded:
+      return "forwarded";
     case JoinOutcome::NotLeader:
       return "not leader";
   }
