A silent voter stays until a successor has been added

Cause: the leader removed voters that were silent for 2.5 s as long as more than three remained. Five voters that bear two lost disks became three that bear one, and an acknowledgement then stood on two disks. When two of those were lost, the VMs that had only been cut off had no vote any more: no leader, for good.

Class: a bound on losses that is derived from the present state, which the losses themselves have shrunk.

Change: a silent voter is removed only where the group tolerates as many losses without it, that is from an even number of voters. A successor on another VM is added first, and the silent voter is removed after that; the addition waits while a voter is neither responsive nor silent yet, so that the removal follows at once. A voter whose VM is back with a new replica has certainly lost its disk: it is removed first, then its successor is added, one VM after the other. Of several silent voters the one that has been silent for longest is removed. Membership changes move to ReplicaMembership.cpp. Messages and records are unchanged; each change is still one voter, as older builds expect.

--- a/src/include/fulmarquay/consensus/Replica.h
+++ b/src/include/fulmarquay/consensus/Replica.h
@@ -181,7 +181,13 @@
   bool MayChangeMembership() const;
   bool IsCaughtUp(ReplicaId aId) const;
   void PromoteLearner(const Member& aLearner);
-  std::optional<Member> FindUnresponsiveVoter() const;
+  const Member* FindVoterOn(const std::string& aVm) const;
+  bool IsResponsive(ReplicaId aId) const;
+  bool HasLostDisk(const Member& aVoter) const;
+  /// The voter that has been silent for longest, if the group tolerates as many
+  /// losses without it.
+  std::optional<Member> FindDispensableVoter() const;
+  bool MayAddVoter() const;
   void RemoveVoter(const Member& aVoter, bool aIsDiskLost);
   JoinOutcome AddLearner(const Member& aMember);
   void ProposeMembership(const Membership& aMembership);
--- a/src/libconsensus/ReplicaLeader.cpp
+++ b/src/libconsensus/ReplicaLeader.cpp
@@ -13,11 +13,6 @@
 /// An AppendRequest takes no further entries once it has this many bytes.
 constexpr std::size_t kAppendSoftLimitBytes = 256U << 10U;
 constexpr std::size_t kSnapshotPartBytes = 256U << 10U;
-/// A learner with at most this lag behind the end of the log has caught up.
-constexpr std::uint64_t kMaxLearnerLagEntries = 64;
-/// The smallest group that tolerates the loss of one voter. No voter is
-/// removed from it without a replacement.
-constexpr std::size_t kMinVoters = 3;
 
 } // namespace
 
@@ -303,133 +298,6 @@
   }
 }
 
-bool
-Replica::MayChangeMembership() const
-{
-  const LogIndex last = m_log.MembershipIndex(m_log.LastIndex());
-  return m_role == ReplicaRole::Leader && !m_isTransferring &&
-         last <= m_commit && m_commit >= m_termStartIndex;
-}
-
-void
-Replica::ProposeMembership(const Membership& aMembership)
-{
-  AppendLeaderEntry(EntryKind::Membership, Pack(aMembership));
-}
-
-void
-Replica::On(ReplicaId aFrom, const JoinRequest& aRequest)
-{
-  JoinOutcome outcome = AddLearner(aRequest.m_member);
-  const bool isForwarded = aFrom != aRequest.m_member.m_id;
-  if (outcome == JoinOutcome::NotLeader && !isForwarded &&
-      m_leader != ReplicaId(0)) {
-    // The sender knows only a few replicas, and the leader may be none of them.
-    Send(m_leader, aRequest);
-    outcome = JoinOutcome::Forwarded;
-  }
-  m_effects.emplace_back(JoinHandled{ aRequest.m_member, outcome });
-}
-
-JoinOutcome
-Replica::AddLearner(const Member& aMember)
-{
-  if (m_role != ReplicaRole::Leader) {
-    return JoinOutcome::NotLeader;
-  }
-  if (m_membership.Contains(aMember.m_id)) {
-    return JoinOutcome::KnownMember;
-  }
-  if (!MayChangeMembership()) {
-    return JoinOutcome::ChangeInProgress;
-  }
-  Membership membership = m_membership;
-  std::erase_if(membership.m_learners, [&](const Member& aEach) {
-    return aEach.m_vm == aMember.m_vm;
-  });
-  membership.m_learners.push_back(aMember);
-  ProposeMembership(membership);
-  return JoinOutcome::Added;
-}
-
-bool
-Replica::IsCaughtUp(ReplicaId aId) const
-{
-  const Progress& progress = m_progress.at(aId);
-  const bool isWithinMaxLag =
-    progress.m_match.Value() + kMaxLearnerLagEntries >=
-    m_log.LastIndex().Value();
-  const bool isResponsive =
-    m_now < progress.m_lastReplyAt + m_options.m_timing.m_electionTimeout;
-  return isWithinMaxLag && isResponsive && progress.m_match >= m_termStartIndex;
-}
-
-void
-Replica::AdjustMembership()
-{
-  if (!MayChangeMembership()) {
-    return;
-  }
-  for (const Member& learner : m_membership.m_learners) {
-    if (IsCaughtUp(learner.m_id)) {
-      const Member candidate = learner;
-      PromoteLearner(candidate);
-      return;
-    }
-  }
-  if (m_membership.m_voters.size() > kMinVoters) {
-    if (const std::optional<Member> lost = FindUnresponsiveVoter()) {
-      RemoveVoter(*lost, false);
-    }
-  }
-}
-
-std::optional<Member>
-Replica::FindUnresponsiveVoter() const
-{
-  for (const Member& voter : m_membership.m_voters) {
-    const bool isUnresponsive =
-      voter.m_id != Id() &&
-      m_now >= m_progress.at(voter.m_id).m_lastReplyAt + kVoterTimeout;
-    if (isUnresponsive) {
-      return voter;
-    }
-  }
-  return std::nullopt;
-}
-
-void
-Replica::RemoveVoter(const Member& aVoter, bool aIsDiskLost)
-{
-  Membership membership = m_membership;
-  std::erase(membership.m_voters, aVoter);
-  const Duration silence = m_now - m_progress.at(aVoter.m_id).m_lastReplyAt;
-  m_effects.emplace_back(VoterRemoved{ aVoter, aIsDiskLost, silence });
-  ProposeMembership(membership);
-}
-
-void
-Replica::PromoteLearner(const Member& aLearner)
-{
-  // Each proposal changes one voter: the replaced voter is removed first, and
-  // a later proposal promotes the learner.
-  for (const Member& voter : m_membership.m_voters) {
-    if (voter.m_vm == aLearner.m_vm && voter.m_id != Id()) {
-      const Member replaced = voter;
-      RemoveVoter(replaced, true);
-      return;
-    }
-  }
-  if (const std::optional<Member> lost = FindUnresponsiveVoter()) {
-    RemoveVoter(*lost, false);
-    return;
-  }
-  Membership membership = m_membership;
-  std::erase(membership.m_learners, aLearner);
-  membership.m_voters.push_back(aLearner);
-  ProposeMembership(membership);
-}
-
 void
 Replica::On(const TransferLeadership&)
 {
@@ -448,10 +316,8 @@
     return;
   }
   for (const auto& [id, progress] : m_progress) {
-    const bool isResponsive =
-      m_now < progress.m_lastReplyAt + m_options.m_timing.m_electionTimeout;
     const bool hasFullLog = progress.m_match == m_log.LastIndex();
-    if (m_membership.IsVoter(id) && isResponsive && hasFullLog) {
+    if (m_membership.IsVoter(id) && IsResponsive(id) && hasFullLog) {
       m_isTimeoutNowSent = true;
       Send(id, TimeoutNow{});
       return;
