Tolerated losses are a setting of the control group

A group of five that had seven voters for a time (two planned replacements at once, the new VMs first) kept two voters that were gone for good: of seven voters with two gone one more may fail, where five tolerate two. And four voters on the way from three seeds to five could lose one that five need.

Without the setting the group goes by its size as before.

--- a/src/include/fulmarquay/consensus/Replica.h
+++ b/src/include/fulmarquay/consensus/Replica.h
@@ -40,6 +40,9 @@
   /// Whether the replica may send join requests.
   bool m_requestsMembership = true;
   ReplicaTiming m_timing;
+  /// VMs whose disks may be lost at the same time; 0: as many as the number of
+  /// voters allows. No silent voter is removed that this number requires.
+  std::size_t m_toleratedLosses = 0;
   std::uint64_t m_seed = 1;
   std::uint32_t m_featureLevel = kFeatureLevel; ///< lower only in tests
 };
@@ -184,8 +187,8 @@
   const Member* FindVoterOn(const std::string& aVm) const;
   bool IsResponsive(ReplicaId aId) const;
   bool HasLostDisk(const Member& aVoter) const;
-  /// The voter that has been silent for longest, if the group tolerates as many
-  /// losses without it.
+  /// The voter that has been silent for longest, if the losses to be tolerated
+  /// do not require it.
   std::optional<Member> FindDispensableVoter() const;
   bool MayAddVoter() const;
   void RemoveVoter(const Member& aVoter, bool aIsDiskLost);
--- a/src/libconsensus/ReplicaMembership.cpp
+++ b/src/libconsensus/ReplicaMembership.cpp
@@ -1,6 +1,7 @@
 // Changes of the control group's membership, one voter or learner a proposal.
 #include "fulmarquay/consensus/Replica.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace fulmarquay {
@@ -141,11 +142,14 @@
 std::optional<Member>
 Replica::FindDispensableVoter() const
 {
-  // A silent voter may return with its disk. It stays as long as the group
-  // would tolerate fewer lost disks without it.
+  // A silent voter may return with its disk. It stays as long as the losses to
+  // be tolerated require it.
   const std::size_t voters = m_membership.m_voters.size();
-  const std::size_t losses = TolerableLosses(voters);
-  if (losses == 0 || TolerableLosses(voters - 1) < losses) {
+  const std::size_t required =
+    m_options.m_toleratedLosses > 0
+      ? m_options.m_toleratedLosses
+      : std::max<std::size_t>(TolerableLosses(voters), 1);
+  if (TolerableLosses(voters - 1) < required) {
     return std::nullopt;
   }
   std::optional<Member> silent;
--- a/src/libconsensus/membership_test.cpp
+++ b/src/libconsensus/membership_test.cpp
@@ -138,3 +138,26 @@
   cr_assert_eq(group.Applied(group.Leader()),
                std::vector<std::string>{ "acknowledged" });
 }
+
+Test(membership, voters_that_are_gone_leave_a_group_that_was_larger_for_a_time)
+{
+  ReplicaGroup group(5, 1, { .m_toleratedLosses = 2 });
+  group.Join(6);
+  group.Join(7);
+  group.Run(5 * kSecond);
+  cr_assert_eq(group.Members().m_voters.size(), 7U);
+  group.Stop(1);
+  group.Stop(2);
+  group.Run(8 * kSecond);
+  cr_assert_eq(group.Members().m_voters.size(), 5U);
+}
+
+Test(membership, silent_voter_that_the_tolerated_losses_require_stays)
+{
+  ReplicaGroup group(3, 1, { .m_toleratedLosses = 2 });
+  group.Join(4);
+  group.Run(5 * kSecond);
+  group.SetIsolated(4, true);
+  group.Run(10 * kSecond);
+  cr_assert(group.IsVoter(4));
+}
--- a/src/libconsensus/replica_group_test.cpp
+++ b/src/libconsensus/replica_group_test.cpp
@@ -60,6 +60,7 @@
   ReplicaOptions options;
   options.m_self = { vm.m_id, NameOf(aVm), "10.0.0.1:1" };
   options.m_seed = m_random();
+  options.m_toleratedLosses = m_delays.m_toleratedLosses;
   vm.m_replica = std::make_unique<Replica>(options, vm.m_disk, m_now);
   ++vm.m_incarnation;
   vm.m_diskFreeAt = m_now;
--- a/src/libconsensus/replica_group_test.h
+++ b/src/libconsensus/replica_group_test.h
@@ -20,6 +20,7 @@
 {
   Duration m_maxMessage = Duration(0);
   Duration m_maxSync = Duration(0);
+  std::size_t m_toleratedLosses = 0; ///< of the replicas' options
 };
 
 /// Replicas on simulated VMs, numbered from 1, with their disks and links.
--- a/src/libcontrol/ProgramSettings.cpp
+++ b/src/libcontrol/ProgramSettings.cpp
@@ -63,7 +63,14 @@
               Kind::Integer,
               "20000",
               "log entries between two snapshots")
-    .Between(10, 10'000'000);
+    .Between(10, 10'000'000)
+    .Optional("tolerated_losses",
+              Kind::Number,
+              "0",
+              "control VMs whose disks may be lost at the same time; no silent "
+              "voter is removed that this requires; 0: as many as the number "
+              "of voters allows; the same on all replicas")
+    .Between(0, 10);
   builder
     .Optional(
       "bootstrap",
--- a/src/libdaemon/ControlServer.cpp
+++ b/src/libdaemon/ControlServer.cpp
@@ -254,6 +254,8 @@
   replica.m_timing.m_electionTimeout =
     aSettings.Time("control", "election_timeout");
   replica.m_timing.m_heartbeatInterval = aSettings.Time("control", "heartbeat");
+  replica.m_toleratedLosses =
+    static_cast<std::size_t>(aSettings.Number("control", "tolerated_losses"));
   replica.m_seed = RandomNumber();
   ControlOptions options;
   options.m_entryLease = aSettings.Time("control", "entry_lease");
