Tolerated losses come from settings, never from the size of the group

Cause, found by the reviewer: without the setting the group still took the losses to be tolerated from its present size.

Change: a silent voter is removed only while 2n + 1 voters remain; n is the setting tolerated_losses, else what a group of the replicas in the settings can lose. The rule by parity is gone.

--- a/src/include/fulmarquay/consensus/Replica.h
+++ b/src/include/fulmarquay/consensus/Replica.h
@@ -40,9 +40,9 @@
   /// Whether the replica may send join requests.
   bool m_requestsMembership = true;
   ReplicaTiming m_timing;
-  /// VMs whose disks may be lost at the same time; 0: as many as the number of
-  /// voters allows. No silent voter is removed that this number requires.
-  std::size_t m_toleratedLosses = 0;
+  /// VMs whose disks may be lost at the same time; at least one. No silent
+  /// voter is removed that this number requires.
+  std::size_t m_toleratedLosses = 1;
   std::uint64_t m_seed = 1;
   std::uint32_t m_featureLevel = kFeatureLevel; ///< lower only in tests
 };
--- a/src/libconsensus/ReplicaMembership.cpp
+++ b/src/libconsensus/ReplicaMembership.cpp
@@ -145,11 +145,9 @@
   // A silent voter may return with its disk. It stays as long as the losses to
   // be tolerated require it.
   const std::size_t voters = m_membership.m_voters.size();
-  const std::size_t required =
-    m_options.m_toleratedLosses > 0
-      ? m_options.m_toleratedLosses
-      : std::max<std::size_t>(TolerableLosses(voters), 1);
-  if (TolerableLosses(voters - 1) < required) {
+  const std::size_t losses =
+    std::max<std::size_t>(m_options.m_toleratedLosses, 1);
+  if (TolerableLosses(voters - 1) < losses) {
     return std::nullopt;
   }
   std::optional<Member> silent;
--- a/src/libconsensus/membership_test.cpp
+++ b/src/libconsensus/membership_test.cpp
@@ -12,6 +12,19 @@
 
 constexpr Duration kSecond(1'000'000);
 
+/// The VMs from 1 to aVms that do not lead.
+std::vector<int>
+Followers(const ReplicaGroup& aGroup, int aVms)
+{
+  std::vector<int> followers;
+  for (int vm = 1; vm <= aVms; ++vm) {
+    if (vm != aGroup.Leader()) {
+      followers.push_back(vm);
+    }
+  }
+  return followers;
+}
+
 } // namespace
 
 Test(membership, joining_vm_becomes_a_voter)
@@ -141,7 +154,7 @@
 
 Test(membership, voters_that_are_gone_leave_a_group_that_was_larger_for_a_time)
 {
-  ReplicaGroup group(5, 1, { .m_toleratedLosses = 2 });
+  ReplicaGroup group(5, 1, { {}, {}, 2 });
   group.Join(6);
   group.Join(7);
   group.Run(5 * kSecond);
@@ -154,10 +167,33 @@
 
 Test(membership, silent_voter_that_the_tolerated_losses_require_stays)
 {
-  ReplicaGroup group(3, 1, { .m_toleratedLosses = 2 });
+  ReplicaGroup group(3, 1, { {}, {}, 2 });
   group.Join(4);
   group.Run(5 * kSecond);
   group.SetIsolated(4, true);
   group.Run(10 * kSecond);
   cr_assert(group.IsVoter(4));
 }
+
+Test(membership, voter_that_is_cut_off_stays_while_another_vm_loses_its_disk)
+{
+  for (const int vms : { 5, 7, 9 }) {
+    ReplicaGroup group(vms);
+    group.Run(3 * kSecond);
+    const std::vector<int> others = Followers(group, vms);
+    group.SetIsolated(others[0], true);
+    group.Run(5 * kSecond);
+    group.LoseDisk(others[1]);
+    group.Start(others[1]);
+    group.Run(60 * kSecond);
+    cr_assert_eq(group.Members().m_voters.size(),
+                 static_cast<std::size_t>(vms));
+    for (int lost = 2; lost < 2 + (vms - 1) / 2; ++lost) {
+      group.LoseDisk(others[static_cast<std::size_t>(lost)]);
+      group.Start(others[static_cast<std::size_t>(lost)]);
+    }
+    group.SetIsolated(others[0], false);
+    group.Run(20 * kSecond);
+    cr_assert_neq(group.Leader(), 0, "%d VMs", vms);
+  }
+}
--- a/src/libconsensus/replica_group_test.cpp
+++ b/src/libconsensus/replica_group_test.cpp
@@ -20,6 +20,9 @@
   : m_delays(aDelays)
   , m_random(aSeed)
 {
+  if (m_delays.m_toleratedLosses == 0) {
+    m_delays.m_toleratedLosses = static_cast<std::size_t>(aVoters - 1) / 2;
+  }
   Snapshot first;
   for (int i = 1; i <= aVoters; ++i) {
     first.m_membership.m_voters.push_back(
@@ -75,6 +78,12 @@
   m_vms.at(aVm).m_id = ReplicaId(++m_nextId);
 }
 
+Duration
+ReplicaGroup::TimeWithoutLeader(int aVm) const
+{
+  return m_vms.at(aVm).m_replica->TimeWithoutLeader(m_now);
+}
+
 void
 ReplicaGroup::Run(Duration aTime)
 {
--- a/src/libconsensus/replica_group_test.h
+++ b/src/libconsensus/replica_group_test.h
@@ -20,7 +20,9 @@
 {
   Duration m_maxMessage = Duration(0);
   Duration m_maxSync = Duration(0);
-  std::size_t m_toleratedLosses = 0; ///< of the replicas' options
+  /// Of the replicas' options; 0: what the number of voters at the start
+  /// allows.
+  std::size_t m_toleratedLosses = 0;
 };
 
 /// Replicas on simulated VMs, numbered from 1, with their disks and links.
@@ -39,6 +41,12 @@
   /// Cuts all links of a VM, or connects them again.
   void SetIsolated(int aVm, bool aIsIsolated);
 
+  /// Lets all VMs stand still, as a host that is suspended does.
+  void FreezeAll(Duration aTime) { m_now += aTime; }
+
+  /// Of the replica on a VM.
+  Duration TimeWithoutLeader(int aVm) const;
+
   /// Kills the process of a VM; its disk keeps what was synced.
   void Stop(int aVm);
 
--- a/src/libcontrol/ProgramSettings.cpp
+++ b/src/libcontrol/ProgramSettings.cpp
@@ -68,8 +68,8 @@
               Kind::Number,
               "0",
               "control VMs whose disks may be lost at the same time; no silent "
-              "voter is removed that this requires; 0: as many as the number "
-              "of voters allows; the same on all replicas")
+              "voter is removed that this requires; 0: what a group of the "
+              "configured replicas can lose; the same on all replicas")
     .Between(0, 10);
   builder
     .Optional(
--- a/src/libdaemon/ControlServer.cpp
+++ b/src/libdaemon/ControlServer.cpp
@@ -37,6 +37,17 @@
   return addresses;
 }
 
+/// The losses that the group is to tolerate: as set, else what a group of the
+/// configured replicas can lose.
+std::size_t
+ToleratedLosses(const Settings& aSettings)
+{
+  const auto losses =
+    static_cast<std::size_t>(aSettings.Number("control", "tolerated_losses"));
+  const std::size_t replicas = ReplicaAddresses(aSettings).size();
+  return losses > 0 || replicas == 0 ? losses : (replicas - 1) / 2;
+}
+
 Member
 SelfMember(const Settings& aSettings, ReplicaId aId)
 {
