A new leader counts no voter as responsive before its first reply

Cause, found by the reviewer: a new leader set the time of the last reply of each member to its election, so that for 400 ms voters that were gone counted as responsive. Two successors that joined then were both added: seven voters, two of them gone.

Change: a member is responsive only after a reply to this leader; a voter without one holds back additions until it replies or is silent.

--- a/src/libconsensus/ReplicaLeader.cpp
+++ b/src/libconsensus/ReplicaLeader.cpp
@@ -171,6 +171,7 @@
   }
   Progress& progress = it->second;
   progress.m_lastReplyAt = m_now;
+  progress.m_hasReplied = true;
   if (!aReply.m_isAccepted) {
     const LogIndex next = std::min(progress.m_next, Next(aReply.m_index));
     progress.m_next = std::max(Next(progress.m_match), next);
@@ -197,6 +198,7 @@
     return;
   }
   it->second.m_lastReplyAt = m_now;
+  it->second.m_hasReplied = true;
   it->second.m_round = std::max(it->second.m_round, aReply.m_round);
   // Not the maximum: a member may have returned with an older build.
   m_featureLevels[aFrom] = aReply.m_featureLevel;
@@ -212,6 +214,7 @@
   }
   Progress& progress = it->second;
   progress.m_lastReplyAt = m_now;
+  progress.m_hasReplied = true;
   const bool isCurrent =
     !progress.m_snapshot.empty() && aReply.m_index == progress.m_snapshotIndex;
   if (!isCurrent) {
--- a/src/libconsensus/ReplicaMembership.cpp
+++ b/src/libconsensus/ReplicaMembership.cpp
@@ -123,8 +123,9 @@
 bool
 Replica::IsResponsive(ReplicaId aId) const
 {
-  return m_now < m_progress.at(aId).m_lastReplyAt +
-                   m_options.m_timing.m_electionTimeout;
+  const Progress& progress = m_progress.at(aId);
+  return progress.m_hasReplied &&
+         m_now < progress.m_lastReplyAt + m_options.m_timing.m_electionTimeout;
 }
 
 bool
--- a/src/libconsensus/membership_test.cpp
+++ b/src/libconsensus/membership_test.cpp
@@ -197,3 +197,25 @@
     cr_assert_neq(group.Leader(), 0, "%d VMs", vms);
   }
 }
+
+Test(membership, new_leader_adds_no_voter_before_the_others_have_replied)
+{
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    ReplicaGroup group(5, seed, { Duration(2'000), Duration(5'000) });
+    group.Run(3 * kSecond);
+    const int leader = group.Leader();
+    group.Stop(Followers(group, 5).front());
+    group.Stop(leader);
+    group.Join(6);
+    group.Join(7);
+    std::size_t most = 0;
+    for (int i = 0; i < 1'000; ++i) {
+      group.Run(Duration(20'000));
+      if (group.Leader() != 0) {
+        most = std::max(most, group.Members().m_voters.size());
+      }
+    }
+    cr_assert_leq(most, 6U, "seed %d", static_cast<int>(seed));
+    cr_assert_eq(group.Members().m_voters.size(), 5U);
+  }
+}
