A leader without its lease changes no membership

Cause, found by the reviewer: when all control VMs stood still for 3 s, the leader woke up, took every voter for silent and proposed to remove one that was well; it also logged VoterReplaced for a proposal that another leader's term might discard.

Change: AdjustMembership requires the lease, which needs replies of a majority after the freeze.

Evidence: membership/freeze_of_all_vms_removes_no_voter failed before, passes now; consensus_test passed.

--- a/src/libconsensus/ReplicaMembership.cpp
+++ b/src/libconsensus/ReplicaMembership.cpp
@@ -83,8 +83,9 @@
 void
 Replica::AdjustMembership()
 {
-  // Each proposal changes one voter.
-  if (!MayChangeMembership()) {
+  // Each proposal changes one voter. A leader that was frozen has heard from
+  // nobody; without its lease it may have been replaced.
+  if (!MayChangeMembership() || !HoldsLease(m_now)) {
     return;
   }
   if (const std::optional<Member> dispensable = FindDispensableVoter()) {
--- a/src/libconsensus/membership_test.cpp
+++ b/src/libconsensus/membership_test.cpp
@@ -219,3 +219,12 @@
     cr_assert_eq(group.Members().m_voters.size(), 5U);
   }
 }
+
+Test(membership, freeze_of_all_vms_removes_no_voter)
+{
+  ReplicaGroup group(4);
+  group.Run(3 * kSecond);
+  group.FreezeAll(3 * kSecond);
+  group.Run(10 * kSecond);
+  cr_assert(group.RemovedVms().empty());
+}
