A former leader counts the time without a leader from its lease

Cause, found by the reviewer: a replica that had led for a minute reported, on losing leadership, a minute without a leader, and logged NoLeader at once: leading did not count as contact with a leader.

Change: the time runs from the end of the lease if that is later than the last contact. A comment on the voters in VoterReplaced is corrected.

--- a/src/libconsensus/Replica.cpp
+++ b/src/libconsensus/Replica.cpp
@@ -90,10 +90,12 @@
 Duration
 Replica::TimeWithoutLeader(TimePoint aNow) const
 {
-  const bool isLeading = m_role == ReplicaRole::Leader;
-  const TimePoint knownUntil =
-    isLeading ? std::max(m_leaseEnd, m_leaderSince)
-              : m_lastLeaderContact + m_options.m_timing.m_electionTimeout;
+  // A former leader knew itself as the leader until its lease ended.
+  const TimePoint contactEnd =
+    m_lastLeaderContact + m_options.m_timing.m_electionTimeout;
+  const TimePoint knownUntil = m_role == ReplicaRole::Leader
+                                 ? std::max(m_leaseEnd, m_leaderSince)
+                                 : std::max(m_leaseEnd, contactEnd);
   return std::max(Duration(0), aNow - knownUntil);
 }
 
--- a/src/libconsensus/membership_test.cpp
+++ b/src/libconsensus/membership_test.cpp
@@ -228,3 +228,14 @@
   group.Run(10 * kSecond);
   cr_assert(group.RemovedVms().empty());
 }
+
+Test(membership, former_leader_counts_time_without_leader_from_its_lease)
+{
+  ReplicaGroup group(3);
+  group.Run(60 * kSecond);
+  const int former = group.Leader();
+  group.SetIsolated(former, true);
+  group.Run(2 * kSecond);
+  cr_assert_neq(group.Leader(), former);
+  cr_assert_lt(group.TimeWithoutLeader(former), 3 * kSecond);
+}
--- a/src/libcontrol/ControlNode.cpp
+++ b/src/libcontrol/ControlNode.cpp
@@ -368,7 +368,7 @@
 void
 ControlNode::Execute(const VoterRemoved& aEffect)
 {
-  // The voter is still among the members: the change follows this effect.
+  // The members are already those after the removal.
   const std::size_t voters = m_replica->Members().m_voters.size();
   Emit(LogLine{ LogEvent::VoterReplaced,
                 { { "vm", aEffect.m_voter.m_vm },
