A learner with the name of the leader's VM holds up no other replacement

Cause, by the reviewer's reading: of several learners on VMs of voters the last one was chosen, also if the voter was the leader itself, which is never removed: then the lost disk of another VM was not replaced.

Change: such a learner is passed over. No test of its own; consensus_test passed.

--- a/src/libconsensus/ReplicaMembership.cpp
+++ b/src/libconsensus/ReplicaMembership.cpp
@@ -97,7 +97,11 @@
     if (!IsCaughtUp(learner.m_id)) {
       continue;
     }
-    if (const Member* former = FindVoterOn(learner.m_vm)) {
+    const Member* const former = FindVoterOn(learner.m_vm);
+    if (former != nullptr && former->m_id == Id()) {
+      continue; // another VM has the name of this one
+    }
+    if (former != nullptr) {
       replaced = *former;
     } else if (MayAddVoter()) {
       const Member candidate = learner;
@@ -105,7 +109,7 @@
       return;
     }
   }
-  if (replaced && replaced->m_id != Id()) {
+  if (replaced) {
     RemoveVoter(*replaced, true);
   }
 }
