A VM without its disk joins through a member that still knows it

Cause: a replica without a log sends join requests to its seeds only, although the members still connect to the address of its former replica.

The simulated group delivers messages by address, as real links do.

A VM at a new address whose seeds are all gone is known to nobody and still stays outside.

--- a/src/include/fulmarquay/consensus/Replica.h
+++ b/src/include/fulmarquay/consensus/Replica.h
@@ -227,6 +227,7 @@
   TimePoint m_lastLeaderContact;
   std::map<ReplicaId, TimePoint> m_lastHeard; ///< of the other voters
   TimePoint m_nextJoinRequest;
+  ReplicaId m_memberContact; ///< a replica that knows this VM; 0: none
   std::set<ReplicaId> m_votes;
 
   std::uint64_t m_lastPersistNumber = 0;
--- a/src/libconsensus/Replica.cpp
+++ b/src/libconsensus/Replica.cpp
@@ -123,7 +123,12 @@
     On(message.m_from, *join);
     return;
   }
-  if (message.m_to != Id() || IsDisruptiveVoteRequest(message)) {
+  if (message.m_to != Id()) {
+    // For the replica that lost the disk of this VM: its sender is a member.
+    m_memberContact = message.m_from;
+    return;
+  }
+  if (IsDisruptiveVoteRequest(message)) {
     return;
   }
   if (message.m_term > m_hardState.m_term) {
--- a/src/libconsensus/ReplicaFollower.cpp
+++ b/src/libconsensus/ReplicaFollower.cpp
@@ -28,6 +28,10 @@
   m_nextJoinRequest = m_now + kJoinRequestInterval;
   // Recipient 0: the message is sent to every configured replica address.
   Send(ReplicaId(0), JoinRequest{ m_options.m_self });
+  if (m_memberContact != ReplicaId(0)) {
+    // None of the configured replicas may be left.
+    Send(m_memberContact, JoinRequest{ m_options.m_self });
+  }
 }
 
 void
--- a/src/libconsensus/membership_test.cpp
+++ b/src/libconsensus/membership_test.cpp
@@ -239,3 +239,21 @@
   cr_assert_neq(group.Leader(), former);
   cr_assert_lt(group.TimeWithoutLeader(former), 3 * kSecond);
 }
+
+Test(membership, vm_without_its_disk_whose_seeds_are_gone_joins)
+{
+  ReplicaGroup group(5);
+  group.Run(3 * kSecond);
+  group.Join(6, { 1, 2, 3 });
+  group.Run(3 * kSecond);
+  for (int vm = 1; vm <= 3; ++vm) {
+    group.Stop(vm);
+    group.Run(2 * kSecond);
+    group.Join(vm + 6);
+    group.Run(5 * kSecond);
+  }
+  group.LoseDisk(6);
+  group.Start(6);
+  group.Run(5 * kSecond);
+  cr_assert(group.IsVoter(6));
+}
--- a/src/libconsensus/replica_group_test.cpp
+++ b/src/libconsensus/replica_group_test.cpp
@@ -65,6 +65,7 @@
   options.m_seed = m_random();
   options.m_toleratedLosses = m_delays.m_toleratedLosses;
   vm.m_replica = std::make_unique<Replica>(options, vm.m_disk, m_now);
+  m_vmOfReplica[vm.m_id] = aVm;
   ++vm.m_incarnation;
   vm.m_diskFreeAt = m_now;
   vm.m_applied.clear();
@@ -192,7 +193,9 @@
   const Vm& from = m_vms.at(aFrom);
   const Vm& to = m_vms.at(aTo);
   if (aMessage.m_to != ReplicaId(0)) {
-    return aMessage.m_to == to.m_id;
+    // Messages go to the address of a replica, also if its disk was lost.
+    const auto vm = m_vmOfReplica.find(aMessage.m_to);
+    return vm != m_vmOfReplica.end() && vm->second == aTo;
   }
   return aTo != aFrom && (from.m_seeds.empty() || from.m_seeds.contains(aTo) ||
                           from.m_replica->Members().Contains(to.m_id));
--- a/src/libconsensus/replica_group_test.h
+++ b/src/libconsensus/replica_group_test.h
@@ -117,6 +117,7 @@
   std::mt19937_64 m_random;
   TimePoint m_now{ Duration(1'000'000'000) };
   std::map<int, Vm> m_vms;
+  std::map<ReplicaId, int> m_vmOfReplica; ///< former replicas included
   std::multimap<TimePoint, PendingEvent> m_pending;
   std::map<std::pair<int, int>, TimePoint> m_linkBusyUntil;
   std::set<std::string> m_acknowledged;
