--- a/src/libconsensus/replica_group_test.cpp
+++ b/src/libconsensus/replica_group_test.cpp
@@ -1,5 +1,8 @@
 #include "replica_group_test.h"
 
+#include "fulmarquay/core/Error.h"
+#include "fulmarquay/wire/Codec.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -46,10 +49,57 @@
   m_vms.at(aVm).m_isIsolated = aIsIsolated;
 }
 
+void
+ReplicaGroup::SetSeeds(int aVm, std::set<int> aSeeds)
+{
+  m_vms.at(aVm).m_seeds = std::move(aSeeds);
+}
+
+void
+ReplicaGroup::Split(std::set<int> aHalf)
+{
+  m_half = std::move(aHalf);
+}
+
+void
+ReplicaGroup::SetFrozen(int aVm, bool aIsFrozen)
+{
+  m_vms.at(aVm).m_isFrozen = aIsFrozen;
+  for (PendingEvent& held : std::exchange(m_held, {})) {
+    if (m_vms.at(held.m_vm).m_isFrozen) {
+      m_held.push_back(std::move(held));
+    } else {
+      m_pending.emplace(m_now, std::move(held));
+    }
+  }
+}
+
+void
+ReplicaGroup::SaveSnapshot(int aVm)
+{
+  const Vm& vm = m_vms.at(aVm);
+  if (!vm.m_replica || vm.m_isFrozen) {
+    return;
+  }
+  const Snapshot saved = vm.m_replica->MakeSnapshot(Pack(vm.m_applied));
+  if (saved.m_index > vm.m_replica->Log().BaseSnapshot().m_index) {
+    Sync(aVm, { aVm, 0, SnapshotSaved{ saved }, {}, {} });
+  }
+}
+
+void
+ReplicaGroup::Transfer(int aVm)
+{
+  if (m_vms.at(aVm).m_replica && !m_vms.at(aVm).m_isFrozen) {
+    Dispatch(aVm, TransferLeadership{});
+  }
+}
+
 void
 ReplicaGroup::Stop(int aVm)
 {
   m_vms.at(aVm).m_replica.reset();
+  m_vms.at(aVm).m_isFrozen = false;
   ++m_vms.at(aVm).m_incarnation;
 }
 
@@ -63,7 +113,9 @@
   vm.m_replica = std::make_unique<Replica>(options, vm.m_disk, m_now);
   ++vm.m_incarnation;
   vm.m_diskFreeAt = m_now;
-  vm.m_applied.clear();
+  const std::string& state = vm.m_disk.m_snapshot.m_data;
+  vm.m_applied = state.empty() ? std::vector<std::string>()
+                               : Unpack<std::vector<std::string>>(state);
 }
 
 void
@@ -81,7 +133,7 @@
   while (m_now < end) {
     DispatchUntil(m_now + kTickInterval);
     for (const auto& [number, vm] : m_vms) {
-      if (vm.m_replica) {
+      if (vm.m_replica && !vm.m_isFrozen) {
         Dispatch(number, ReplicaTick{});
       }
     }
@@ -95,18 +147,25 @@
   while (!m_pending.empty() && m_pending.begin()->first <= aEnd) {
     const auto first = m_pending.begin();
     m_now = std::max(m_now, first->first);
-    const PendingEvent pending = std::move(first->second);
+    PendingEvent pending = std::move(first->second);
     m_pending.erase(first);
     Vm& vm = m_vms.at(pending.m_vm);
     if (vm.m_incarnation != pending.m_incarnation) {
       continue;
     }
+    if (vm.m_isFrozen) {
+      m_held.push_back(std::move(pending));
+      continue;
+    }
     if (pending.m_batch) {
       Store(vm.m_disk, *pending.m_batch);
     } else if (pending.m_snapshot) {
       vm.m_disk.m_hardState = pending.m_snapshot->m_hardState;
       vm.m_disk.m_snapshot = pending.m_snapshot->m_snapshot;
       vm.m_disk.m_entries.clear();
+    } else if (const auto* save =
+                 std::get_if<SnapshotSaved>(&pending.m_event)) {
+      Store(vm.m_disk, save->m_snapshot);
     }
     Dispatch(pending.m_vm, pending.m_event);
   }
@@ -127,6 +186,15 @@
   }
 }
 
+void
+ReplicaGroup::Store(RecoveredState& aDisk, const Snapshot& aSaved)
+{
+  aDisk.m_snapshot = aSaved;
+  std::erase_if(aDisk.m_entries, [&](const LogEntry& aEach) {
+    return aEach.m_index <= aSaved.m_index;
+  });
+}
+
 Duration
 ReplicaGroup::RandomDelay(Duration aMax)
 {
@@ -137,7 +205,47 @@
 void
 ReplicaGroup::Dispatch(int aVm, const ReplicaEvent& aEvent)
 {
-  HandleEffects(aVm, m_vms.at(aVm).m_replica->Reduce(m_now, aEvent));
+  Replica& replica = *m_vms.at(aVm).m_replica;
+  try {
+    HandleEffects(aVm, replica.Reduce(m_now, aEvent));
+  } catch (const Error& e) {
+    m_violation = m_violation.empty() ? e.what() : m_violation;
+    Stop(aVm);
+    return;
+  }
+  if (replica.HoldsLease(m_now)) {
+    CheckLease(aVm);
+  }
+}
+
+void
+ReplicaGroup::CheckLease(int aVm)
+{
+  for (const auto& [number, vm] : m_vms) {
+    if (number != aVm && vm.m_replica && vm.m_replica->HoldsLease(m_now) &&
+        m_violation.empty()) {
+      m_violation = "two leases: " + NameOf(aVm) + " and " + NameOf(number);
+    }
+  }
+}
+
+void
+ReplicaGroup::Apply(Vm& aVm, const LogEntry& aEntry)
+{
+  const std::string content =
+    std::to_string(aEntry.m_term.Value()) + ":" + aEntry.m_payload;
+  const auto [known, isNew] = m_committed.emplace(aEntry.m_index, content);
+  if (!isNew && known->second != content && m_violation.empty()) {
+    m_violation =
+      "a committed entry changed: " + known->second + " to " + content;
+  }
+  if (aEntry.Kind() != EntryKind::Command) {
+    return;
+  }
+  aVm.m_applied.push_back(aEntry.m_payload);
+  if (aVm.m_replica->Role() == ReplicaRole::Leader) {
+    m_acknowledged.insert(aEntry.m_payload);
+  }
 }
 
 void
@@ -152,12 +260,12 @@
     } else if (const auto* saved = std::get_if<PersistSnapshot>(&effect)) {
       Sync(aVm, { aVm, 0, DiskSynced{ saved->m_number }, {}, *saved });
     } else if (const auto* apply = std::get_if<ApplyEntry>(&effect)) {
-      if (apply->m_entry.Kind() == EntryKind::Command) {
-        vm.m_applied.push_back(apply->m_entry.m_payload);
-        if (vm.m_replica->Role() == ReplicaRole::Leader) {
-          m_acknowledged.insert(apply->m_entry.m_payload);
-        }
-      }
+      Apply(vm, apply->m_entry);
+    } else if (const auto* restore =
+                 std::get_if<RestoreStateMachine>(&effect)) {
+      vm.m_applied = restore->m_data.empty()
+                       ? std::vector<std::string>()
+                       : Unpack<std::vector<std::string>>(restore->m_data);
     } else if (const auto* removed = std::get_if<VoterRemoved>(&effect)) {
       m_removedVms.push_back(removed->m_voter.m_vm);
     }
@@ -188,12 +296,19 @@
                           from.m_replica->Members().Contains(to.m_id));
 }
 
+bool
+ReplicaGroup::IsCut(int aFrom, int aTo) const
+{
+  return m_vms.at(aFrom).m_isIsolated || m_vms.at(aTo).m_isIsolated ||
+         m_half.contains(aFrom) != m_half.contains(aTo);
+}
+
 void
 ReplicaGroup::Deliver(int aFrom, const ConsensusMessage& aMessage)
 {
   for (const auto& [number, vm] : m_vms) {
-    const bool isCut = vm.m_isIsolated || m_vms.at(aFrom).m_isIsolated;
-    if (!vm.m_replica || isCut || !IsRecipient(aFrom, number, aMessage)) {
+    if (!vm.m_replica || !IsRecipient(aFrom, number, aMessage) ||
+        IsCut(aFrom, number)) {
       continue;
     }
     TimePoint& busyUntil = m_linkBusyUntil[{ aFrom, number }];
@@ -220,7 +335,8 @@
 ReplicaGroup::Leader() const
 {
   for (const auto& [number, vm] : m_vms) {
-    if (vm.m_replica && !vm.m_isIsolated && vm.m_replica->HoldsLease(m_now)) {
+    if (vm.m_replica && !vm.m_isIsolated && !vm.m_isFrozen &&
+        vm.m_replica->HoldsLease(m_now)) {
       return number;
     }
   }
@@ -247,4 +363,30 @@
   return m_vms.at(aVm).m_applied;
 }
 
+std::string
+ReplicaGroup::Describe() const
+{
+  std::string text;
+  for (const auto& [number, vm] : m_vms) {
+    if (!vm.m_replica) {
+      continue;
+    }
+    const Replica& replica = *vm.m_replica;
+    text += NameOf(number) + " id " + std::to_string(vm.m_id.Value()) +
+            " role " + std::to_string(static_cast<int>(replica.Role())) +
+            " term " + std::to_string(replica.CurrentTerm().Value()) +
+            " commit " + std::to_string(replica.Commit().Value()) + " last " +
+            std::to_string(replica.Log().LastIndex().Value()) + " voters";
+    for (const Member& voter : replica.Members().m_voters) {
+      text += " " + voter.m_vm + "/" + std::to_string(voter.m_id.Value());
+    }
+    text += " learners";
+    for (const Member& learner : replica.Members().m_learners) {
+      text += " " + learner.m_vm + "/" + std::to_string(learner.m_id.Value());
+    }
+    text += "\n";
+  }
+  return text;
+}
+
 } // namespace fulmarquay::testing
--- a/src/libconsensus/replica_group_test.h
+++ b/src/libconsensus/replica_group_test.h
@@ -35,9 +35,18 @@
   /// the VMs in aSeeds; empty: to all VMs.
   void Join(int aVm, std::set<int> aSeeds = {});
 
+  /// Replaces the VMs that a VM sends its join requests to.
+  void SetSeeds(int aVm, std::set<int> aSeeds);
+
   /// Cuts all links of a VM, or connects them again.
   void SetIsolated(int aVm, bool aIsIsolated);
 
+  /// Cuts all links between these VMs and all others; empty: none.
+  void Split(std::set<int> aHalf);
+
+  /// Suspends a VM, or resumes it with the events it has missed.
+  void SetFrozen(int aVm, bool aIsFrozen);
+
   /// Kills the process of a VM; its disk keeps what was synced.
   void Stop(int aVm);
 
@@ -47,6 +56,12 @@
   /// Kills the process of a VM and empties its disk.
   void LoseDisk(int aVm);
 
+  /// Saves a snapshot of a running VM, so that its log starts after it.
+  void SaveSnapshot(int aVm);
+
+  /// Makes a VM that leads transfer the leadership.
+  void Transfer(int aVm);
+
   /// Simulates the group for aTime, with one tick of each replica in 20 ms.
   void Run(Duration aTime);
 
@@ -65,12 +80,19 @@
   /// Commands that a leader reported as committed.
   const std::set<std::string>& Acknowledged() const { return m_acknowledged; }
 
-  /// Commands that the replica of a VM has applied since its start.
+  /// Commands in the state machine of a VM.
   const std::vector<std::string>& Applied(int aVm) const;
 
   /// Effects of a replica that change the membership, newest last.
   const std::vector<std::string>& RemovedVms() const { return m_removedVms; }
 
+  /// The first violated invariant: two leases at once, replicas that differ in
+  /// a committed entry, or an exception; else empty.
+  const std::string& Violation() const { return m_violation; }
+
+  /// Role, term, log and membership of each VM, for failure messages.
+  std::string Describe() const;
+
 private:
   struct Vm
   {
@@ -80,6 +102,7 @@
     std::unique_ptr<Replica> m_replica; ///< none while the VM is stopped
     int m_incarnation = 0;              ///< counts starts and stops
     bool m_isIsolated = false;
+    bool m_isFrozen = false;
     TimePoint m_diskFreeAt;
     std::vector<std::string> m_applied;
   };
@@ -94,12 +117,17 @@
     std::optional<PersistSnapshot> m_snapshot; ///< synced by this event
   };
 
+  static void Store(RecoveredState& aDisk, const Snapshot& aSaved);
+
   static std::string NameOf(int aVm) { return "vm" + std::to_string(aVm); }
   Duration RandomDelay(Duration aMax);
   void DispatchUntil(TimePoint aEnd);
   void Dispatch(int aVm, const ReplicaEvent& aEvent);
   void HandleEffects(int aVm, ReplicaEffects aEffects);
   void Sync(int aVm, PendingEvent aWrite);
+  void Apply(Vm& aVm, const LogEntry& aEntry);
+  void CheckLease(int aVm);
+  bool IsCut(int aFrom, int aTo) const;
   void Deliver(int aFrom, const ConsensusMessage& aMessage);
   bool IsRecipient(int aFrom, int aTo, const ConsensusMessage& aMessage) const;
   static void Store(RecoveredState& aDisk, const PersistBatch& aBatch);
@@ -109,6 +137,10 @@
   TimePoint m_now{ Duration(1'000'000'000) };
   std::map<int, Vm> m_vms;
   std::multimap<TimePoint, PendingEvent> m_pending;
+  std::vector<PendingEvent> m_held; ///< of frozen VMs
+  std::set<int> m_half;             ///< separated from all others
+  std::map<LogIndex, std::string> m_committed;
+  std::string m_violation;
   std::map<std::pair<int, int>, TimePoint> m_linkBusyUntil;
   std::set<std::string> m_acknowledged;
   std::vector<std::string> m_removedVms;
