Three failing tests of how a control group changes its size

Cause, from traces of the random losses: a leader counts voters that are gone as responsive for 400 ms, after its election and after their last reply. In that time it adds two successors in turn, and an odd group never drops a silent voter again. And a voter with an empty disk is removed before it is added, so that the group is even meanwhile: a voter that is only cut off then counts as dispensable and the group ends one size smaller.

Change: a test for each, without message or sync delays.

--- a/src/libconsensus/losses_test.cpp
+++ b/src/libconsensus/losses_test.cpp
@@ -591,6 +591,77 @@
   RunSeeds(9, kSeeds);
 }
 
+Test(losses, group_keeps_its_size_when_a_new_leader_adds_two_successors)
+{
+  // The times between the start of the successors and of the new leader vary.
+  for (int pause = 0; pause < 300; pause += 20) {
+    ReplicaGroup group(5);
+    group.Run(3 * kSecond);
+    const int leader = group.Leader();
+    std::vector<int> followers;
+    for (int vm = 1; vm <= 5; ++vm) {
+      if (vm != leader) {
+        followers.push_back(vm);
+      }
+    }
+    group.Stop(followers[2]);
+    group.Stop(followers[3]);
+    group.Stop(leader);
+    group.Join(6);
+    group.Run(pause * kMillisecond);
+    group.Join(7);
+    group.Run(4 * kSecond);
+    group.Start(leader);
+    group.Run(10 * kSecond);
+    cr_assert_eq(group.Members().m_voters.size(), 5U, "%d ms", pause);
+  }
+}
+
+Test(losses, group_keeps_its_size_when_two_successors_start_at_once)
+{
+  for (int pause = 0; pause < 300; pause += 20) {
+    ReplicaGroup group(5);
+    group.Run(3 * kSecond);
+    std::vector<int> gone;
+    for (int vm = 1; gone.size() < 2; ++vm) {
+      if (vm != group.Leader()) {
+        gone.push_back(vm);
+      }
+    }
+    group.Stop(gone[0]);
+    group.Stop(gone[1]);
+    group.Join(6);
+    group.Run(pause * kMillisecond);
+    group.Join(7);
+    group.Run(10 * kSecond);
+    cr_assert_eq(group.Members().m_voters.size(), 5U, "%d ms", pause);
+  }
+}
+
+Test(losses, silent_voter_stays_while_another_rejoins_with_an_empty_disk)
+{
+  for (int vms = 4; vms <= 9; ++vms) {
+    ReplicaGroup group(vms);
+    group.Run(3 * kSecond);
+    group.SetIsolated(1, true);
+    group.Run(4 * kSecond);
+    cr_assert(group.Propose("acknowledged"), "%d VMs", vms);
+    group.Run(kSecond);
+    group.LoseDisk(2);
+    group.Start(2);
+    group.Run(kCatchUpTime + kSecond);
+    for (int vm = 3; vm <= 2 + (vms - 1) / 2; ++vm) {
+      group.LoseDisk(vm);
+      group.Start(vm);
+    }
+    group.SetIsolated(1, false);
+    group.Run(15 * kSecond);
+    cr_assert_neq(group.Leader(), 0, "%d VMs", vms);
+    cr_assert_eq(group.Applied(group.Leader()),
+                 std::vector<std::string>{ "acknowledged" });
+  }
+}
+
 // For longer manual runs: FULMARQUAY_LOSSES="FIRST COUNT VMS".
 Test(losses, range_from_environment)
 {
--- a/src/libconsensus/replica_group_test.cpp
+++ b/src/libconsensus/replica_group_test.cpp
@@ -249,7 +249,7 @@
 }
 
 void
-ReplicaGroup::HandleEffects(int aVm, ReplicaEffects aEffects)
+ReplicaGroup::HandleEffects(int aVm, const ReplicaEffects& aEffects)
 {
   Vm& vm = m_vms.at(aVm);
   for (const ReplicaEffect& effect : aEffects) {
--- a/src/libconsensus/replica_group_test.h
+++ b/src/libconsensus/replica_group_test.h
@@ -123,7 +123,7 @@
   Duration RandomDelay(Duration aMax);
   void DispatchUntil(TimePoint aEnd);
   void Dispatch(int aVm, const ReplicaEvent& aEvent);
-  void HandleEffects(int aVm, ReplicaEffects aEffects);
+  void HandleEffects(int aVm, const ReplicaEffects& aEffects);
   void Sync(int aVm, PendingEvent aWrite);
   void Apply(Vm& aVm, const LogEntry& aEntry);
   void CheckLease(int aVm);
