--- a/testsuite/platform.sh
+++ b/testsuite/platform.sh
@@ -1,16 +1,27 @@
 # Starts the platform's programs around an emulated platform for the system tests.
 # Source this file after lib.sh.
 #
-#   start_platform ENTRIES WORKERS [ENGINES]   starts a control group of three
-#                                    replicas, entries, and the stand-in with its
+#   start_platform ENTRIES WORKERS [ENGINES]   starts a control group of the
+#                                    replicas CONTROLS, entries, and the stand-in with its
 #                                    workers and engines
 #
-# Sets CONTROL_PID[1..3], ENTRY_PID[1..ENTRIES], ENTRY[1..ENTRIES],
+# Sets CONTROL_PID[CONTROLS], ENTRY_PID[1..ENTRIES], ENTRY[1..ENTRIES],
 # WORKER[0..WORKERS-1] and LIST (addresses). Replicas are told apart by addresses of
 # the loopback range, as the platform names a VM by its address. ROUTES is published;
 # FLEET_SETTINGS and ENTRY_SETTINGS are added to the settings of replicas and entries.
+# CONTROLS lists the replicas that are started and asked; CONTROL_SEEDS and
+# CONTROL_BOOTSTRAP hold the seeds and the bootstrap setting of those that differ.
 FLEET_SETTINGS=
 ENTRY_SETTINGS=
+CONTROLS=(1 2 3)
+declare -A CONTROL_SEEDS CONTROL_BOOTSTRAP
+
+control_seeds() { # NUMBER...
+  local i seeds=
+  for i in "$@"; do seeds="$seeds 127.0.1.$i:${PORTS[1]}"; done
+  echo "${seeds# }"
+}
+
 write_platform_control() { # NUMBER
   cat >"$WORK/control$1.ini" <<INI
 [control]
@@ -18,8 +29,8 @@
 data_centre = dc1
 listen = 127.0.1.$1:${PORTS[0]}
 data_folder = $WORK/state$1
-bootstrap = yes
-seeds = 127.0.1.1:${PORTS[1]} 127.0.1.2:${PORTS[1]} 127.0.1.3:${PORTS[1]}
+bootstrap = ${CONTROL_BOOTSTRAP[$1]:-yes}
+seeds = $(control_seeds ${CONTROL_SEEDS[$1]:-1 2 3})
 operator_http = 127.0.1.$1:${PORTS[1]}
 
 [fleet]
@@ -42,7 +53,7 @@
 http = ${ENTRY[$1]}
 ready_http = $(entry_ip $1):${PORTS[3]}
 relay_http = $(entry_ip $1):${PORTS[5]}
-control_seeds = 127.0.1.1:${PORTS[1]} 127.0.1.2:${PORTS[1]} 127.0.1.3:${PORTS[1]}
+control_seeds = $(control_seeds 1 2 3)
 configuration = routes
 heartbeat = 1s
 $ENTRY_SETTINGS
@@ -54,6 +65,14 @@
   CONTROL_PID[$1]=$LAST_PID
 }
 
+# add_platform_control NUMBER: starts a replica with new settings and, unless it has
+# one, an empty folder.
+add_platform_control() {
+  write_platform_control $1
+  mkdir -p "$WORK/state$1"
+  start_platform_control $1
+}
+
 start_platform_entry() { # NUMBER
   FULMARQUAY_BOOT=$WORK/entry$1.ini start_process "entry$1" "$BIN/platform-entry"
   ENTRY_PID[$1]=$LAST_PID
@@ -65,7 +84,7 @@
 # publish TARGET BODY: sends an order of the operator to any replica that accepts it.
 publish() {
   local i
-  for i in 1 2 3; do
+  for i in "${CONTROLS[@]}"; do
     "$BIN/fulmarquay-load" post "$1" --entry "127.0.1.$i:${PORTS[1]}" \
       --body "$2" >/dev/null && return 0
   done
@@ -97,10 +116,8 @@
   done
   start_process standin "$BIN/platform-standin" "$LIST" "${entries#,}" "${workers#,}" \
     "${engines#,}"
-  for i in 1 2 3; do
-    write_platform_control $i
-    mkdir -p "$WORK/state$i"
-    start_platform_control $i
+  for i in "${CONTROLS[@]}"; do
+    add_platform_control $i
   done
   for ((i = 1; i <= $1; i++)); do
     write_platform_entry $i
@@ -127,7 +144,7 @@
 # platform_leader: the number of the leading replica.
 platform_leader() {
   local i last=0 term=0 line
-  for i in 1 2 3; do
+  for i in "${CONTROLS[@]}"; do
     line=$(grep -o 'name=BecameLeader.*term="[0-9]*"' "$WORK/control$i.log" | tail -n 1)
     line=${line##*term=\"}
     line=${line%\"}
