--- a/testsuite/control-group.sh
+++ b/testsuite/control-group.sh
@@ -1,6 +1,9 @@
 # Shell functions for cases in which control VMs are replaced or lose their disks.
 # Source this file after platform.sh. CONTROLS lists the VMs that run; VERSION is the
-# newest version of the configuration that was sent.
+# newest version of the configuration that was sent. The groups are to tolerate the
+# loss of LOSSES disks; empty: the setting is left out, for builds that don't know it.
+LOSSES=${LOSSES-2}
+CONTROL_SETTINGS=${LOSSES:+tolerated_losses = $LOSSES}
 
 # within SECONDS COMMAND...: as wait_until, by the clock.
 within() {
--- a/testsuite/platform.sh
+++ b/testsuite/platform.sh
@@ -8,11 +8,13 @@
 # Sets CONTROL_PID[CONTROLS], ENTRY_PID[1..ENTRIES], ENTRY[1..ENTRIES],
 # WORKER[0..WORKERS-1] and LIST (addresses). Replicas are told apart by addresses of
 # the loopback range, as the platform names a VM by its address. ROUTES is published;
-# FLEET_SETTINGS and ENTRY_SETTINGS are added to the settings of replicas and entries.
+# CONTROL_SETTINGS, FLEET_SETTINGS and ENTRY_SETTINGS are added to the settings of
+# replicas and entries.
 # CONTROLS lists the replicas that are started and asked; CONTROL_SEEDS and
 # CONTROL_BOOTSTRAP hold the seeds and the bootstrap setting of those that differ.
 FLEET_SETTINGS=
 ENTRY_SETTINGS=
+CONTROL_SETTINGS=
 CONTROLS=(1 2 3)
 declare -A CONTROL_SEEDS CONTROL_BOOTSTRAP
 
@@ -32,6 +34,7 @@
 bootstrap = ${CONTROL_BOOTSTRAP[$1]:-yes}
 seeds = $(control_seeds ${CONTROL_SEEDS[$1]:-1 2 3})
 operator_http = 127.0.1.$1:${PORTS[1]}
+$CONTROL_SETTINGS
 
 [fleet]
 vm_list = $LIST
