A replica without a vote forgets a leader that it lost

What operators and entries would see, by reading: a learner, or a VM that had been removed while it was cut off, redirected them to a leader that had been gone for long; join requests that such a replica got were forwarded to it. Cause: StartElection returned for a replica without a vote before it cleared the leader. Only voters ever forgot theirs.

Change: each replica knows no leader after its election timeout, with or without a vote. The next append names the leader again.

--- a/src/libconsensus/ReplicaElection.cpp
+++ b/src/libconsensus/ReplicaElection.cpp
@@ -42,10 +42,10 @@
 Replica::StartElection(bool aIsPreVote, bool aIsTransfer)
 {
   ResetElectionTimer();
+  m_leader = ReplicaId(0);
   if (!m_membership.IsVoter(Id())) {
     return;
   }
-  m_leader = ReplicaId(0);
   m_role = aIsPreVote ? ReplicaRole::PreCandidate : ReplicaRole::Candidate;
   if (!aIsPreVote) {
     m_hardState.m_term = Term(m_hardState.m_term.Value() + 1);
--- a/src/libconsensus/consensus_test.cpp
+++ b/src/libconsensus/consensus_test.cpp
@@ -478,6 +478,30 @@
   cr_assert_eq(replica.Role(), ReplicaRole::Follower);
 }
 
+Test(replica, replica_without_a_vote_forgets_a_leader_that_it_lost)
+{
+  const Membership others = GroupOf(4).m_snapshot.m_membership;
+  for (const bool isLearner : { true, false }) {
+    RecoveredState state;
+    state.m_snapshot.m_membership.m_voters = { others.m_voters.begin() + 1,
+                                               others.m_voters.end() };
+    ReplicaOptions options;
+    options.m_self = others.m_voters.front();
+    if (isLearner) {
+      state.m_snapshot.m_membership.m_learners = { options.m_self };
+    }
+    Replica replica(options, state, At(0));
+    replica.Reduce(At(100), From(2, 1, AppendRequest()));
+    replica.Reduce(At(490), ReplicaTick{});
+    cr_assert_eq(replica.Leader(), ReplicaId(2));
+    replica.Reduce(At(901), ReplicaTick{});
+    cr_assert_eq(replica.Leader(), ReplicaId(0));
+    cr_assert_eq(replica.CurrentTerm(), Term(1));
+    replica.Reduce(At(910), From(3, 2, AppendRequest()));
+    cr_assert_eq(replica.Leader(), ReplicaId(3));
+  }
+}
+
 Test(replica, message_encoding_round_trips)
 {
   AppendRequest request;
