A loss of power while a segment starts costs no vote

What could be seen: a control VM that lost power twice came back without its term and its vote, so that it could vote a second time in a term.

Cause: a new segment begins with a record of the term and the vote, so that the segments before it may be removed. If power is lost before that record is synced, the segment may be left without it.

The format is unchanged.

--- a/src/include/fulmarquay/consensus/LogStore.h
+++ b/src/include/fulmarquay/consensus/LogStore.h
@@ -98,6 +98,9 @@
                   const std::string& aBytes,
                   std::uint64_t aOffset);
   void StartSegment(std::uint64_t aMinBytes);
+  /// Whether the current segment has the record that StartSegment writes. It is
+  /// missing if power was lost meanwhile.
+  bool HasFirstRecord() const;
   void WriteSnapshotFile(const Snapshot& aSnapshot);
   void RemoveCoveredSegments(LogIndex aIndex);
 
--- a/src/libconsensus/LogStore.cpp
+++ b/src/libconsensus/LogStore.cpp
@@ -242,6 +242,13 @@
   m_segments[number].m_used = record.size();
 }
 
+bool
+LogStore::HasFirstRecord() const
+{
+  const auto current = m_segments.find(m_currentSegment);
+  return current != m_segments.end() && current->second.m_used != 0;
+}
+
 void
 LogStore::Append(const std::vector<PersistBatch>& aBatches)
 {
@@ -256,7 +263,7 @@
   }
   const std::string payload = Pack(stored);
   const std::uint64_t bytes = kRecordHeaderBytes + payload.size();
-  if (m_currentSegment == 0 ||
+  if (!HasFirstRecord() ||
       m_segments[m_currentSegment].m_used + bytes > m_currentSegmentSize) {
     StartSegment(bytes);
   }
@@ -288,6 +295,10 @@
 void
 LogStore::RemoveCoveredSegments(LogIndex aIndex)
 {
+  if (!HasFirstRecord()) {
+    // Only the segments before it hold the term and the vote.
+    return;
+  }
   for (auto it = m_segments.begin(); it != m_segments.end();) {
     const bool isCovered =
       it->first != m_currentSegment && it->second.m_last <= aIndex;
--- a/src/libconsensus/consensus_test.cpp
+++ b/src/libconsensus/consensus_test.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <filesystem>
+#include <functional>
 #include <random>
 #include <unistd.h>
 
@@ -333,6 +334,95 @@
   cr_assert_eq(state.m_entries.size(), 1U);
 }
 
+namespace {
+
+constexpr std::size_t kHalfSegment = LogStore::kSegmentBytes / 2 + 1;
+
+/// Runs aWrite on a store; false if the disk failed on the way.
+bool
+TryWrite(FakeDisk& aDisk, const std::function<void(LogStore&)>& aWrite)
+{
+  LogStore store(aDisk);
+  try {
+    aWrite(store);
+    return true;
+  } catch (const DiskFailedError&) {
+    return false;
+  }
+}
+
+} // namespace
+
+Test(log_store, power_lost_while_a_segment_starts_costs_no_vote)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    bool isWritten = false;
+    for (int operations = 0; !isWritten; ++operations) {
+      std::mt19937_64 random(seed);
+      FakeDisk disk;
+      Format(disk);
+      PersistBatch second = MakeBatch(2, 7, kHalfSegment);
+      second.m_hardState.reset();
+      {
+        LogStore store(disk);
+        store.Append({ MakeBatch(1, 7, kHalfSegment) });
+      }
+      disk.FailAfter(operations);
+      isWritten =
+        TryWrite(disk, [&](LogStore& aStore) { aStore.Append({ second }); });
+      disk.LosePower(random);
+      TryWrite(disk, [&](LogStore& aStore) {
+        if (seed % 2 == 0) {
+          aStore.Append({ second });
+        }
+        aStore.SaveSnapshot(MakeSnapshot(1 + (seed + 1) % 2, 7));
+      });
+      disk.LosePower(random);
+      LogStore store(disk);
+      const HardState state = store.TakeRecovered().m_hardState;
+      cr_assert_eq(state.m_term, Term(7), "after %d operations", operations);
+      cr_assert_eq(state.m_vote, ReplicaId(1));
+    }
+  }
+}
+
+Test(log_store, power_lost_while_a_snapshot_is_installed_leaves_a_whole_log)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    bool isWritten = false;
+    for (int operations = 0; !isWritten; ++operations) {
+      std::mt19937_64 random(seed);
+      FakeDisk disk;
+      Format(disk);
+      {
+        LogStore store(disk);
+        for (std::uint64_t i = 1; i <= 6; ++i) {
+          store.Append({ MakeBatch(i, 3, kHalfSegment) });
+        }
+      }
+      PersistSnapshot install;
+      install.m_hardState = HardState{ Term(9), ReplicaId(3) };
+      install.m_snapshot = MakeSnapshot(100, 8);
+      disk.FailAfter(operations);
+      isWritten =
+        TryWrite(disk, [&](LogStore& aStore) { aStore.Install(install); });
+      disk.LosePower(random);
+      const std::uint64_t last = RecoverLastIndex(disk);
+      cr_assert(last == 100 || (last == 6 && !isWritten),
+                "%d operations, last %d",
+                operations,
+                static_cast<int>(last));
+      // The leader sends the snapshot again.
+      cr_assert(
+        TryWrite(disk, [&](LogStore& aStore) { aStore.Install(install); }));
+      disk.LosePower(random);
+      LogStore store(disk);
+      cr_assert_eq(store.TakeRecovered().m_hardState, install.m_hardState);
+      cr_assert_eq(RecoverLastIndex(disk), 100U);
+    }
+  }
+}
+
 Test(log_store, incomplete_format_is_repeated)
 {
   FakeDisk disk;
--- a/src/libconsensus/fake_disk_test.cpp
+++ b/src/libconsensus/fake_disk_test.cpp
@@ -18,6 +18,7 @@
     if (m_disk.m_isOutOfSpace) {
       throw DiskFullError("write file", "", "no space left");
     }
+    m_disk.CountOperation();
     ++m_disk.m_writes;
     std::string& current = m_content->m_current;
     current.resize(std::max(current.size(), aOffset + aBytes.size()), '\0');
@@ -31,6 +32,7 @@
     if (m_disk.m_isSyncFailing) {
       throw DiskFailedError("sync file", "fake", "I/O error");
     }
+    m_disk.CountOperation();
     m_content->m_synced = m_content->m_current;
     m_content->m_lastWrite.clear();
   }
@@ -58,6 +60,36 @@
   }
 }
 
+void
+FakeDisk::LosePower(std::mt19937_64& aRandom)
+{
+  std::map<std::string, ContentPtr> names;
+  for (const auto* from : { &m_names, &m_syncedNames }) {
+    for (const auto& [name, content] : *from) {
+      const auto& source = aRandom() % 2 == 0 ? m_names : m_syncedNames;
+      const auto kept = source.find(name);
+      if (kept != source.end()) {
+        names[name] = kept->second;
+      }
+    }
+  }
+  m_names = names;
+  m_syncedNames = names;
+  const std::size_t tornBytes[] = { 0, aRandom() % 64, SIZE_MAX };
+  Crash(tornBytes[aRandom() % 3]);
+  m_operationsLeft = INT_MAX;
+}
+
+void
+FakeDisk::CountOperation()
+{
+  if (m_operationsLeft <= 0) {
+    m_operationsLeft = -1;
+    throw DiskFailedError("use disk", "fake", "no power");
+  }
+  --m_operationsLeft;
+}
+
 void
 FakeDisk::CorruptByte(const std::string& aName, std::size_t aOffset)
 {
@@ -94,6 +126,7 @@
   if (isFull || aSize.Count() > m_freeBytes) {
     throw DiskFullError("reserve space", aName, "no space left");
   }
+  CountOperation();
   m_freeBytes -= aSize.Count();
   auto content = std::make_shared<Content>();
   content->m_current.assign(static_cast<std::size_t>(aSize.Count()), '\0');
@@ -111,6 +144,7 @@
 void
 FakeDisk::Rename(const std::string& aFrom, const std::string& aTo)
 {
+  CountOperation();
   m_names[aTo] = m_names.at(aFrom);
   m_names.erase(aFrom);
 }
@@ -118,6 +152,7 @@
 void
 FakeDisk::Remove(const std::string& aName)
 {
+  CountOperation();
   m_names.erase(aName);
 }
 
@@ -127,6 +162,7 @@
   if (m_isSyncFailing) {
     throw DiskFailedError("sync folder", "fake", "I/O error");
   }
+  CountOperation();
   m_syncedNames = m_names;
 }
 
--- a/src/libconsensus/fake_disk_test.h
+++ b/src/libconsensus/fake_disk_test.h
@@ -3,8 +3,10 @@
 
 #include "fulmarquay/consensus/DiskFolder.h"
 
+#include <climits>
 #include <cstdint>
 #include <map>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -22,6 +24,17 @@
   /// unsynced write of each file.
   void Crash(std::size_t aTornBytes = 0);
 
+  /// Loses power: each file that was created, renamed or removed since the last
+  /// sync of the folder is kept or lost independently, and the last unsynced
+  /// write of each file is present, missing or torn.
+  void LosePower(std::mt19937_64& aRandom);
+
+  /// Makes every operation but the next aOperations ones throw
+  /// DiskFailedError, until power is lost.
+  void FailAfter(int aOperations) { m_operationsLeft = aOperations; }
+  /// Whether an operation has thrown because of FailAfter.
+  bool HasFailed() const { return m_operationsLeft < 0; }
+
   /// Flips a bit of a synced byte.
   void CorruptByte(const std::string& aName, std::size_t aOffset);
 
@@ -47,6 +60,8 @@
 private:
   friend class FakeFile;
 
+  void CountOperation();
+
   struct Content
   {
     std::string m_current;
@@ -63,6 +78,7 @@
   bool m_isOutOfSpace = false;
   std::string m_fullPrefix;
   int m_writes = 0;
+  int m_operationsLeft = INT_MAX;
 };
 
 } // namespace fulmarquay::testing
