Links between control VMs follow the membership and the settings

What operators would see, by reading and by test: a control VM that returned with an empty disk under its name at a new address never became a voter again, as the leader went on dialling its former address; and each control VM dialled all VMs that had ever been members, five times a second and for as long as it ran.

Cause: PeerLinks kept the first address of a VM, and never removed a link. Class: an address that a process remembers after it is gone.

Change: the links are the addresses of the settings and, for other VMs, those of the members; each change of either closes and removes the links that are in neither. Where a VM has a voter and a learner, the learner is its newer replica and gives the address. An address in the settings keeps precedence. New: a link whose address changes in the settings is closed at once, instead of keeping the former address until its connection ends, which it need not do if another VM has that address.

Not covered: a replica that keeps its disk and id but has a new address stays known under the former one, as JoinRequest of a member changes nothing.

--- a/src/include/fulmarquay/daemon/PeerLinks.h
+++ b/src/include/fulmarquay/daemon/PeerLinks.h
@@ -14,9 +14,9 @@
 /// The outgoing connections of a replica to the other replicas, by VM.
 ///
 /// An address in the local settings takes precedence over the one in the
-/// membership, so that a link can be routed through a relay. Messages to a
-/// replica that is not connected are dropped; the consensus protocol sends
-/// them again.
+/// membership, so that a link can be routed through a relay. A VM with neither
+/// has no link. Messages to a replica that is not connected are dropped; the
+/// consensus protocol sends them again.
 class PeerLinks
 {
 public:
@@ -24,11 +24,10 @@
             std::string aOwnVm,
             const std::map<std::string, Endpoint>& aConfiguredAddresses);
 
-  /// Sets the links' addresses from the settings, adding links to new VMs. The
-  /// address of an open link applies from its next connection.
+  /// Replaces the addresses from the settings.
   void Configure(const std::map<std::string, Endpoint>& aConfiguredAddresses);
 
-  /// Updates the members' VMs and adds links to members whose VM has none.
+  /// Replaces the members and their addresses.
   void SetMembership(const Membership& aMembership);
 
   /// Opens closed links. To be called every few hundred milliseconds.
@@ -52,8 +51,14 @@
     bool m_isActive = false; ///< connecting or connected
   };
 
+  /// Adds, closes and removes links as the addresses require.
+  void UpdateLinks();
+  void CloseLink(const Link& aLink);
+
   FrameHub& m_hub;
   std::string m_ownVm;
+  std::map<std::string, Endpoint> m_configuredAddresses;
+  std::map<std::string, Endpoint> m_memberAddresses;
   std::map<std::string, Link> m_links;
   std::map<ReplicaId, std::string> m_vmByReplica;
   std::map<ReplicaId, ConnectionId> m_lastConnections;
--- a/src/libdaemon/PeerLinks.cpp
+++ b/src/libdaemon/PeerLinks.cpp
@@ -21,35 +21,62 @@
 PeerLinks::Configure(
   const std::map<std::string, Endpoint>& aConfiguredAddresses)
 {
-  for (const auto& [vm, address] : aConfiguredAddresses) {
-    if (vm != m_ownVm) {
-      m_links[vm].m_address = address;
-    }
-  }
+  m_configuredAddresses = aConfiguredAddresses;
+  UpdateLinks();
 }
 
 void
 PeerLinks::SetMembership(const Membership& aMembership)
 {
-  const auto addMembers = [this](const std::vector<Member>& aMembers) {
-    for (const Member& member : aMembers) {
+  m_vmByReplica.clear();
+  m_memberAddresses.clear();
+  // Learners last: one on the VM of a voter is the newer replica of that VM.
+  for (const auto* members :
+       { &aMembership.m_voters, &aMembership.m_learners }) {
+    for (const Member& member : *members) {
       m_vmByReplica[member.m_id] = member.m_vm;
-      if (member.m_vm == m_ownVm || m_links.count(member.m_vm) != 0) {
-        continue;
-      }
+      m_memberAddresses.erase(member.m_vm);
       if (const auto address = ReadAddress(member.m_address)) {
-        m_links[member.m_vm].m_address = *address;
-      } else {
+        m_memberAddresses[member.m_vm] = *address;
+      } else if (member.m_vm != m_ownVm &&
+                 m_configuredAddresses.count(member.m_vm) == 0) {
         // It is reached over the connections that it opens.
         WriteLog(LogEvent::BadFrame,
                  { { "step", "read member" },
                    { "reason", member.m_vm + " has no IP:PORT" } });
       }
     }
-  };
-  m_vmByReplica.clear();
-  addMembers(aMembership.m_voters);
-  addMembers(aMembership.m_learners);
+  }
+  UpdateLinks();
+}
+
+void
+PeerLinks::UpdateLinks()
+{
+  std::map<std::string, Endpoint> addresses = m_configuredAddresses;
+  addresses.insert(m_memberAddresses.begin(), m_memberAddresses.end());
+  addresses.erase(m_ownVm);
+  for (auto it = m_links.begin(); it != m_links.end();) {
+    const auto address = addresses.find(it->first);
+    if (address != addresses.end() && address->second == it->second.m_address) {
+      ++it;
+      continue;
+    }
+    CloseLink(it->second);
+    it = m_links.erase(it);
+  }
+  for (const auto& [vm, address] : addresses) {
+    m_links[vm].m_address = address;
+  }
+}
+
+void
+PeerLinks::CloseLink(const Link& aLink)
+{
+  if (aLink.m_isActive) {
+    m_hub.Close(aLink.m_connection);
+    OnClosed(aLink.m_connection);
+  }
 }
 
 void
--- a/src/libdaemon/daemon_test.cpp
+++ b/src/libdaemon/daemon_test.cpp
@@ -8,6 +8,7 @@
 #include "fulmarquay/daemon/SettingsReload.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <csignal>
 #include <cstdio>
@@ -331,6 +332,95 @@
   void OnClosed(ConnectionId) override {}
 };
 
+/// Counts the open connections and the frames of a listener.
+class CountingPeer : public FrameHandler
+{
+public:
+  CountingPeer(boost::asio::io_context& aContext, const Endpoint& aAddress)
+    : m_hub(aContext, *this)
+  {
+    m_hub.Listen(aAddress);
+  }
+
+  void OnConnected(ConnectionId) override { ++m_connections; }
+  void OnFrame(ConnectionId, Frame) override { ++m_frames; }
+  void OnClosed(ConnectionId) override { --m_connections; }
+
+  int Connections() const { return m_connections; }
+  int Frames() const { return m_frames; }
+
+private:
+  FrameHub m_hub;
+  int m_connections = 0;
+  int m_frames = 0;
+};
+
+std::uint16_t
+FindFreePort()
+{
+  boost::asio::io_context context;
+  using boost::asio::ip::tcp;
+  const tcp::endpoint any(boost::asio::ip::make_address("127.0.0.1"), 0);
+  return tcp::acceptor(context, any).local_endpoint().port();
+}
+
+/// Links of VM `vm1` to peers at two addresses.
+class LinkedPeers
+{
+public:
+  LinkedPeers()
+    : m_firstAddress("127.0.0.1", FindFreePort())
+    , m_secondAddress("127.0.0.2", m_firstAddress.Port())
+    , m_first(m_context, m_firstAddress)
+    , m_second(m_context, m_secondAddress)
+    , m_hub(m_context, m_ignoring)
+  {
+  }
+
+  const Endpoint& FirstAddress() const { return m_firstAddress; }
+  const Endpoint& SecondAddress() const { return m_secondAddress; }
+  const CountingPeer& First() const { return m_first; }
+  const CountingPeer& Second() const { return m_second; }
+  FrameHub& Hub() { return m_hub; }
+
+  /// Waits until this many connections to each peer are open.
+  bool Await(PeerLinks& aLinks, int aFirst, int aSecond)
+  {
+    return Await(aLinks, [&] {
+      return m_first.Connections() == aFirst &&
+             m_second.Connections() == aSecond;
+    });
+  }
+
+  bool Await(PeerLinks& aLinks, const std::function<bool()>& aIsReached)
+  {
+    for (int i = 0; i < 200 && !aIsReached(); ++i) {
+      aLinks.Reconnect();
+      m_context.run_for(std::chrono::milliseconds(10));
+    }
+    return aIsReached();
+  }
+
+private:
+  boost::asio::io_context m_context;
+  Endpoint m_firstAddress;
+  Endpoint m_secondAddress;
+  CountingPeer m_first;
+  CountingPeer m_second;
+  IgnoringHandler m_ignoring;
+  FrameHub m_hub;
+};
+
+Membership
+VotersOf(const std::vector<Member>& aVoters)
+{
+  Membership membership;
+  membership.m_voters = aVoters;
+  return membership;
+}
+
+const Member kSelf{ ReplicaId(1), "vm1", "127.0.0.1:1" };
+
 } // namespace
 
 // A member states its address itself, and may join from another version.
@@ -348,3 +438,55 @@
   links.Reconnect();
   cr_assert_eq(links.Size(), 1);
 }
+
+Test(peer_links, new_replica_of_a_vm_that_has_moved_is_reached)
+{
+  LinkedPeers peers;
+  PeerLinks links(peers.Hub(), "vm1", {});
+  const Member former{ ReplicaId(2), "vm2", peers.FirstAddress().ToString() };
+  const Member moved{ ReplicaId(3), "vm2", peers.SecondAddress().ToString() };
+  Membership membership = VotersOf({ kSelf, former });
+  links.SetMembership(membership);
+  cr_assert(peers.Await(links, 1, 0));
+  membership.m_learners = { moved };
+  links.SetMembership(membership);
+  cr_assert(peers.Await(links, 0, 1));
+  links.Send(moved.m_id, { Channel::Consensus, "append" });
+  cr_assert(peers.Await(links, [&] { return peers.Second().Frames() == 1; }));
+}
+
+Test(peer_links, members_that_are_gone_are_not_dialled)
+{
+  LinkedPeers peers;
+  PeerLinks links(peers.Hub(), "vm1", { { "vm2", peers.FirstAddress() } });
+  links.SetMembership(
+    VotersOf({ kSelf,
+               { ReplicaId(2), "vm2", peers.FirstAddress().ToString() },
+               { ReplicaId(3), "vm3", peers.SecondAddress().ToString() } }));
+  cr_assert(peers.Await(links, 1, 1));
+  links.SetMembership(VotersOf({ kSelf }));
+  cr_assert(peers.Await(links, 1, 0), "the address of the settings remains");
+  cr_assert_eq(links.Size(), 1U);
+}
+
+Test(peer_links, seeds_that_left_the_settings_are_not_dialled)
+{
+  LinkedPeers peers;
+  PeerLinks links(peers.Hub(), "vm1", { { "vm2", peers.FirstAddress() } });
+  links.SetMembership(VotersOf({ kSelf }));
+  cr_assert(peers.Await(links, 1, 0));
+  links.Configure({ { "vm3", peers.SecondAddress() } });
+  cr_assert(peers.Await(links, 0, 1));
+  cr_assert_eq(links.Size(), 1U);
+}
+
+Test(peer_links, address_of_the_settings_precedes_that_of_the_membership)
+{
+  LinkedPeers peers;
+  PeerLinks links(peers.Hub(), "vm1", { { "vm2", peers.FirstAddress() } });
+  const Member member{ ReplicaId(2), "vm2", peers.SecondAddress().ToString() };
+  links.SetMembership(VotersOf({ kSelf, member }));
+  cr_assert(peers.Await(links, 1, 0));
+  links.Configure({});
+  cr_assert(peers.Await(links, 0, 1));
+}
