Entry: test that a leader is found after all seeds were replaced

Open, by reading: an entry that was cut off while every replica it knew was replaced finds none until its settings are loaded again by SIGHUP or at a restart.

--- a/src/libserve/serve_test.cpp
+++ b/src/libserve/serve_test.cpp
@@ -922,3 +922,66 @@
     cr_assert_eq(added, expected);
   }
 }
+
+namespace {
+
+/// The link of the last heartbeat in aEffects; -1 if there is none.
+int
+HeartbeatLink(const EntryEffects& aEffects)
+{
+  int link = -1;
+  for (const EntryEffect& effect : aEffects) {
+    const auto* send = std::get_if<SendToControl>(&effect);
+    if (send != nullptr &&
+        std::holds_alternative<EntryHeartbeat>(send->m_message)) {
+      link = static_cast<int>(send->m_link);
+    }
+  }
+  return link;
+}
+
+} // namespace
+
+Test(control_links, leader_is_found_after_all_seeds_were_replaced)
+{
+  EntryOptions options;
+  options.m_discoversReplicas = true;
+  options.m_control = { Endpoint("10.0.0.1", 1), Endpoint("10.0.0.2", 1) };
+  EntryNode node(options);
+  TimePoint now(Duration(1'000'000'000));
+  node.Reduce(now, ControlLinkChanged{ 1, true });
+  node.Reduce(now, ControlLinkChanged{ 0, true });
+  HeartbeatReply reply;
+  reply.m_leaseUs = 5'000'000;
+  reply.m_replicas = { "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1" };
+  node.Reduce(now, ControlReply{ 0, reply });
+  node.Reduce(now, ControlLinkChanged{ 2, true });
+  // The seeds are gone; the third replica knows their successor.
+  node.Reduce(now, ControlLinkChanged{ 1, false });
+  node.Reduce(now, ControlLinkChanged{ 0, false });
+  const NotLeader redirect{ RequestId(0), "10.0.0.4:1" };
+  bool isAdded = false;
+  bool isOpen = false;
+  int link = -1;
+  for (int i = 0; i < 100 && link != 3; ++i) {
+    now += Duration(20'000);
+    link = HeartbeatLink(node.Reduce(now, EntryTick{}));
+    cr_assert(link == -1 || link == 2 || link == 3, "link %d", link);
+    if (isAdded && !isOpen) {
+      isOpen = true;
+      node.Reduce(now, ControlLinkChanged{ 3, true });
+    }
+    if (link == 2) {
+      const auto effects = node.Reduce(now, ControlReply{ 2, redirect });
+      isAdded =
+        isAdded ||
+        std::any_of(
+          effects.begin(), effects.end(), [](const EntryEffect& aEffect) {
+            return std::holds_alternative<AddControlLink>(aEffect);
+          });
+      link = HeartbeatLink(effects);
+    }
+  }
+  cr_assert(isAdded);
+  cr_assert_eq(link, 3);
+}
