--- a/src/include/fulmarquay/consensus/Replica.h
+++ b/src/include/fulmarquay/consensus/Replica.h
@@ -129,11 +129,12 @@
     LogIndex m_next;           ///< index of the next entry to send
     std::uint64_t m_round = 0; ///< last acknowledged heartbeat round
     bool m_isProbing = true;   ///< m_next is unconfirmed: send no entries
-    TimePoint m_lastReplyAt; ///< since this replica leads, if none came yet
+    TimePoint m_lastReplyAt;   ///< since this replica leads, if none came yet
     bool m_hasReplied = false;
     std::string m_snapshot; ///< packed snapshot while it is being sent
     LogIndex m_snapshotIndex;
     std::uint64_t m_snapshotOffset = 0;
+    TimePoint m_snapshotSentAt; ///< time of the last part
   };
 
   /// A message that is sent once a PersistBatch or PersistSnapshot is synced.
--- a/src/libconsensus/ReplicaLeader.cpp
+++ b/src/libconsensus/ReplicaLeader.cpp
@@ -126,12 +126,16 @@
       progress.m_snapshot = Pack(m_log.BaseSnapshot());
       progress.m_snapshotIndex = m_log.BaseSnapshot().m_index;
       progress.m_snapshotOffset = 0;
+      progress.m_snapshotSentAt = TimePoint();
     }
     if (aIsHeartbeat) {
       // Every log accepts a request at index 0. Its replies extend the lease
       // while the snapshot is being sent.
       Send(aTo, request);
-      SendSnapshotPart(aTo);
+      if (m_now >=
+          progress.m_snapshotSentAt + m_options.m_timing.m_electionTimeout) {
+        SendSnapshotPart(aTo);
+      }
     }
     return;
   }
@@ -155,6 +159,7 @@
 {
   Progress& progress = m_progress.at(aTo);
   SnapshotPart part;
+  progress.m_snapshotSentAt = m_now;
   part.m_index = progress.m_snapshotIndex;
   part.m_offset = progress.m_snapshotOffset;
   part.m_total = progress.m_snapshot.size();
@@ -221,6 +226,10 @@
     return;
   }
   if (!aReply.m_isInstalled) {
+    if (aReply.m_offset == progress.m_snapshotOffset) {
+      // The reply to a repeated part: its successor has been sent already.
+      return;
+    }
     progress.m_snapshotOffset = aReply.m_offset;
     SendSnapshotPart(aFrom);
     return;
--- a/src/libconsensus/membership_test.cpp
+++ b/src/libconsensus/membership_test.cpp
@@ -257,3 +257,22 @@
   group.Run(5 * kSecond);
   cr_assert(group.IsVoter(6));
 }
+
+Test(membership, snapshot_parts_do_not_multiply_on_a_slow_link)
+{
+  ReplicaGroup group(3, 1, { Duration(100'000), Duration(0) });
+  group.Run(5 * kSecond);
+  constexpr std::size_t kMegabytes = 8;
+  for (std::size_t i = 0; i < kMegabytes; ++i) {
+    cr_assert(
+      group.Propose(std::string(1'000'000, static_cast<char>('a' + i))));
+    group.Run(kSecond);
+  }
+  group.SaveSnapshot(group.Leader());
+  group.Run(kSecond);
+  group.Join(4);
+  group.Run(15 * kSecond);
+  cr_assert(group.IsVoter(4));
+  // About four parts a megabyte, and as many that are repeated.
+  cr_assert_leq(group.SnapshotParts(), 8 * kMegabytes);
+}
--- a/src/libconsensus/replica_group_test.cpp
+++ b/src/libconsensus/replica_group_test.cpp
@@ -265,6 +265,8 @@
   Vm& vm = m_vms.at(aVm);
   for (const ReplicaEffect& effect : aEffects) {
     if (const auto* send = std::get_if<SendConsensus>(&effect)) {
+      m_snapshotParts +=
+        std::holds_alternative<SnapshotPart>(send->m_message.m_body) ? 1 : 0;
       Deliver(aVm, send->m_message);
     } else if (const auto* batch = std::get_if<PersistBatch>(&effect)) {
       Sync(aVm, { aVm, 0, DiskSynced{ batch->m_number }, *batch, {} });
--- a/src/libconsensus/replica_group_test.h
+++ b/src/libconsensus/replica_group_test.h
@@ -95,6 +95,9 @@
   /// Effects of a replica that change the membership, newest last.
   const std::vector<std::string>& RemovedVms() const { return m_removedVms; }
 
+  /// Parts of snapshots that replicas have sent.
+  std::size_t SnapshotParts() const { return m_snapshotParts; }
+
   /// The first violated invariant: two leases at once, replicas that differ in
   /// a committed entry, or an exception; else empty.
   const std::string& Violation() const { return m_violation; }
@@ -151,6 +154,7 @@
   std::set<int> m_half;             ///< separated from all others
   std::map<LogIndex, std::string> m_committed;
   std::string m_violation;
+  std::size_t m_snapshotParts = 0;
   std::map<std::pair<int, int>, TimePoint> m_linkBusyUntil;
   std::set<std::string> m_acknowledged;
   std::vector<std::string> m_removedVms;
