--- a/src/libconsensus/losses_test.cpp
+++ b/src/libconsensus/losses_test.cpp
@@ -662,6 +662,16 @@
   }
 }
 
+Test(losses, five_vms_have_a_leader_after_one_is_lost_during_a_change)
+{
+  RunSeeds(5, { 553, 1 });
+}
+
+Test(losses, five_vms_have_a_leader_after_many_elections_beside_lost_disks)
+{
+  RunSeeds(5, { 908, 1 });
+}
+
 // For longer manual runs: FULMARQUAY_LOSSES="FIRST COUNT VMS".
 Test(losses, range_from_environment)
 {
--- a/src/libconsensus/membership_test.cpp
+++ b/src/libconsensus/membership_test.cpp
@@ -2,6 +2,8 @@
 // rejoining, in a simulated group without message or disk latency.
 #include "replica_group_test.h"
 
+#include <algorithm>
+
 // Included last because its macros clash with names in other headers.
 #include <criterion/criterion.h>
 
@@ -276,3 +278,78 @@
   // About four parts a megabyte, and as many that are repeated.
   cr_assert_leq(group.SnapshotParts(), 8 * kMegabytes);
 }
+
+Test(membership, successor_replaces_the_vm_that_is_gone_not_the_one_cut_off)
+{
+  ReplicaGroup group(5);
+  group.Run(3 * kSecond);
+  const std::vector<int> others = Followers(group, 5);
+  group.SetIsolated(others[0], true);
+  group.Run(4 * kSecond);
+  group.Stop(others[1]);
+  group.Run(4 * kSecond);
+  group.Join(6);
+  group.Run(20 * kSecond);
+  for (const int lost : { others[2], others[3] }) {
+    group.LoseDisk(lost);
+    group.Start(lost);
+  }
+  group.SetIsolated(others[0], false);
+  group.Run(20 * kSecond);
+  cr_assert_neq(group.Leader(), 0);
+}
+
+Test(membership, delayed_join_request_of_a_former_replica_adds_nobody)
+{
+  ReplicaGroup group(5);
+  group.Run(3 * kSecond);
+  const std::vector<int> others = Followers(group, 5);
+  const Member former =
+    *std::find_if(group.Members().m_voters.begin(),
+                  group.Members().m_voters.end(),
+                  [&](const Member& aEach) {
+                    return aEach.m_vm == "vm" + std::to_string(others[0]);
+                  });
+  group.LoseDisk(others[0]);
+  group.Start(others[0]);
+  group.Run(5 * kSecond);
+  ConsensusMessage late;
+  late.m_from = former.m_id;
+  late.m_body = JoinRequest{ former };
+  group.Inject(others[1], late);
+  group.Run(60 * kSecond);
+  cr_assert(group.Members().m_learners.empty());
+}
+
+Test(membership, learner_that_is_gone_is_removed)
+{
+  ReplicaGroup group(5);
+  group.Run(3 * kSecond);
+  group.Join(6);
+  for (int i = 0; i < 100 && group.Members().m_learners.empty(); ++i) {
+    group.Run(Duration(20'000));
+  }
+  group.Stop(6);
+  group.Run(60 * kSecond);
+  cr_assert(group.Members().m_learners.empty());
+}
+
+Test(membership, feature_level_is_known_after_a_restart_beside_a_lost_vm)
+{
+  ReplicaGroup group(5);
+  group.Run(3 * kSecond);
+  const int lost = Followers(group, 5).front();
+  group.Stop(lost);
+  group.Run(5 * kSecond);
+  const std::uint32_t before = group.LowestFeatureLevel();
+  for (int vm = 1; vm <= 5; ++vm) {
+    group.Stop(vm);
+  }
+  for (int vm = 1; vm <= 5; ++vm) {
+    if (vm != lost) {
+      group.Start(vm);
+    }
+  }
+  group.Run(60 * kSecond);
+  cr_assert_eq(group.LowestFeatureLevel(), before);
+}
--- a/src/libconsensus/replica_group_test.cpp
+++ b/src/libconsensus/replica_group_test.cpp
@@ -366,6 +366,14 @@
   return m_vms.at(leader).m_replica->Members();
 }
 
+std::uint32_t
+ReplicaGroup::LowestFeatureLevel() const
+{
+  const int leader = Leader();
+  cr_assert_neq(leader, 0, "no leader");
+  return m_vms.at(leader).m_replica->LowestFeatureLevel();
+}
+
 bool
 ReplicaGroup::IsVoter(int aVm) const
 {
--- a/src/libconsensus/replica_group_test.h
+++ b/src/libconsensus/replica_group_test.h
@@ -50,6 +50,15 @@
   /// Of the replica on a VM.
   Duration TimeWithoutLeader(int aVm) const;
 
+  /// The lowest feature level as known to the leader; there must be one.
+  std::uint32_t LowestFeatureLevel() const;
+
+  /// Delivers a message to a VM at once.
+  void Inject(int aVm, const ConsensusMessage& aMessage)
+  {
+    Dispatch(aVm, ConsensusReceived{ aMessage });
+  }
+
   /// Cuts all links between these VMs and all others; empty: none.
   void Split(std::set<int> aHalf);
 
