--- a/src/libconsensus/losses_test.cpp
+++ b/src/libconsensus/losses_test.cpp
@@ -66,6 +66,7 @@
   int LostDisks() const;
   bool MayLoseDisk(const Place& aPlace) const;
   bool IsReachable(const Place& aFrom, const Place& aTo) const;
+  void CountLostDisk(Place& aPlace);
   void CountConnectedTime();
   void ChooseSeeds(Place& aPlace);
   void RenewSeeds();
@@ -176,6 +177,14 @@
          m_half.contains(aFrom.m_vm) == m_half.contains(aTo.m_vm);
 }
 
+void
+Deployment::CountLostDisk(Place& aPlace)
+{
+  ++m_diskLosses;
+  aPlace.m_lost.insert(aPlace.m_vm);
+  aPlace.m_connected = Duration(0);
+}
+
 void
 Deployment::CountConnectedTime()
 {
@@ -199,7 +208,7 @@
 void
 Deployment::ChooseSeeds(Place& aPlace)
 {
-  // One of three is a VM with its disk. The others may be gone.
+  // One of three is a VM with its disk. The others may have been removed.
   std::vector<int> sound;
   for (const Place& place : m_places) {
     if (place.m_lost.empty() && place.m_vm != aPlace.m_vm) {
@@ -286,9 +295,7 @@
   Kill(aPlace, RandomTime(20, 3'000));
   Log("lost disk of", aPlace);
   m_group.LoseDisk(aPlace.m_vm);
-  ++m_diskLosses;
-  aPlace.m_lost.insert(aPlace.m_vm);
-  aPlace.m_connected = Duration(0);
+  CountLostDisk(aPlace);
   ChooseSeeds(aPlace);
 }
 
@@ -305,9 +312,7 @@
   Kill(aPlace, RandomTime(20, 4'000));
   Log("removed", aPlace);
   m_group.Stop(aPlace.m_vm);
-  ++m_diskLosses;
-  aPlace.m_lost.insert(aPlace.m_vm);
-  aPlace.m_connected = Duration(0);
+  CountLostDisk(aPlace);
   aPlace.m_isCut = false;
   aPlace.m_vm = ++m_lastVm;
   aPlace.m_isNew = true;
@@ -505,7 +510,7 @@
       return "vm" + std::to_string(place.m_vm) + " differs from the leader";
     }
   }
-  // Voters that are gone must not use up what the deployment tolerates.
+  // Voters without a VM must leave a majority after the tolerated losses.
   const std::size_t voters = m_group.Members().m_voters.size();
   const auto left = static_cast<std::size_t>(m_vms - Tolerated());
   return left * 2 > voters ? "" : "too many voters that are gone";
--- a/src/libserve/serve_test.cpp
+++ b/src/libserve/serve_test.cpp
@@ -956,7 +956,7 @@
   reply.m_replicas = { "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1" };
   node.Reduce(now, ControlReply{ 0, reply });
   node.Reduce(now, ControlLinkChanged{ 2, true });
-  // The seeds are gone; the third replica knows their successor.
+  // The seeds have been removed; the third replica knows their successor.
   node.Reduce(now, ControlLinkChanged{ 1, false });
   node.Reduce(now, ControlLinkChanged{ 0, false });
   const NotLeader redirect{ RequestId(0), "10.0.0.4:1" };
