--- a/review/stand-in-2/upgraded_workers.cpp
+++ b/review/stand-in-2/upgraded_workers.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr int kWorkers = 6;
+constexpr int kWorkers = 7;
 constexpr int kUpgraded = 4;
 constexpr int kLagMs = 800; ///< max-lag-ms of the sheet's settings
 constexpr int kDownMs = 300;
