--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,6 @@
 #!/bin/bash
-# TROUBLE=0 plays the same without the disruption.
+# TROUBLE=0 plays the same without the disruption; TROUBLE=bright plays it without the
+# machine that is dark.
 CASE=$(cd "$(dirname "$0")" && pwd) || exit 2
-STAND_IN=departed_workers
+STAND_IN=lost_voters
 . "$CASE/../stand-in-2/run.sh"
--- a/review/stand-in-2/fleet.h
+++ b/review/stand-in-2/fleet.h
@@ -649,17 +649,23 @@
 class Fleet
 {
 public:
-  Fleet(const std::string& aFolder, int aCores, int aEdges, Bounds aBounds = {})
+  /// `aSpares`: further core machines, which StartControl starts.
+  Fleet(const std::string& aFolder,
+        int aCores,
+        int aEdges,
+        Bounds aBounds = {},
+        int aSpares = 0)
     : m_folder(aFolder)
     , m_bounds(aBounds)
-    , m_cores(aCores)
+    , m_cores(aCores + aSpares)
     , m_edges(aEdges)
   {
     m_ports = FreePorts(7);
+    m_started = aCores;
     m_list = std::make_unique<WorkerList>(ListAddress());
-    for (int i = 0; i < aCores; ++i) {
-      ::mkdir((m_folder + "/data" + std::to_string(i)).c_str(), 0700);
-      WriteControlSettings(i, true);
+    for (int i = 0; i < m_cores; ++i) {
+      ::mkdir(DataFolder(i).c_str(), 0700);
+      WriteControlSettings(i, i < aCores);
       m_controls.push_back(std::make_unique<Process>(
         "target/bin/platform-control", ControlFile(i), LogFile("control", i)));
     }
@@ -672,8 +678,8 @@
 
   void Start()
   {
-    for (auto& each : m_controls) {
-      each->Start();
+    for (int i = 0; i < m_started; ++i) {
+      m_controls[i]->Start();
     }
     for (auto& each : m_entries) {
       each->Start(static_cast<rlim_t>(m_bounds.m_maxFds));
@@ -704,6 +710,19 @@
     m_controls.at(aNumber)->Start();
   }
 
+  /// Loses the disk of a core machine whose process is not running.
+  void LoseDisk(int aNumber)
+  {
+    if (DIR* entries = ::opendir(DataFolder(aNumber).c_str())) {
+      while (const dirent* entry = ::readdir(entries)) {
+        if (entry->d_name[0] != '.') {
+          ::unlink((DataFolder(aNumber) + "/" + entry->d_name).c_str());
+        }
+      }
+      ::closedir(entries);
+    }
+  }
+
   /// An order of the operator, sent again to one daemon after the other until
   /// it has a clear answer or the time is over. Returns its status, 0 for none.
   int Order(const std::string& aTarget,
@@ -774,6 +793,10 @@
   {
     return m_folder + "/control" + std::to_string(aNumber) + ".ini";
   }
+  std::string DataFolder(int aNumber) const
+  {
+    return m_folder + "/data" + std::to_string(aNumber);
+  }
   std::string EntryFile(int aNumber) const
   {
     return m_folder + "/entry" + std::to_string(aNumber) + ".ini";
@@ -802,8 +825,8 @@
     WriteFile(ControlFile(aNumber),
               "[control]\nvm = " + CoreIp(aNumber) +
                 "\ndata_centre = za\nlisten = " + CoreIp(aNumber) + ":" +
-                std::to_string(m_ports[0]) + "\ndata_folder = " + m_folder +
-                "/data" + std::to_string(aNumber) +
+                std::to_string(m_ports[0]) +
+                "\ndata_folder = " + DataFolder(aNumber) +
                 "\nbootstrap = " + (aIsFirstStart ? "yes" : "no") +
                 "\nseeds = " + Seeds() + "\ntolerated_losses = " +
                 std::to_string(m_bounds.m_toleratedMachines) +
@@ -838,7 +861,8 @@
 
   std::string m_folder;
   Bounds m_bounds;
-  int m_cores;
+  int m_cores; ///< with the spare ones
+  int m_started = 0;
   int m_edges;
   std::vector<int> m_ports;
   std::unique_ptr<WorkerList> m_list;
