--- a/review/stand-in-2/departed_workers.cpp
+++ b/review/stand-in-2/departed_workers.cpp
@@ -118,8 +118,12 @@
 int
 main(int, char** aWords)
 {
-  RaiseDescriptors();
   Record::Open(aWords[2]);
+  // Each caller and each worker's connection takes one here.
+  if (RaiseDescriptors() < 6000) {
+    Record::Line("this case needs 6,000 descriptors");
+    return kNotRun;
+  }
   const bool hasTrouble = HasTrouble();
   Bounds bounds;
   Fleet fleet(aWords[1], 3, 1, bounds);
--- a/review/stand-in-2/fleet.h
+++ b/review/stand-in-2/fleet.h
@@ -870,14 +870,15 @@
   std::vector<std::unique_ptr<Process>> m_entries;
 };
 
-/// Lets this process use as many descriptors as it may.
-inline void
+/// Lets this process use as many descriptors as it may, and returns their number.
+inline rlim_t
 RaiseDescriptors()
 {
   rlimit limit{};
   ::getrlimit(RLIMIT_NOFILE, &limit);
   limit.rlim_cur = limit.rlim_max;
   ::setrlimit(RLIMIT_NOFILE, &limit);
+  return limit.rlim_cur;
 }
 
 /// Whether the disruption of the case is to be played.
