--- a/review/stand-in-2/growing_log.cpp
+++ b/review/stand-in-2/growing_log.cpp
@@ -137,13 +137,11 @@
       acknowledged = version;
       ++changes;
     }
-    if (version % 20 == 0 || status != 200) {
-      Record::Line("configuration %d: %d; at most %ld MB of memory, %d kills",
-                   version,
-                   status.load(),
-                   platform.PeakMb(),
-                   platform.Kills());
-    }
+    Record::Line("configuration %d: %d; at most %ld MB of memory, %d kills",
+                 version,
+                 status.load(),
+                 platform.PeakMb(),
+                 platform.Kills());
     platform.Run(next);
   }
   Record::Line("%d changes were acknowledged, the last is %d; all processes of the "
--- a/review/stand-in-2/lost_voters.cpp
+++ b/review/stand-in-2/lost_voters.cpp
@@ -22,6 +22,64 @@
          R"(,"routes":[{"name":"r1","host":"app.example","path-prefix":"/app/","kind":"unsafe","timeout-ms":1000,"target-latency-ms":120,"priority":0,"backend":"app","attempts":1,"allow-anonymous":false}],"backends":[{"name":"app","health-check":"/healthz","max-connections":96,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[{"name":"clinic","api-keys":["key-of-clinic"]}]})";
 }
 
+/// The core machine that answers a read itself; -1 if none does.
+int
+LeaderOf(const Fleet& aFleet)
+{
+  for (int i = 0; i < kCores; ++i) {
+    if (Call(aFleet.ControlAddress(i), "GET", "/-/config/get", {}, "", 300)
+          .Status() == 200) {
+      return i;
+    }
+  }
+  return -1;
+}
+
+void
+LoseDisk(Fleet& aFleet, int aCore)
+{
+  Record::Line("core-%d loses its disk and starts again", aCore);
+  aFleet.Control(aCore).Signal(SIGKILL);
+  aFleet.LoseDisk(aCore);
+  aFleet.StartControl(aCore);
+}
+
+/// One machine is dark and another one loses its disk. The leader is killed twice, so
+/// that none waits long enough to give the one without its disk a vote again. Once that
+/// one has had its time to catch up, two more lose their disks.
+void
+PlayElections(Fleet& aFleet, int aLeader, const std::vector<int>& aOthers)
+{
+  const std::int64_t begin = SteadyMs();
+  const auto until = [&](std::int64_t aMs) {
+    SleepMs(std::max<std::int64_t>(0, begin + aMs - SteadyMs()));
+  };
+  const auto killLeader = [&](int aCore, std::int64_t aBackMs) {
+    if (aCore < 0) {
+      return;
+    }
+    Record::Line("core-%d, which leads, is killed, back in 1 s", aCore);
+    aFleet.Control(aCore).Signal(SIGKILL);
+    until(aBackMs);
+    aFleet.StartControl(aCore);
+  };
+  constexpr std::int64_t kDiskLostMs = 700;
+  Record::Line("core-%d is dark for %d ms", aOthers[0], kDarkMs);
+  aFleet.Control(aOthers[0]).Signal(SIGKILL);
+  until(kDiskLostMs);
+  LoseDisk(aFleet, aOthers[1]);
+  until(2400);
+  killLeader(aLeader, 3400);
+  until(5000);
+  killLeader(LeaderOf(aFleet), 6000);
+  until(kDiskLostMs + kCatchUpMs + 100);
+  LoseDisk(aFleet, aOthers[2]);
+  LoseDisk(aFleet, aOthers[3]);
+  until(kDarkMs);
+  Record::Line("core-%d is back with its disk", aOthers[0]);
+  aFleet.StartControl(aOthers[0]);
+}
+
 } // namespace
 
 int
@@ -30,9 +88,12 @@
   RaiseDescriptors();
   Record::Open(aWords[2]);
   const bool hasTrouble = HasTrouble();
-  // TROUBLE=bright: all of it, but no machine is dark.
-  const bool isDark = hasTrouble && (std::getenv("TROUBLE") == nullptr ||
-                                     std::strcmp(std::getenv("TROUBLE"), "bright") != 0);
+  const char* const variant = std::getenv("TROUBLE");
+  // TROUBLE=bright: all of it, but no machine is dark. TROUBLE=elections: another
+  // order of events, see PlayElections.
+  const bool isDark = variant == nullptr || std::strcmp(variant, "bright") != 0;
+  const bool hasElections =
+    variant != nullptr && std::strcmp(variant, "elections") == 0;
   Bounds bounds;
   bounds.m_toleratedMachines = 2;
   Fleet fleet(aWords[1], kCores, 2, bounds, 1);
@@ -89,25 +150,23 @@
   if (status != 200 || servedBefore != 20) {
     Finish(fleet, kNotRun);
   }
-  int leader = -1;
+  const int leader = LeaderOf(fleet);
   std::vector<int> others;
   for (int i = 0; i < kCores; ++i) {
-    const bool leads =
-      Call(fleet.ControlAddress(i), "GET", "/-/config/get", {}, "", 1000)
-        .Status() == 200;
-    if (leads) {
-      leader = i;
-    } else {
+    if (i != leader) {
       others.push_back(i);
     }
   }
-  if (leader < 0 || others.size() != kCores - 1) {
+  if (leader < 0) {
     Finish(fleet, kNotRun);
   }
   const int dark = others[0];
   const int removed = others[1];
   Record::Line("core-%d leads", leader);
-  if (hasTrouble) {
+  if (hasElections) {
+    PlayElections(fleet, leader, others);
+    SleepMs(kRecoverMs);
+  } else if (hasTrouble) {
     const std::int64_t begin = SteadyMs();
     if (isDark) {
       Record::Line("core-%d is dark for %d ms", dark, kDarkMs);
@@ -120,12 +179,8 @@
     Record::Line("core-%d starts at a new address with an empty disk", kCores);
     fleet.StartControl(kCores);
     SleepMs(kCatchUpMs + 200);
-    for (int i = 2; i < 4; ++i) {
-      Record::Line("core-%d loses its disk and starts again", others[i]);
-      fleet.Control(others[i]).Signal(SIGKILL);
-      fleet.LoseDisk(others[i]);
-      fleet.StartControl(others[i]);
-    }
+    LoseDisk(fleet, others[2]);
+    LoseDisk(fleet, others[3]);
     SleepMs(std::max<std::int64_t>(0, begin + kDarkMs - SteadyMs()));
     if (isDark) {
       Record::Line("core-%d is back with its disk", dark);
