--- a/review/stand-in-2/fleet.h
+++ b/review/stand-in-2/fleet.h
@@ -127,7 +127,7 @@
   return { aText.substr(0, colon), std::atoi(aText.c_str() + colon + 1) };
 }
 
-/// Ports that are free at the moment on every loopback address.
+/// Ports that are free at the moment on a loopback address.
 inline std::vector<int>
 FreePorts(std::size_t aCount)
 {
@@ -135,14 +135,13 @@
   std::vector<int> sockets;
   while (ports.size() < aCount) {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in any{};
-    any.sin_family = AF_INET;
-    socklen_t size = sizeof(any);
-    if (::bind(fd, reinterpret_cast<sockaddr*>(&any), size) != 0) {
+    sockaddr_in at = ToSocketAddress({ "127.0.0.1", 0 });
+    socklen_t size = sizeof(at);
+    if (::bind(fd, reinterpret_cast<sockaddr*>(&at), size) != 0) {
       break;
     }
-    ::getsockname(fd, reinterpret_cast<sockaddr*>(&any), &size);
-    ports.push_back(ntohs(any.sin_port));
+    ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
+    ports.push_back(ntohs(at.sin_port));
     sockets.push_back(fd);
   }
   for (const int fd : sockets) {
