--- a/review/stand-in-2/departed_workers.cpp
+++ b/review/stand-in-2/departed_workers.cpp
@@ -1,9 +1,9 @@
-// The workers of a service are replaced one after the other, as in a release; an
-// entry runs out of descriptors.
+// The workers of a service are replaced one after the other, as in a release;
+// an entry runs out of descriptors.
 //
-// Each second a new worker starts at another address and the oldest one is listed as
-// draining; that one serves on for drain-ms and a little longer, ends, and closes
-// all its connections. The callers keep their connections.
+// Each second a new worker starts at another address and the oldest one is
+// listed as draining; that one serves on for drain-ms and a little longer,
+// ends, and closes all its connections. The callers keep their connections.
 #include "fleet.h"
 
 using namespace review;
@@ -19,7 +19,8 @@
 constexpr int kLagMs = 800;  ///< max-lag-ms
 constexpr int kDrainMs = 3000;
 constexpr int kStabilityMs = 3000;
-constexpr int kTrying = 10; ///< callers on new connections; the rule asks for seven
+constexpr int kTrying =
+  10; ///< callers on new connections; the rule asks for seven
 
 const char* const kRoutes =
   R"({"version":1,"routes":[{"name":"r1","host":"app.example","path-prefix":"/app/","kind":"safe","timeout-ms":8000,"target-latency-ms":3000,"priority":0,"backend":"app","attempts":2,"allow-anonymous":true}],"backends":[{"name":"app","health-check":"/healthz","max-connections":360,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}})";
@@ -103,8 +104,8 @@
       SleepMs(500);
       continue;
     }
-    const bool isServed = answer.Status() == 200 &&
-                          !answer.Header("Response-Signature").empty();
+    const bool isServed =
+      answer.Status() == 200 && !answer.Header("Response-Signature").empty();
     ++(isServed ? aOutcome.m_served : aOutcome.m_refused);
     if (!isServed) {
       const double pause = std::atof(answer.Header("Retry-After").c_str());
@@ -151,7 +152,8 @@
       !fleet.AwaitReady(15000)) {
     Finish(fleet, kNotRun);
   }
-  // The platform asks for readiness once a second on a connection that it keeps.
+  // The platform asks for readiness once a second on a connection that it
+  // keeps.
   std::atomic<int> asked{ 0 };
   std::atomic<int> ready{ 0 };
   std::thread([&] {
@@ -162,8 +164,8 @@
         EncodeRequest("GET", "/-/ready", { { "Host", "ready" } }, "");
       const bool isReady =
         (stream.Fd() >= 0 || stream.Connect(fleet.Ready(0), 1000)) &&
-        stream.Write(request) &&
-        stream.Read(answer, SteadyMs() + 1000, true) && answer.Status() == 200;
+        stream.Write(request) && stream.Read(answer, SteadyMs() + 1000, true) &&
+        answer.Status() == 200;
       if (!isReady) {
         stream.Close();
       }
@@ -174,23 +176,24 @@
   std::atomic<bool> isOver{ false };
   Outcome outcome;
   for (int i = 0; i < kCallers; ++i) {
-    std::thread(
-      [&, i] { KeepAsking(fleet.Front(0), i, isOver, outcome); })
-      .detach();
+    std::thread([&, i] {
+      KeepAsking(fleet.Front(0), i, isOver, outcome);
+    }).detach();
     SleepMs(3);
   }
   SleepMs(1000);
   const auto report = [&](int aReplaced) {
-    Record::Line("REPORT %d workers were replaced, the old ones have closed all "
-                 "connections; requests: %d served, %d refused, %d without "
-                 "answer, %d run; edge-za-1 has %d descriptors of %d",
-                 aReplaced,
-                 outcome.m_served.load(),
-                 outcome.m_refused.load(),
-                 outcome.m_silent.load(),
-                 g_run.load(),
-                 fleet.Entry(0).Descriptors(),
-                 bounds.m_maxFds);
+    Record::Line(
+      "REPORT %d workers were replaced, the old ones have closed all "
+      "connections; requests: %d served, %d refused, %d without "
+      "answer, %d run; edge-za-1 has %d descriptors of %d",
+      aReplaced,
+      outcome.m_served.load(),
+      outcome.m_refused.load(),
+      outcome.m_silent.load(),
+      g_run.load(),
+      fleet.Entry(0).Descriptors(),
+      bounds.m_maxFds);
   };
   report(0);
   // The list shows each change kLagMs later.
@@ -236,8 +239,7 @@
         Stream stream;
         Message answer;
         const bool isAnswered =
-          stream.Connect(fleet.Front(0), 1000) &&
-          stream.Write(EncodeAsk(id)) &&
+          stream.Connect(fleet.Front(0), 1000) && stream.Write(EncodeAsk(id)) &&
           stream.Read(answer, SteadyMs() + kWorkMs + 1000, true);
         Record::Line("%s is answered %d", id.c_str(), answer.Status());
         ++(!isAnswered              ? last.m_silent
@@ -251,19 +253,20 @@
   }
   const int questions = asked - askedBefore;
   const int answers = ready - readyBefore;
-  Record::Line("REPORT in %lld ms, %d callers at a time on new connections: %d "
-               "served, %d refused, %d not taken; workers ran %d requests; ready "
-               "in %d of %d answers; edge-za-1 has %d descriptors of %d",
-               static_cast<long long>(SteadyMs() - begin),
-               kTrying,
-               last.m_served.load(),
-               last.m_refused.load(),
-               last.m_silent.load(),
-               g_run - runBefore,
-               answers,
-               questions,
-               fleet.Entry(0).Descriptors(),
-               bounds.m_maxFds);
+  Record::Line(
+    "REPORT in %lld ms, %d callers at a time on new connections: %d "
+    "served, %d refused, %d not taken; workers ran %d requests; ready "
+    "in %d of %d answers; edge-za-1 has %d descriptors of %d",
+    static_cast<long long>(SteadyMs() - begin),
+    kTrying,
+    last.m_served.load(),
+    last.m_refused.load(),
+    last.m_silent.load(),
+    g_run - runBefore,
+    answers,
+    questions,
+    fleet.Entry(0).Descriptors(),
+    bounds.m_maxFds);
   const bool isBroken = last.m_served == 0 && last.m_refused == 0 &&
                         answers == questions && questions > 0;
   Finish(fleet, isBroken ? kBroken : kHeld);
--- a/review/stand-in-2/fleet.h
+++ b/review/stand-in-2/fleet.h
@@ -235,8 +235,8 @@
   {
     std::size_t sent = 0;
     while (sent < aBytes.size()) {
-      const ssize_t size = ::send(
-        m_fd, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
+      const ssize_t size =
+        ::send(m_fd, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
       if (size <= 0) {
         return false;
       }
@@ -323,8 +323,8 @@
           return false;
         }
       }
-      const auto size = static_cast<std::size_t>(
-        std::strtoul(m_input.c_str(), nullptr, 16));
+      const auto size =
+        static_cast<std::size_t>(std::strtoul(m_input.c_str(), nullptr, 16));
       m_input.erase(0, end + 2);
       while (m_input.size() < size + 2) {
         if (!Receive(aUntilMs)) {
@@ -691,7 +691,10 @@
   int Cores() const { return m_cores; }
   int Edges() const { return m_edges; }
 
-  Address ControlAddress(int aNumber) const { return { CoreIp(aNumber), m_ports[1] }; }
+  Address ControlAddress(int aNumber) const
+  {
+    return { CoreIp(aNumber), m_ports[1] };
+  }
   Address Front(int aNumber) const { return { EdgeIp(aNumber), m_ports[2] }; }
   Address Ready(int aNumber) const { return { EdgeIp(aNumber), m_ports[3] }; }
   Address ListAddress() const { return { "127.73.0.1", m_ports[4] }; }
@@ -735,7 +738,13 @@
       std::string target = aTarget;
       for (int hop = 0; hop < 3; ++hop) {
         const Message answer =
-          Call(to, "POST", target, {}, aBody, std::min<std::int64_t>(1000, std::max<std::int64_t>(1, until - SteadyMs())));
+          Call(to,
+               "POST",
+               target,
+               {},
+               aBody,
+               std::min<std::int64_t>(
+                 1000, std::max<std::int64_t>(1, until - SteadyMs())));
         const int status = answer.Status();
         last = status == 0 ? last : status;
         if (status == 307) {
@@ -821,20 +830,19 @@
   /// platform/control.ini.in, filled in.
   void WriteControlSettings(int aNumber, bool aIsFirstStart) const
   {
-    WriteFile(ControlFile(aNumber),
-              "[control]\nvm = " + CoreIp(aNumber) +
-                "\ndata_centre = za\nlisten = " + CoreIp(aNumber) + ":" +
-                std::to_string(m_ports[0]) +
-                "\ndata_folder = " + DataFolder(aNumber) +
-                "\nbootstrap = " + (aIsFirstStart ? "yes" : "no") +
-                "\nseeds = " + Seeds() + "\ntolerated_losses = " +
-                std::to_string(m_bounds.m_toleratedMachines) +
-                "\noperator_http = " + ControlAddress(aNumber).Text() +
-                "\nmetrics_http = " + CoreIp(aNumber) + ":" +
-                std::to_string(m_ports[6]) +
-                "\n\n[fleet]\nvm_list = " + ListAddress().Text() +
-                "\nchecks_fencing = no\norder_takeover_wait = " +
-                std::to_string(m_bounds.m_leaseMs) + "ms\n");
+    WriteFile(
+      ControlFile(aNumber),
+      "[control]\nvm = " + CoreIp(aNumber) +
+        "\ndata_centre = za\nlisten = " + CoreIp(aNumber) + ":" +
+        std::to_string(m_ports[0]) + "\ndata_folder = " + DataFolder(aNumber) +
+        "\nbootstrap = " + (aIsFirstStart ? "yes" : "no") +
+        "\nseeds = " + Seeds() +
+        "\ntolerated_losses = " + std::to_string(m_bounds.m_toleratedMachines) +
+        "\noperator_http = " + ControlAddress(aNumber).Text() +
+        "\nmetrics_http = " + CoreIp(aNumber) + ":" +
+        std::to_string(m_ports[6]) + "\n\n[fleet]\nvm_list = " +
+        ListAddress().Text() + "\nchecks_fencing = no\norder_takeover_wait = " +
+        std::to_string(m_bounds.m_leaseMs) + "ms\n");
   }
   /// platform/entry.ini.in, filled in.
   void WriteEntrySettings(int aNumber) const
@@ -850,8 +858,8 @@
         ":" + std::to_string(m_ports[5]) + "\nmetrics_http = " + ip + ":" +
         std::to_string(m_ports[6]) + "\ncontrol_seeds = " + Seeds() +
         "\nconfiguration = routes\nheartbeat = 1s\nkey_revocation = " +
-        std::to_string(m_bounds.m_revokeMs) + "ms\nweights_bound = " +
-        std::to_string(m_bounds.m_versionMs) +
+        std::to_string(m_bounds.m_revokeMs) +
+        "ms\nweights_bound = " + std::to_string(m_bounds.m_versionMs) +
         "ms\nretry_ratio = 0.2\nretry_slack = 52\ndrain_delay = "
         "3s\ndrain_limit = " +
         std::to_string(m_bounds.m_graceS) +
@@ -869,7 +877,8 @@
   std::vector<std::unique_ptr<Process>> m_entries;
 };
 
-/// Lets this process use as many descriptors as it may, and returns their number.
+/// Lets this process use as many descriptors as it may, and returns their
+/// number.
 inline rlim_t
 RaiseDescriptors()
 {
--- a/review/stand-in-2/growing_log.cpp
+++ b/review/stand-in-2/growing_log.cpp
@@ -1,6 +1,7 @@
-// The configuration has grown to some thousand routes and is changed again and again;
-// then all processes of the core are killed at once. As the platform does, a process
-// that uses more than memory-mb is killed, and starts again after a short delay.
+// The configuration has grown to some thousand routes and is changed again and
+// again; then all processes of the core are killed at once. As the platform
+// does, a process that uses more than memory-mb is killed, and starts again
+// after a short delay.
 #include "fleet.h"
 
 using namespace review;
@@ -20,14 +21,16 @@
 std::string
 Configuration(int aVersion, int aRoutes)
 {
-  std::string text = R"({"version":)" + std::to_string(aVersion) + R"(,"routes":[)";
+  std::string text =
+    R"({"version":)" + std::to_string(aVersion) + R"(,"routes":[)";
   for (int i = 0; i < aRoutes; ++i) {
     const bool isLast = i == aRoutes - 1;
-    text += std::string(i == 0 ? "" : ",") + R"({"name":"r-)" + std::to_string(i) +
-            R"(","host":"nylo40.example","path-prefix":"/p)" + std::to_string(i) +
-            R"(/","kind":"safe","timeout-ms":)" +
-            std::to_string(isLast ? 1000 + aVersion : 1000) +
-            R"(,"target-latency-ms":150,"priority":2,"backend":"app","attempts":2,"allow-anonymous":true,"sticky":false,"resumable":false})";
+    text +=
+      std::string(i == 0 ? "" : ",") + R"({"name":"r-)" + std::to_string(i) +
+      R"(","host":"nylo40.example","path-prefix":"/p)" + std::to_string(i) +
+      R"(/","kind":"safe","timeout-ms":)" +
+      std::to_string(isLast ? 1000 + aVersion : 1000) +
+      R"(,"target-latency-ms":150,"priority":2,"backend":"app","attempts":2,"allow-anonymous":true,"sticky":false,"resumable":false})";
   }
   return text +
          R"(],"backends":[{"name":"app","health-check":"/healthz","max-connections":100,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}})";
@@ -117,16 +120,20 @@
     Finish(fleet, kNotRun);
   }
   acknowledged = 1;
-  Record::Line("configuration 1 has %d routes and %zu bytes", routes, Configuration(1, routes).size());
+  Record::Line("configuration 1 has %d routes and %zu bytes",
+               routes,
+               Configuration(1, routes).size());
   const std::int64_t end = SteadyMs() + 75000;
   for (int version = 2; version <= kChanges && SteadyMs() < end; ++version) {
     const std::int64_t next = SteadyMs() + kGapMs;
     const std::string body = Configuration(version, routes);
     std::atomic<int> status{ -1 };
     std::thread order([&] {
-      status = fleet.Order("/-/config/put",
-                           body,
-                           std::min<std::int64_t>(kAckMs, std::max<std::int64_t>(1, end - SteadyMs())));
+      status =
+        fleet.Order("/-/config/put",
+                    body,
+                    std::min<std::int64_t>(
+                      kAckMs, std::max<std::int64_t>(1, end - SteadyMs())));
     });
     while (status < 0) {
       platform.Step();
@@ -144,10 +151,11 @@
                  platform.Kills());
     platform.Run(next);
   }
-  Record::Line("%d changes were acknowledged, the last is %d; all processes of the "
-               "core are killed",
-               changes,
-               acknowledged);
+  Record::Line(
+    "%d changes were acknowledged, the last is %d; all processes of the "
+    "core are killed",
+    changes,
+    acknowledged);
   for (int i = 0; i < fleet.Cores(); ++i) {
     platform.Kill(i, kDownMs);
   }
@@ -177,11 +185,12 @@
   isOver = true;
   reader.join();
   isRead = hasRead;
-  Record::Line("configuration %d is read back: %s; at most %ld MB of memory, %d "
-               "kills",
-               acknowledged,
-               isRead ? "yes" : "no",
-               platform.PeakMb(),
-               platform.Kills());
+  Record::Line(
+    "configuration %d is read back: %s; at most %ld MB of memory, %d "
+    "kills",
+    acknowledged,
+    isRead ? "yes" : "no",
+    platform.PeakMb(),
+    platform.Kills());
   Finish(fleet, isRead ? kHeld : kBroken);
 }
--- a/review/stand-in-2/isolated_tenant.cpp
+++ b/review/stand-in-2/isolated_tenant.cpp
@@ -1,5 +1,5 @@
-// A tenant becomes isolated by a change of the configuration; parts that it made
-// before are still shared with the other tenants.
+// A tenant becomes isolated by a change of the configuration; parts that it
+// made before are still shared with the other tenants.
 //
 // The worker caches parts of prompts under Cache-Salt, as the pages say, and
 // remembers the tenant whose request made each part.
@@ -132,26 +132,23 @@
     engine.SetIsolated("clinic");
   }
   const auto ask = [&](const std::string& aTenant, int aNumber) {
-    const Message answer =
-      Call(fleet.Front(aNumber % 2),
-           "POST",
-           "/model/x",
-           { { "Host", "app.example" },
-             { "Request-Id", aTenant + "-" + std::to_string(aNumber) },
-             { "Authorization", "Token key-of-" + aTenant },
-             { "Model", "m" },
-             { "Token-Usage", "1460,80" },
-             { "Prompt-Prefix",
-               "5c1e07a2:800,91bd3f06:410,e44" + std::to_string(aNumber) +
-                 ":250" },
-             { "Deadline-Ms", "8000" },
-             { "Connection", "close" } },
-           "prompt",
-           8000);
-    Record::Line("%s-%d is answered %d",
-                 aTenant.c_str(),
-                 aNumber,
-                 answer.Status());
+    const Message answer = Call(
+      fleet.Front(aNumber % 2),
+      "POST",
+      "/model/x",
+      { { "Host", "app.example" },
+        { "Request-Id", aTenant + "-" + std::to_string(aNumber) },
+        { "Authorization", "Token key-of-" + aTenant },
+        { "Model", "m" },
+        { "Token-Usage", "1460,80" },
+        { "Prompt-Prefix",
+          "5c1e07a2:800,91bd3f06:410,e44" + std::to_string(aNumber) + ":250" },
+        { "Deadline-Ms", "8000" },
+        { "Connection", "close" } },
+      "prompt",
+      8000);
+    Record::Line(
+      "%s-%d is answered %d", aTenant.c_str(), aNumber, answer.Status());
     return answer.Status() == 200;
   };
   int served = 0;
--- a/review/stand-in-2/lost_voters.cpp
+++ b/review/stand-in-2/lost_voters.cpp
@@ -1,6 +1,6 @@
-// A core machine is dark for some seconds; meanwhile another one is removed for good
-// and replaced. Once the successor has had its time to catch up, two more core
-// machines lose their disks. The dark one comes back with its disk.
+// A core machine is dark for some seconds; meanwhile another one is removed for
+// good and replaced. Once the successor has had its time to catch up, two more
+// core machines lose their disks. The dark one comes back with its disk.
 //
 // The operator reads back what was acknowledged, and callers use their keys.
 #include "fleet.h"
@@ -10,7 +10,8 @@
 namespace {
 
 constexpr int kCores = 5;
-constexpr int kDarkMs = 7000;   ///< for_s of node_kill, "power oldest", on the core
+constexpr int kDarkMs =
+  7000; ///< for_s of node_kill, "power oldest", on the core
 constexpr int kCatchUpMs = 6000;
 constexpr int kRecoverMs = 15000;
 constexpr int kStabilityMs = 5000;
@@ -44,9 +45,10 @@
   aFleet.StartControl(aCore);
 }
 
-/// One machine is dark and another one loses its disk. The leader is killed twice, so
-/// that none waits long enough to give the one without its disk a vote again. Once that
-/// one has had its time to catch up, two more lose their disks.
+/// One machine is dark and another one loses its disk. The leader is killed
+/// twice, so that none waits long enough to give the one without its disk a
+/// vote again. Once that one has had its time to catch up, two more lose their
+/// disks.
 void
 PlayElections(Fleet& aFleet, int aLeader, const std::vector<int>& aOthers)
 {
@@ -89,24 +91,24 @@
   Record::Open(aWords[2]);
   const bool hasTrouble = HasTrouble();
   const char* const variant = std::getenv("TROUBLE");
-  // TROUBLE=bright: all of it, but no machine is dark. TROUBLE=elections: another
-  // order of events, see PlayElections.
+  // TROUBLE=bright: all of it, but no machine is dark. TROUBLE=elections:
+  // another order of events, see PlayElections.
   const bool isDark = variant == nullptr || std::strcmp(variant, "bright") != 0;
   const bool hasElections =
     variant != nullptr && std::strcmp(variant, "elections") == 0;
   Bounds bounds;
   bounds.m_toleratedMachines = 2;
   Fleet fleet(aWords[1], kCores, 2, bounds, 1);
-  Server worker(fleet.WorkerAddress(0, 0),
-                [&](const Message& aRequest, Stream& aStream) {
-                  const std::string id = aRequest.Header("Request-Id");
-                  Record::Line("i-1 runs %s", id.c_str());
-                  aStream.Write(EncodeAnswer(200,
-                                             { { "Request-Id", id },
-                                               { "Keep-Alive", "timeout=5" },
-                                               { "Response-Signature", "s." + id } },
-                                             "answer"));
-                });
+  Server worker(
+    fleet.WorkerAddress(0, 0), [&](const Message& aRequest, Stream& aStream) {
+      const std::string id = aRequest.Header("Request-Id");
+      Record::Line("i-1 runs %s", id.c_str());
+      aStream.Write(EncodeAnswer(200,
+                                 { { "Request-Id", id },
+                                   { "Keep-Alive", "timeout=5" },
+                                   { "Response-Signature", "s." + id } },
+                                 "answer"));
+    });
   Instance instance;
   instance.m_id = "i-1";
   instance.m_backend = "app";
@@ -123,17 +125,16 @@
     int served = 0;
     for (int i = 0; i < aCount; ++i) {
       const std::string id = "q" + std::to_string(asked++);
-      const Message answer =
-        Call(fleet.Front(i % 2),
-             "POST",
-             "/app/x",
-             { { "Host", "app.example" },
-               { "Request-Id", id },
-               { "Authorization", "Token key-of-clinic" },
-               { "Deadline-Ms", "1000" },
-               { "Connection", "close" } },
-             "body",
-             1000);
+      const Message answer = Call(fleet.Front(i % 2),
+                                  "POST",
+                                  "/app/x",
+                                  { { "Host", "app.example" },
+                                    { "Request-Id", id },
+                                    { "Authorization", "Token key-of-clinic" },
+                                    { "Deadline-Ms", "1000" },
+                                    { "Connection", "close" } },
+                                  "body",
+                                  1000);
       Record::Line("%s is answered %d", id.c_str(), answer.Status());
       served += answer.Status() == 200 ? 1 : 0;
       SleepMs(20);
--- a/review/stand-in-2/upgraded_workers.cpp
+++ b/review/stand-in-2/upgraded_workers.cpp
@@ -1,9 +1,9 @@
-// Workers are upgraded in place, one after the other: each ends, starts again under
-// its id with new software, falls over once soon after its start, and is back. The
-// platform's list lags by max-lag-ms.
+// Workers are upgraded in place, one after the other: each ends, starts again
+// under its id with new software, falls over once soon after its start, and is
+// back. The platform's list lags by max-lag-ms.
 //
-// Each event names the software of the worker that made it. The callers look for
-// streams that hold events of two versions.
+// Each event names the software of the worker that made it. The callers look
+// for streams that hold events of two versions.
 #include "fleet.h"
 
 using namespace review;
@@ -18,7 +18,7 @@
 constexpr int kEvents = 30;
 constexpr int kEventMs = 60;
 constexpr int kIntervalMs = 120; ///< between two requests of all callers
-constexpr int kMaxMixed = 2;    ///< the rule speaks of more than two streams
+constexpr int kMaxMixed = 2;     ///< the rule speaks of more than two streams
 
 const char* const kRoutes =
   R"({"version":1,"routes":[{"name":"r1","host":"app.example","path-prefix":"/model/","kind":"streaming","timeout-ms":8000,"target-latency-ms":400,"priority":0,"backend":"llm","attempts":2,"allow-anonymous":true,"sticky":true,"resumable":true,"target-gap-ms":300}],"backends":[{"name":"llm","health-check":"/healthz","max-connections":360,"protocol":"h1","tls":false,"engine":{"slots":64,"kv-capacity":110983,"kv-token-bytes":131072,"link-mbps":260000.0,"moves":true,"backups":true,"managed":true,"stride":5,"max-in-flight":12,"pin-ms":4000.0,"hold-ms":2000.0,"handle_s":5.0,"models":[{"name":"m"}]}}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}})";
@@ -106,17 +106,17 @@
   Stream stream;
   const bool isSent =
     stream.Connect(aEntry, 1000) &&
-    stream.Write(EncodeRequest("POST",
-                               "/model/x",
-                               { { "Host", "app.example" },
-                                 { "Request-Id", id },
-                                 { "Model", "m" },
-                                 { "Token-Usage", "460,30" },
-                                 { "Prompt-Prefix",
-                                   "5c1e07a2:200,e4" + std::to_string(aNumber) +
-                                     ":250" },
-                                 { "Deadline-Ms", "8000" } },
-                               "prompt"));
+    stream.Write(
+      EncodeRequest("POST",
+                    "/model/x",
+                    { { "Host", "app.example" },
+                      { "Request-Id", id },
+                      { "Model", "m" },
+                      { "Token-Usage", "460,30" },
+                      { "Prompt-Prefix",
+                        "5c1e07a2:200,e4" + std::to_string(aNumber) + ":250" },
+                      { "Deadline-Ms", "8000" } },
+                    "prompt"));
   const bool isWhole = isSent && stream.Read(answer, SteadyMs() + 8000, true);
   const bool isSuccess = answer.Status() == 200;
   const bool hasOld = answer.m_body.find("data: v1 ") != std::string::npos;
@@ -127,11 +127,13 @@
   if (hasOld && hasNew) {
     ++aCounts.m_mixed;
     std::string versions;
-    for (std::size_t at = answer.m_body.find("data: v"); at != std::string::npos;
+    for (std::size_t at = answer.m_body.find("data: v");
+         at != std::string::npos;
          at = answer.m_body.find("data: v", at + 1)) {
       versions += answer.m_body[at + 7];
     }
-    Record::Line("%s got events of two versions: %s", id.c_str(), versions.c_str());
+    Record::Line(
+      "%s got events of two versions: %s", id.c_str(), versions.c_str());
   }
 }
 
