--- a/src/include/fulmarquay/control/PartStore.h
+++ b/src/include/fulmarquay/control/PartStore.h
@@ -1,6 +1,7 @@
 #ifndef FULMARQUAY_CONTROL_PARTSTORE_H
 #define FULMARQUAY_CONTROL_PARTSTORE_H
 
+#include "fulmarquay/control/CacheGroup.h"
 #include "fulmarquay/core/Digest.h"
 #include "fulmarquay/core/StrongId.h"
 #include "fulmarquay/wire/Codec.h"
@@ -26,13 +27,12 @@
   return Checksum64(aId, Checksum64(aScope));
 }
 
-/// Returns the cache scope for a weight version of a model, limited to one
-/// account if aAccount is not empty. Workers keep the parts of their models
-/// apart, stores do not.
+/// Returns the cache scope of a group of requests for a weight version of a
+/// model. Workers keep the parts of their models apart, stores do not.
 std::string
 MakeCacheScope(std::int64_t aWeights,
                const std::string& aModel,
-               const std::string& aAccount);
+               const CacheGroup& aGroup);
 
 /// Returns the weight version of a scope; -1 for text that is not in the format
 /// of MakeCacheScope.
--- a/src/include/fulmarquay/core/LogEvent.h
+++ b/src/include/fulmarquay/core/LogEvent.h
@@ -47,6 +47,7 @@
   RoutesPublished = 2111,
   RoutesInForce = 2112,
   RoutesRefused = 2113,
+  SharedCacheChanged = 2114,
   EntryLost = 2201,
   EntryRestarted = 2202,
   OrderIssued = 2301,
--- a/src/include/fulmarquay/route/RouteTable.h
+++ b/src/include/fulmarquay/route/RouteTable.h
@@ -46,6 +46,15 @@
   /// valid until the next Apply.
   Account FindAccount(const std::string& aKeyHash) const;
 
+  /// Text that is equal only for equal sets of isolated accounts; empty if no
+  /// account is isolated.
+  ///
+  /// As part of the name of a cache that all other accounts share, it keeps
+  /// them from what an account cached before it became isolated: under one key,
+  /// only accounts outside its set have cached anything. It is the same at all
+  /// entries and needs no history of the document.
+  const std::string& IsolationKey() const { return m_isolationKey; }
+
   const PoolRule* FindPool(const PoolId& aPool) const;
   const RouteDocument& Document() const { return m_document; }
 
@@ -56,6 +65,7 @@
   RouteDocument m_document;
   std::unordered_map<std::string, Route> m_byHostAndPrefix;
   std::unordered_map<std::string, Account> m_byKeyHash;
+  std::string m_isolationKey;
 };
 
 } // namespace fulmarquay
--- a/src/include/fulmarquay/serve/Placement.h
+++ b/src/include/fulmarquay/serve/Placement.h
@@ -39,7 +39,7 @@
     PoolId m_pool;
     const RelayRequest* m_request = nullptr;
     bool m_hasPrompt = false;
-    std::string m_account; ///< owner of an isolated cache, else empty
+    CacheGroup m_cacheGroup;
     std::set<WorkerId> m_triedWorkers;
     /// The only software that may go on with the stream; no value: any.
     std::optional<SoftwareVersion> m_software;
--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -201,7 +201,8 @@
     RouteRule m_rule;
     std::string m_routeName;
     std::string m_account;
-    std::string m_cacheAccount; ///< owner of an isolated cache, else empty
+    bool m_isIsolated = false; ///< its account was, when it arrived
+    std::string m_cacheScope;  ///< that its worker was told
     std::int64_t m_priority = 0;
     AllowedRegions m_allowedRegions; ///< of its route and its account
     TimePoint m_arrivedAt;
@@ -314,6 +315,8 @@
   /// Pauses a worker with superseded weights that refused a request: it loads
   /// newer ones.
   void PauseLoadingWorker(const ActiveRequest& aActive);
+  /// The group in the document in force, which may be newer than the request.
+  CacheGroup CacheGroupOf(const ActiveRequest& aActive) const;
   std::string CacheScopeFor(const ActiveRequest& aActive,
                             const WorkerState& aWorker) const;
   std::int64_t WorkerClockMs() const;
@@ -325,6 +328,7 @@
     const WorkerState& aWorker,
     const std::string& aScope) const;
   void RecordReads(const ActiveRequest& aActive, const WorkerState& aWorker);
+  void RecordIsolation(const std::string& aFormerKey);
   /// Memory of a pool's workers for parts that they cache, in tokens.
   std::int64_t CacheBudget(const PoolId& aPool) const;
   void ReleaseWorker(ActiveRequest& aActive);
--- a/src/libcontrol/PartStore.cpp
+++ b/src/libcontrol/PartStore.cpp
@@ -8,21 +8,27 @@
 
 constexpr char kScopePrefix = 'w';
 constexpr char kModelSeparator = ':';
+/// No hex digit, with which the key of AllowedRegions begins.
+constexpr char kIsolationPrefix = '-';
 
 } // namespace
 
 std::string
 MakeCacheScope(std::int64_t aWeights,
                const std::string& aModel,
-               const std::string& aAccount)
+               const CacheGroup& aGroup)
 {
-  std::string scope = kScopePrefix + std::to_string(aWeights);
-  // The dot makes builds without models in their scopes read the version. The
-  // length keeps "a.b" for account "c" apart from "a" for account "b.c".
-  scope += std::string(".") + kModelSeparator + std::to_string(aModel.size()) +
-           kModelSeparator + aModel;
-  if (!aAccount.empty()) {
-    scope += "." + aAccount;
+  // The dot makes builds without models in their scopes read the version.
+  std::string scope = kScopePrefix + std::to_string(aWeights) + ".";
+  if (aGroup.m_account.empty() && !aGroup.m_isolationKey.empty()) {
+    // Before the model, where no account can name it.
+    scope += kIsolationPrefix + aGroup.m_isolationKey;
+  }
+  // The length keeps "a.b" for account "c" apart from "a" for account "b.c".
+  scope +=
+    kModelSeparator + std::to_string(aModel.size()) + kModelSeparator + aModel;
+  if (!aGroup.m_account.empty()) {
+    scope += "." + aGroup.m_account;
   }
   return scope;
 }
--- a/src/libcontrol/fleet_test.cpp
+++ b/src/libcontrol/fleet_test.cpp
@@ -686,15 +686,15 @@
   };
   std::set<std::string> scopes;
   for (const auto& [model, account] : owners) {
-    scopes.insert(MakeCacheScope(1, model, account));
+    scopes.insert(MakeCacheScope(1, model, { account, "" }));
   }
   cr_assert_eq(scopes.size(), owners.size());
 }
 
 Test(stores, weight_version_is_parsed_from_a_scope)
 {
-  cr_assert_eq(WeightsOfScope(MakeCacheScope(12, "m", "")), 12);
-  cr_assert_eq(WeightsOfScope(MakeCacheScope(3, "m", "acc.w9")), 3);
+  cr_assert_eq(WeightsOfScope(MakeCacheScope(12, "m", {})), 12);
+  cr_assert_eq(WeightsOfScope(MakeCacheScope(3, "m", { "acc.w9", "" })), 3);
   for (const char* foreign : { "", "w", "x1", "w1x", "1" }) {
     cr_assert_eq(WeightsOfScope(foreign), -1, "%s", foreign);
   }
--- a/src/libcore/LogCatalogue.cpp
+++ b/src/libcore/LogCatalogue.cpp
@@ -268,6 +268,16 @@
       "warning",
       "A route document was rejected; nothing changed.",
       "Fix the problem given in the line and publish again." },
+    { LogEvent::SharedCacheChanged,
+      "SharedCacheChanged",
+      "info",
+      "Other accounts are isolated than before at this entry. The accounts "
+      "that "
+      "are not isolated share parts of prompts under a new name, so that "
+      "workers read them again once.",
+      "Expect longer times to the first event for some seconds. Isolate "
+      "several "
+      "accounts with one document." },
     { LogEvent::WeightsNamed,
       "WeightsNamed",
       "info",
--- a/src/libroute/RouteTable.cpp
+++ b/src/libroute/RouteTable.cpp
@@ -1,5 +1,6 @@
 #include "fulmarquay/route/RouteTable.h"
 
+#include "fulmarquay/core/Digest.h"
 #include "fulmarquay/route/RouteDelta.h"
 
 namespace fulmarquay {
@@ -29,11 +30,17 @@
   for (const auto& [name, rule] : m_document.m_routes) {
     m_byHostAndPrefix[IndexKey(rule.m_host, rule.m_prefix)] = { name, &rule };
   }
+  std::string isolated;
   for (const auto& [name, rule] : m_document.m_accounts) {
+    if (rule.m_isIsolated) {
+      // The length keeps the names "a" and "b" apart from one named "ab".
+      isolated += std::to_string(name.size()) + ":" + name;
+    }
     for (const std::string& hash : rule.m_keyHashes) {
       m_byKeyHash[hash] = { name, &rule };
     }
   }
+  m_isolationKey = isolated.empty() ? "" : Sha256Hex(isolated);
 }
 
 RouteTable::Route
--- a/src/libserve/Placement.cpp
+++ b/src/libserve/Placement.cpp
@@ -64,7 +64,8 @@
     return Checksum64(aCriteria.m_request->m_id);
   }
   const std::size_t last = parts.size() < 2 ? 0 : parts.size() - 2;
-  return Checksum64(parts[last].m_id, Checksum64(aCriteria.m_account));
+  return Checksum64(parts[last].m_id,
+                    Checksum64(aCriteria.m_cacheGroup.m_account));
 }
 
 /// Whether a worker that warms up is to get this request only if no other may.
@@ -198,8 +199,8 @@
                           std::int64_t aVersion)
 {
   std::vector<PartCopies> parts;
-  std::string scope =
-    MakeCacheScope(aVersion, aCriteria.m_request->m_model, aCriteria.m_account);
+  std::string scope = MakeCacheScope(
+    aVersion, aCriteria.m_request->m_model, aCriteria.m_cacheGroup);
   if (aCriteria.m_allowedRegions != nullptr) {
     scope = aCriteria.m_allowedRegions->LimitScope(std::move(scope));
   }
--- a/src/libserve/RelayDispatch.cpp
+++ b/src/libserve/RelayDispatch.cpp
@@ -43,7 +43,7 @@
   criteria.m_pool = aActive.m_pool;
   criteria.m_request = &aActive.m_request;
   criteria.m_hasPrompt = aActive.m_rule.m_hasPrompt;
-  criteria.m_account = aActive.m_cacheAccount;
+  criteria.m_cacheGroup = CacheGroupOf(aActive);
   criteria.m_triedWorkers = aActive.m_triedWorkers;
   criteria.m_softwareVersions = &m_softwareVersions;
   if (aActive.m_origin) {
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -45,7 +45,9 @@
     return;
   }
   RecordMovedRoutes(aDelta);
+  const std::string isolationKey = m_routes.IsolationKey();
   m_routes.Apply(aDelta);
+  RecordIsolation(isolationKey);
   m_limiter.OnRoutes(m_routes.Document());
   m_context.Log(
     LogEvent::RoutesInForce,
@@ -54,6 +56,24 @@
       { "routes", std::to_string(m_routes.Document().m_routes.size()) } });
 }
 
+void
+RelayFlow::RecordIsolation(const std::string& aFormerKey)
+{
+  if (m_routes.IsolationKey() == aFormerKey) {
+    return;
+  }
+  const auto& accounts = m_routes.Document().m_accounts;
+  const auto isolated =
+    std::count_if(accounts.begin(), accounts.end(), [](const auto& aEach) {
+      return aEach.second.m_isIsolated;
+    });
+  m_context.Counters().Count("relay_shared_cache_changes_total");
+  m_context.Log(LogEvent::SharedCacheChanged,
+                { { "isolated", std::to_string(isolated) },
+                  { "accounts", std::to_string(accounts.size()) },
+                  { "key", m_routes.IsolationKey() } });
+}
+
 void
 RelayFlow::SetRegions(RegionMap aRegions)
 {
@@ -360,8 +380,7 @@
     return !needsKey;
   }
   aActive.m_account = std::string(account.m_name);
-  aActive.m_cacheAccount =
-    account.m_rule->m_isIsolated ? aActive.m_account : "";
+  aActive.m_isIsolated = account.m_rule->m_isIsolated;
   aActive.m_allowedRegions.AddRule(account.m_rule->m_allowedRegions);
   if (account.m_rule->m_priority >= 0) {
     aActive.m_priority = account.m_rule->m_priority;
--- a/src/libserve/RelaySend.cpp
+++ b/src/libserve/RelaySend.cpp
@@ -31,6 +31,17 @@
 
 } // namespace
 
+CacheGroup
+RelayFlow::CacheGroupOf(const ActiveRequest& aActive) const
+{
+  const auto& accounts = m_routes.Document().m_accounts;
+  const auto found = accounts.find(aActive.m_account);
+  const bool isIsolated =
+    found == accounts.end() ? aActive.m_isIsolated : found->second.m_isIsolated;
+  return isIsolated ? CacheGroup{ aActive.m_account, "" }
+                    : CacheGroup{ "", m_routes.IsolationKey() };
+}
+
 std::string
 RelayFlow::CacheScopeFor(const ActiveRequest& aActive,
                          const WorkerState& aWorker) const
@@ -40,7 +51,7 @@
   return aActive.m_allowedRegions.LimitScope(
     MakeCacheScope(RequiredWeights(aActive, aWorker),
                    aActive.m_request.m_model,
-                   aActive.m_cacheAccount));
+                   CacheGroupOf(aActive)));
 }
 
 PartMap::PlanInput
@@ -119,15 +130,15 @@
 RelayFlow::RecordReads(const ActiveRequest& aActive, const WorkerState& aWorker)
 {
   const RelayRequest& request = aActive.m_request;
-  if (request.m_parts.size() < 2) {
+  if (request.m_parts.size() < 2 || aActive.m_cacheScope.empty()) {
     return;
   }
   WorkerReads reads;
   reads.m_worker = aWorker.m_info.m_id.Value();
   reads.m_createdMs = aWorker.m_info.m_createdMs;
-  const std::string scope = CacheScopeFor(aActive, aWorker);
   for (const PromptPart& part : request.m_parts) {
-    reads.m_parts.push_back({ PartKey(scope, part.m_id), part.m_tokens });
+    reads.m_parts.push_back(
+      { PartKey(aActive.m_cacheScope, part.m_id), part.m_tokens });
   }
   m_caches.OnRead(
     m_context.Now(), aWorker, reads.m_parts, CacheBudget(aActive.m_pool));
@@ -149,6 +160,7 @@
   if (aActive.m_rule.m_hasPrompt) {
     parameters.m_priority = aActive.m_priority;
     parameters.m_cacheScope = CacheScopeFor(aActive, aWorker);
+    aActive.m_cacheScope = parameters.m_cacheScope;
     PartMap::PlanInput input = PlanInputFor(aActive, aWorker);
     input.m_peerCopies =
       FindPeerCopies(aActive, aWorker, parameters.m_cacheScope);
--- a/src/libserve/caches_test.cpp
+++ b/src/libserve/caches_test.cpp
@@ -26,7 +26,7 @@
 namespace {
 
 const TimePoint kStart(Duration(1'000'000'000));
-const std::string kScope = MakeCacheScope(1, "m", "");
+const std::string kScope = MakeCacheScope(1, "m", {});
 
 WorkerInfo
 WorkerIn(const std::string& aId, const std::string& aDataCentre)
@@ -236,9 +236,9 @@
   cr_assert_eq(fetchOf("w2", 0, kScope), address);
   cr_assert_eq(fetchOf("w2", 5, kScope), "", "another incarnation");
   cr_assert_eq(
-    fetchOf("w2", 0, MakeCacheScope(2, "m", "")), "", "another weight version");
+    fetchOf("w2", 0, MakeCacheScope(2, "m", {})), "", "another weight version");
   cr_assert_eq(
-    fetchOf("w2", 0, MakeCacheScope(1, "n", "")), "", "another model");
+    fetchOf("w2", 0, MakeCacheScope(1, "n", {})), "", "another model");
 }
 
 Test(placement, workers_of_the_own_data_centre_are_preferred_at_equal_load)
--- a/src/libserve/regions_test.cpp
+++ b/src/libserve/regions_test.cpp
@@ -45,7 +45,7 @@
 std::string
 ScopeOf(const Regions& aRegions)
 {
-  return Allowed(aRegions).LimitScope(MakeCacheScope(1, "m", ""));
+  return Allowed(aRegions).LimitScope(MakeCacheScope(1, "m", {}));
 }
 
 RelayPeer
@@ -202,7 +202,7 @@
   }
   cr_assert_eq(scopes.size(), lists.size());
   cr_assert_eq(ScopeOf({ kNorth, kSouth }), ScopeOf({ kSouth, kNorth }));
-  cr_assert_eq(ScopeOf({}), MakeCacheScope(1, "m", ""), "as before");
+  cr_assert_eq(ScopeOf({}), MakeCacheScope(1, "m", {}), "as before");
 }
 
 Test(regions, no_worker_elsewhere_gets_a_request)
@@ -308,7 +308,7 @@
   cr_assert_eq(holding.LastSource(), "10.0.8.1:97");
   // Parts without a list are not those of this scope.
   RegionalEntry other({ kNorth });
-  other.SetStores(MakeCacheScope(1, "m", ""), { "a" });
+  other.SetStores(MakeCacheScope(1, "m", {}), { "a" });
   other.SendRequest("/resumable/x");
   cr_assert_eq(other.LastSource(), "");
 }
--- a/src/libserve/relay_test.cpp
+++ b/src/libserve/relay_test.cpp
@@ -459,7 +459,7 @@
     cr_assert_eq(entry.m_protocol.m_sentParameters.back().m_worker, "w3");
     cr_assert_eq(entry.m_protocol.m_sentParameters.back().m_weights, 2);
     cr_assert_eq(entry.m_protocol.m_sentParameters.back().m_cacheScope,
-                 MakeCacheScope(2, "m", ""));
+                 MakeCacheScope(2, "m", {}));
   }
 }
 
@@ -623,7 +623,7 @@
   Entry entry;
   StorePush push;
   push.m_to = 1;
-  push.m_changes = { { 0, PartKey(MakeCacheScope(1, "m", ""), "shared"), 80 } };
+  push.m_changes = { { 0, PartKey(MakeCacheScope(1, "m", {}), "shared"), 80 } };
   push.m_hasStores = true;
   // A fetch occupies the store's link for 0.1 s.
   push.m_stores = {
