--- a/src/include/fulmarquay/consensus/Replica.h
+++ b/src/include/fulmarquay/consensus/Replica.h
@@ -189,6 +189,8 @@
   const Member* FindVoterOn(const std::string& aVm) const;
   bool IsResponsive(ReplicaId aId) const;
   bool HasLostDisk(const Member& aVoter) const;
+  /// The number of voters that the losses to be tolerated require.
+  std::size_t VotersRequired() const;
   /// The voter that has been silent for longest, if the losses to be tolerated
   /// do not require it.
   std::optional<Member> FindDispensableVoter() const;
--- a/src/libconsensus/ReplicaMembership.cpp
+++ b/src/libconsensus/ReplicaMembership.cpp
@@ -11,13 +11,6 @@
 /// A learner with at most this lag behind the end of the log has caught up.
 constexpr std::uint64_t kMaxLearnerLagEntries = 64;
 
-/// The number of voters that a group of this size can lose, disks included.
-constexpr std::size_t
-TolerableLosses(std::size_t aVoters)
-{
-  return (aVoters - 1) / 2;
-}
-
 } // namespace
 
 bool
@@ -145,15 +138,18 @@
   return false;
 }
 
+std::size_t
+Replica::VotersRequired() const
+{
+  return std::max<std::size_t>(m_options.m_toleratedLosses, 1) * 2 + 1;
+}
+
 std::optional<Member>
 Replica::FindDispensableVoter() const
 {
   // A silent voter may return with its disk. It stays as long as the losses to
   // be tolerated require it.
-  const std::size_t voters = m_membership.m_voters.size();
-  const std::size_t losses =
-    std::max<std::size_t>(m_options.m_toleratedLosses, 1);
-  if (TolerableLosses(voters - 1) < losses) {
+  if (m_membership.m_voters.size() <= VotersRequired()) {
     return std::nullopt;
   }
   std::optional<Member> silent;
@@ -171,6 +167,8 @@
 bool
 Replica::MayAddVoter() const
 {
+  const std::size_t voters = m_membership.m_voters.size() + 1;
+  const bool isRequired = voters <= VotersRequired();
   std::size_t responsive = 2; // this replica and the learner
   for (const Member& voter : m_membership.m_voters) {
     if (voter.m_id == Id()) {
@@ -180,14 +178,14 @@
     const bool isSilent = m_now >= lastReplyAt + kVoterTimeout;
     if (IsResponsive(voter.m_id)) {
       ++responsive;
-    } else if (!isSilent && !HasLostDisk(voter)) {
+    } else if (!isRequired && !isSilent && !HasLostDisk(voter)) {
       // It may be silent soon. Then it is to be removed right after the
       // addition, as an even number of voters needs one voter more for a
-      // commit and tolerates no more losses.
+      // commit and tolerates no more losses. A voter that the losses to be
+      // tolerated require does not wait for that.
       return false;
     }
   }
-  const std::size_t voters = m_membership.m_voters.size() + 1;
   return responsive > voters / 2;
 }
 
--- a/src/libconsensus/membership_test.cpp
+++ b/src/libconsensus/membership_test.cpp
@@ -353,3 +353,42 @@
   group.Run(60 * kSecond);
   cr_assert_eq(group.LowestFeatureLevel(), before);
 }
+
+// Guards against leaders that each wait for another silent voter anew before
+// they give a replica without its disk a vote again.
+Test(membership, replica_without_its_disk_votes_again_although_leaders_change)
+{
+  for (const int vms : { 5, 7, 9 }) {
+    ReplicaGroup group(vms);
+    group.Run(3 * kSecond);
+    cr_assert(group.Propose("acknowledged"));
+    group.Run(kSecond);
+    const std::vector<int> others = Followers(group, vms);
+    const int losses = (vms - 1) / 2;
+    group.SetIsolated(others[0], true);
+    group.Run(kSecond / 2);
+    group.LoseDisk(others[1]);
+    group.Start(others[1]);
+    for (int i = 0; i < 2; ++i) {
+      group.Run(kSecond * 17 / 10);
+      const int leader = group.Leader();
+      cr_assert_neq(leader, 0);
+      group.Stop(leader);
+      group.Run(kSecond);
+      group.Start(leader);
+    }
+    group.Run(kSecond);
+    // As many as the deployment tolerates, now that the other has caught up.
+    int lost = 0;
+    for (std::size_t i = 2; lost < losses; ++i) {
+      group.LoseDisk(others[i]);
+      group.Start(others[i]);
+      ++lost;
+    }
+    group.SetIsolated(others[0], false);
+    group.Run(20 * kSecond);
+    cr_assert_neq(group.Leader(), 0, "%d VMs", vms);
+    cr_assert_eq(group.Applied(group.Leader()),
+                 std::vector<std::string>{ "acknowledged" });
+  }
+}
