--- a/src/include/fulmarquay/wire/SocketOptions.h
+++ b/src/include/fulmarquay/wire/SocketOptions.h
@@ -12,6 +12,12 @@
 void
 SetPeerTimeout(int aDescriptor, Duration aTimeout);
 
+/// Whether a connection was reset, or its peer has not acknowledged all bytes
+/// that were written to it. After the peer's orderly end, reads don't report a
+/// reset any more.
+bool
+IsSendingCut(int aDescriptor);
+
 } // namespace fulmarquay
 
 #endif
--- a/src/libwire/HttpResponseReading.cpp
+++ b/src/libwire/HttpResponseReading.cpp
@@ -3,6 +3,7 @@
 
 #include "fulmarquay/core/Clock.h"
 #include "fulmarquay/core/LogEvent.h"
+#include "fulmarquay/wire/SocketOptions.h"
 
 #include <algorithm>
 
@@ -100,7 +101,16 @@
       }
       if (aError == asio::error::eof) {
         aError = http::error::end_of_stream;
-        if (aActive->m_parser->got_some()) {
+        // An answer that ends with its connection is whole only if the peer
+        // has received the whole request.
+        const bool isCut =
+          aActive->m_parser->is_header_done() &&
+          aActive->m_parser->need_eof() &&
+          IsSendingCut(
+            aActive->m_connection->m_stream.socket().native_handle());
+        if (isCut) {
+          aError = http::error::partial_message;
+        } else if (aActive->m_parser->got_some()) {
           aActive->m_parser->put_eof(aError);
         }
       }
--- a/src/libwire/SocketOptions.cpp
+++ b/src/libwire/SocketOptions.cpp
@@ -1,8 +1,10 @@
 #include "fulmarquay/wire/SocketOptions.h"
 
 #include <algorithm>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace fulmarquay {
@@ -32,4 +34,19 @@
   SetOption(aDescriptor, IPPROTO_TCP, TCP_KEEPCNT, kMaxUnansweredProbes);
 }
 
+bool
+IsSendingCut(int aDescriptor)
+{
+  int error = 0;
+  socklen_t size = sizeof(error);
+  int unacknowledged = 0;
+  // Where the system can't tell, the end that the peer sent counts.
+  const bool isReset =
+    ::getsockopt(aDescriptor, SOL_SOCKET, SO_ERROR, &error, &size) == 0 &&
+    error != 0;
+  const bool isPending =
+    ::ioctl(aDescriptor, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0;
+  return isReset || isPending;
+}
+
 } // namespace fulmarquay
