--- a/src/libwire/HttpClientImpl.h
+++ b/src/libwire/HttpClientImpl.h
@@ -45,7 +45,9 @@
   /// Limit of received bytes that are not parsed yet: a head, or the framing of
   /// a chunk with its extensions. Larger ones are errors.
   static constexpr std::size_t kMaxUnparsedBytes = 64U << 10U;
+  static constexpr unsigned kFirstStatus = 100;
   static constexpr unsigned kFirstFinalStatus = 200; ///< lower ones are interim
+  static constexpr unsigned kLastStatus = 599;
 
   /// A connection and the bytes received after the last response.
   struct Connection
@@ -143,6 +145,8 @@
   /// Counts received bytes; returns false above the limit of the call.
   static bool CountBytes(ActiveCall& aActive, std::size_t aBytes);
   void CloseIdle(const Endpoint& aPeer);
+  /// Whether HTTP defines a meaning for the status of the response.
+  static bool HasValidStatus(const ActiveCall& aActive);
   static bool IsSkippedResponse(const ActiveCall& aActive);
 
   HttpCallHandler& m_handler;
--- a/src/libwire/HttpResponseReading.cpp
+++ b/src/libwire/HttpResponseReading.cpp
@@ -22,6 +22,13 @@
 
 } // namespace
 
+bool
+HttpClient::Impl::HasValidStatus(const ActiveCall& aActive)
+{
+  const unsigned status = aActive.m_parser->get().result_int();
+  return status >= kFirstStatus && status <= kLastStatus;
+}
+
 bool
 HttpClient::Impl::IsSkippedResponse(const ActiveCall& aActive)
 {
@@ -150,6 +157,14 @@
 void
 HttpClient::Impl::OnHead(const ActiveCallPtr& aActive)
 {
+  if (!HasValidStatus(*aActive)) {
+    WriteLog(
+      LogEvent::AnswerMismatch,
+      { { "peer", aActive->m_call.m_peer.ToString() },
+        { "status", std::to_string(aActive->m_parser->get().result_int()) } });
+    Fail(aActive, http::error::bad_status);
+    return;
+  }
   aActive->m_isSkippedResponse = IsSkippedResponse(*aActive);
   if (aActive->m_isSkippedResponse) {
     const unsigned status = aActive->m_parser->get().result_int();
--- a/src/libwire/early_answer_test.cpp
+++ b/src/libwire/early_answer_test.cpp
@@ -202,3 +202,24 @@
   cr_assert_eq(client.m_end, CallResult::Complete);
   cr_assert_eq(client.m_status, 200);
 }
+
+// Guards against a status that is none being delivered, or skipped as an
+// interim one until the caller's time is over.
+Test(early_answers, status_that_is_none_ends_the_call)
+{
+  for (const char* status : { "000", "001", "099", "600", "799", "999" }) {
+    const Server server([&](tcp::socket& aSocket) {
+      const std::string text = std::string("HTTP/1.1 ") + status +
+                               " Odd\r\nContent-Length: 4\r\n\r\nbody";
+      boost::system::error_code error;
+      asio::write(aSocket, asio::buffer(text), error);
+      std::string input;
+      asio::read_until(aSocket, asio::dynamic_buffer(input), "\r\n\r\n", error);
+    });
+    Client client;
+    client.Call(server, 0);
+    cr_assert_eq(client.m_end, CallResult::Incomplete, "%s", status);
+    cr_assert_eq(client.m_status, -1, "%s is delivered", status);
+    cr_assert_lt(client.m_time, Duration(1'000'000), "%s", status);
+  }
+}
