--- a/src/include/fulmarquay/consensus/ConsensusMessages.h
+++ b/src/include/fulmarquay/consensus/ConsensusMessages.h
@@ -5,19 +5,26 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <variant>
 
 namespace fulmarquay {
 
 /// The feature level of this build. It rises with each build that adds a
-/// command to the log, so that a leader proposes a command only when every
-/// member of the group knows it. Level 1 adds EvacuateCommand; builds that
-/// report no level have level 0.
-constexpr std::uint32_t kFeatureLevel = 1;
+/// command or a rule to the log, so that a leader proposes it only when every
+/// member of the group knows it. Level 1 adds EvacuateCommand, level 2
+/// Membership::m_acceptsHalf; builds that report no level have level 0.
+constexpr std::uint32_t kFeatureLevel = 2;
+/// The first level that knows Membership::m_acceptsHalf.
+constexpr std::uint32_t kHalfQuorumFeatureLevel = 2;
 
 /// Feature levels of the members that reported one.
 using FeatureLevels = std::map<ReplicaId, std::uint32_t>;
 
+/// Voters that have lost their disks, as known to the sender of a message when
+/// it sent it. Such an id votes and acknowledges no more, for good.
+using LostVoters = std::set<ReplicaId>;
+
 /// Requests a vote or, as a pre-vote, whether a vote would be granted.
 struct VoteRequest
 {
@@ -25,7 +32,12 @@
   Term m_lastTerm;
   bool m_isPreVote = false;
   bool m_isTransfer = false; ///< election started by a leadership transfer
-  MSGPACK_DEFINE(m_lastIndex, m_lastTerm, m_isPreVote, m_isTransfer)
+  LostVoters m_lostVoters{};
+  MSGPACK_DEFINE(m_lastIndex,
+                 m_lastTerm,
+                 m_isPreVote,
+                 m_isTransfer,
+                 m_lostVoters)
 };
 
 /// Reply to a VoteRequest.
@@ -33,7 +45,8 @@
 {
   bool m_isGranted = false;
   bool m_isPreVote = false;
-  MSGPACK_DEFINE(m_isGranted, m_isPreVote)
+  LostVoters m_lostVoters{};
+  MSGPACK_DEFINE(m_isGranted, m_isPreVote, m_lostVoters)
 };
 
 /// Log entries that follow m_prevIndex; a heartbeat may have none.
@@ -47,12 +60,14 @@
   /// As known to the leader. A follower that is elected next knows from them
   /// the levels of members that are absent then.
   FeatureLevels m_featureLevels;
+  LostVoters m_lostVoters{};
   MSGPACK_DEFINE(m_prevIndex,
                  m_prevTerm,
                  m_commit,
                  m_round,
                  m_entries,
-                 m_featureLevels)
+                 m_featureLevels,
+                 m_lostVoters)
 };
 
 /// Reply to an AppendRequest: accepted once its entries are synced, or
@@ -64,7 +79,8 @@
   /// the leader tries again with the entry after this index.
   LogIndex m_index;
   std::uint64_t m_round = 0;
-  MSGPACK_DEFINE(m_isAccepted, m_index, m_round)
+  LostVoters m_lostVoters{};
+  MSGPACK_DEFINE(m_isAccepted, m_index, m_round, m_lostVoters)
 };
 
 /// Acknowledges an AppendRequest's heartbeat round at once, before the
@@ -73,7 +89,8 @@
 {
   std::uint64_t m_round = 0;
   std::uint32_t m_featureLevel = 0; ///< of the follower's build
-  MSGPACK_DEFINE(m_round, m_featureLevel)
+  LostVoters m_lostVoters{};
+  MSGPACK_DEFINE(m_round, m_featureLevel, m_lostVoters)
 };
 
 /// A part of a packed Snapshot. Offsets and sizes are in bytes.
@@ -107,7 +124,10 @@
 struct JoinRequest
 {
   Member m_member;
-  MSGPACK_DEFINE(m_member)
+  /// The replica that a message was addressed to which reached m_member: a
+  /// former one of the same VM, whose disk is lost; 0: none.
+  ReplicaId m_former{};
+  MSGPACK_DEFINE(m_member, m_former)
 };
 
 /// The body of a message between replicas.
--- a/src/include/fulmarquay/consensus/ConsensusTypes.h
+++ b/src/include/fulmarquay/consensus/ConsensusTypes.h
@@ -49,9 +49,17 @@
 {
   std::vector<Member> m_voters;
   std::vector<Member> m_learners;
-  MSGPACK_DEFINE(m_voters, m_learners)
+  /// Half of the votes are a quorum if all their voters know of the same other
+  /// voter that its disk is lost. Builds of feature level 1 ignore this.
+  bool m_acceptsHalf = false;
+  /// Voters with one vote each; all others have two. Empty: each voter has one.
+  std::vector<ReplicaId> m_lightVoters;
+  MSGPACK_DEFINE(m_voters, m_learners, m_acceptsHalf, m_lightVoters)
   bool operator==(const Membership&) const = default;
 
+  /// Votes of a voter; 0 for others.
+  std::size_t VotesOf(ReplicaId aId) const;
+  std::size_t TotalVotes() const;
   bool IsVoter(ReplicaId aId) const;
   bool IsLearner(ReplicaId aId) const;
   bool Contains(ReplicaId aId) const { return IsVoter(aId) || IsLearner(aId); }
--- a/src/include/fulmarquay/consensus/Replica.h
+++ b/src/include/fulmarquay/consensus/Replica.h
@@ -91,11 +91,11 @@
   /// Valid on the leader.
   std::uint32_t LowestFeatureLevel() const;
 
-  /// The number of voters that a commit or an election requires.
-  std::size_t VotersNeeded() const
-  {
-    return m_membership.m_voters.size() / 2 + 1;
-  }
+  /// The number of voters that a commit or an election requires at present.
+  std::size_t VotersNeeded() const;
+
+  /// Voters whose disks are known to be lost.
+  const LostVoters& LostDisks() const { return m_lostVoters; }
 
   /// The voters that this replica heard from within the voter timeout, itself
   /// included if it is one. A follower hears from its leader only.
@@ -113,7 +113,7 @@
 
   // Virtual so that tests can inject known defects.
   virtual bool MayGrantVote(const VoteRequest& aRequest, ReplicaId aFrom) const;
-  virtual bool IsQuorum(std::size_t aCount) const;
+  virtual bool IsQuorum(std::size_t aVotes) const;
   virtual bool MayCommit(LogIndex aIndex) const;
   virtual bool AwaitsSync() const { return true; }
 
@@ -122,6 +122,13 @@
   Membership m_membership;
 
 private:
+  /// What a member has acknowledged.
+  struct Acknowledged
+  {
+    LogIndex m_match;          ///< last index known to be synced there
+    std::uint64_t m_round = 0; ///< last heartbeat round
+  };
+
   /// The leader's replication state for another member.
   struct Progress
   {
@@ -131,6 +138,8 @@
     bool m_isProbing = true;   ///< m_next is unconfirmed: send no entries
     TimePoint m_lastReplyAt;   ///< since this replica leads, if none came yet
     bool m_hasReplied = false;
+    /// Acknowledged while it knew that a voter's disk is lost, by that voter.
+    std::map<ReplicaId, Acknowledged> m_knowing;
     std::string m_snapshot; ///< packed snapshot while it is being sent
     LogIndex m_snapshotIndex;
     std::uint64_t m_snapshotOffset = 0;
@@ -167,19 +176,38 @@
   bool IsDisruptiveVoteRequest(const ConsensusMessage& aMessage) const;
   void RejectStaleMessage(const ConsensusMessage& aMessage);
   void StartElection(bool aIsPreVote, bool aIsTransfer);
-  void CountVotes();
+  void TallyVotes();
   void BecomeFollower(Term aTerm, ReplicaId aLeader);
   void BecomeLeader();
   void ResetElectionTimer();
   bool HasRecentLeaderContact() const;
   bool IsUpToDate(const VoteRequest& aRequest) const;
 
+  // Quorums.
+  /// The half of the votes that may be a quorum; 0 if a majority is required.
+  std::size_t HalfQuorum() const;
+  bool HasHalfOfVotes() const;
+  /// The highest value that the replicas of some half quorum have reached.
+  /// aReached returns that of a voter, as acknowledged while it knew of a lost
+  /// voter.
+  /// The highest value that voters with this number of votes have reached.
+  template<typename Value>
+  static Value ReachedBy(std::size_t aVotes,
+                         std::vector<std::pair<Value, std::size_t>> aValues);
+  template<typename Value, typename Reached>
+  Value HalfQuorumValue(const Reached& aReached) const;
+  Acknowledged AcknowledgedBy(ReplicaId aVoter, ReplicaId aLost) const;
+  void LearnLostVoters(const LostVoters& aLost);
+  void LearnFormerReplica(const JoinRequest& aRequest);
+  void ReportFormerReplica(ReplicaId aTo, ReplicaId aFormer);
+
   // Leader.
   void TickLeader();
   void BroadcastHeartbeat();
   void SendAppend(ReplicaId aTo, bool aIsHeartbeat);
   void SendSnapshotPart(ReplicaId aTo);
   void AdvanceCommit();
+  bool CommitUpTo(LogIndex aIndex);
   void UpdateLease();
   void AppendLeaderEntry(EntryKind aKind, std::string aPayload);
   void AdjustMembership();
@@ -188,13 +216,33 @@
   void PromoteLearner(const Member& aLearner);
   const Member* FindVoterOn(const std::string& aVm) const;
   bool IsResponsive(ReplicaId aId) const;
+  /// Whether the VM of a voter is back with a new replica.
+  bool HasSuccessor(const Member& aVoter) const;
   bool HasLostDisk(const Member& aVoter) const;
   /// The number of voters that the losses to be tolerated require.
   std::size_t VotersRequired() const;
   /// The voter that has been silent for longest, if the losses to be tolerated
   /// do not require it.
   std::optional<Member> FindDispensableVoter() const;
+  /// Voters that are not responsive, other than those without their disks.
+  std::size_t CountUnresponsiveVoters() const;
+  bool KnowsHalfQuorums() const;
+  bool HasOlderBuild() const;
   bool MayAddVoter() const;
+  /// Whether a learner on a VM without a voter has caught up.
+  bool IsNewVoter(const Member& aLearner) const;
+  std::size_t CountNewLearners() const;
+  /// A learner that may become a voter now.
+  std::optional<Member> FindPromotableLearner() const;
+  /// A voter without its disk, the successor of which has caught up.
+  std::optional<Member> FindReplacedVoter() const;
+  /// Two silent voters that are to have fewer votes than the others, if more
+  /// are silent than successors have come.
+  std::vector<ReplicaId> FindLightVoters() const;
+  bool IsAmbiguous() const;
+  /// Changes a membership that accepts half of the votes, or has light voters.
+  void AdjustSpecialQuorums();
+  void SetQuorums(bool aAcceptsHalf, std::vector<ReplicaId> aLightVoters);
   void RemoveVoter(const Member& aVoter, bool aIsDiskLost);
   JoinOutcome AddLearner(const Member& aMember);
   void ProposeMembership(const Membership& aMembership);
@@ -214,7 +262,7 @@
   void Persist(std::vector<LogEntry> aEntries, bool aIsHardStateChanged);
   void ApplyCommitted();
   void RefreshMembership();
-  std::size_t CountVoters(const std::set<ReplicaId>& aIds) const;
+  std::size_t CountVotes() const;
 
   ReplicaOptions m_options;
   std::mt19937_64 m_random;
@@ -231,7 +279,9 @@
   std::map<ReplicaId, TimePoint> m_lastHeard; ///< of the other voters
   TimePoint m_nextJoinRequest;
   ReplicaId m_memberContact; ///< a replica that knows this VM; 0: none
-  std::set<ReplicaId> m_votes;
+  std::map<ReplicaId, LostVoters> m_votes; ///< and what each voter knew
+  LostVoters m_lostVoters;
+  std::map<ReplicaId, TimePoint> m_nextFormerReport; ///< by recipient
 
   std::uint64_t m_lastPersistNumber = 0;
   std::uint64_t m_lastSyncedNumber = 0;
@@ -242,11 +292,13 @@
   std::map<ReplicaId, Progress> m_progress;
   FeatureLevels m_featureLevels; ///< of the other members
   std::uint64_t m_round = 0;
+  std::uint64_t m_membershipRound = 0; ///< last one before the membership
   std::map<std::uint64_t, TimePoint> m_roundSentAt;
   TimePoint m_nextHeartbeat;
   TimePoint m_leaseEnd;
   TimePoint m_leaderSince;
-  LogIndex m_termStartIndex; ///< index of the no-op that began this term
+  LogIndex m_membershipIndex; ///< of the entry of m_membership; 0: snapshot
+  LogIndex m_termStartIndex;  ///< index of the no-op that began this term
   bool m_isTransferring = false;
   bool m_isTimeoutNowSent = false;
   TimePoint m_transferDeadline;
--- a/src/include/fulmarquay/consensus/ReplicaEffects.h
+++ b/src/include/fulmarquay/consensus/ReplicaEffects.h
@@ -78,6 +78,12 @@
   Duration m_silence;        ///< time since its last reply
 };
 
+/// A voter turned out to have lost its disk.
+struct VoterDiskLost
+{
+  Member m_voter;
+};
+
 /// The membership in force at this replica has changed.
 struct MembershipChanged
 {
@@ -110,6 +116,7 @@
                                    ProposalRefused,
                                    LeadershipChanged,
                                    VoterRemoved,
+                                   VoterDiskLost,
                                    MembershipChanged,
                                    JoinHandled>;
 
--- a/src/include/fulmarquay/control/ControlNode.h
+++ b/src/include/fulmarquay/control/ControlNode.h
@@ -198,6 +198,7 @@
   void Execute(const ProposalRefused& aEffect);
   void Execute(const LeadershipChanged& aEffect);
   void Execute(const VoterRemoved& aEffect);
+  void Execute(const VoterDiskLost& aEffect);
   void Execute(const MembershipChanged& aEffect);
   void Execute(const JoinHandled& aEffect);
 
--- a/src/include/fulmarquay/core/LogEvent.h
+++ b/src/include/fulmarquay/core/LogEvent.h
@@ -42,6 +42,7 @@
   NoLeader = 2012,
   LeaderFound = 2013,
   OperatorRefused = 2014,
+  VoterDiskLost = 2015,
   ConfigurationAccepted = 2101,
   ConfigurationInForce = 2102,
   RoutesPublished = 2111,
--- a/src/libconsensus/ConsensusTypes.cpp
+++ b/src/libconsensus/ConsensusTypes.cpp
@@ -16,6 +16,29 @@
 
 } // namespace
 
+std::size_t
+Membership::VotesOf(ReplicaId aId) const
+{
+  if (!IsVoter(aId)) {
+    return 0;
+  }
+  const bool isLight =
+    m_lightVoters.empty() ||
+    std::find(m_lightVoters.begin(), m_lightVoters.end(), aId) !=
+      m_lightVoters.end();
+  return isLight ? 1 : 2;
+}
+
+std::size_t
+Membership::TotalVotes() const
+{
+  std::size_t votes = 0;
+  for (const Member& voter : m_voters) {
+    votes += VotesOf(voter.m_id);
+  }
+  return votes;
+}
+
 bool
 Membership::IsVoter(ReplicaId aId) const
 {
--- a/src/libconsensus/Replica.cpp
+++ b/src/libconsensus/Replica.cpp
@@ -18,6 +18,7 @@
   m_applied = m_commit;
   m_syncedIndex = m_log.LastIndex();
   m_membership = m_log.MembershipAt(m_log.LastIndex());
+  m_membershipIndex = m_log.MembershipIndex(m_log.LastIndex());
   ResetElectionTimer();
 }
 
@@ -65,12 +66,6 @@
   return canVoteForCandidate && IsUpToDate(aRequest);
 }
 
-bool
-Replica::IsQuorum(std::size_t aCount) const
-{
-  return aCount * 2 > m_membership.m_voters.size();
-}
-
 bool
 Replica::MayCommit(LogIndex aIndex) const
 {
@@ -126,6 +121,7 @@
   if (message.m_to != Id()) {
     // For the replica that lost the disk of this VM: its sender is a member.
     m_memberContact = message.m_from;
+    ReportFormerReplica(message.m_from, message.m_to);
     return;
   }
   if (IsDisruptiveVoteRequest(message)) {
@@ -147,12 +143,12 @@
 {
   const ReplicaId from = aMessage.m_from;
   if (const auto* vote = std::get_if<VoteRequest>(&aMessage.m_body)) {
-    SendAfterSync(from, VoteReply{ false, vote->m_isPreVote });
+    SendAfterSync(from, VoteReply{ false, vote->m_isPreVote, m_lostVoters });
   } else if (const auto* append =
                std::get_if<AppendRequest>(&aMessage.m_body)) {
-    SendAfterSync(from, AppendReply{ false, LogIndex(0), append->m_round });
+    SendAfterSync(from, AppendReply{ false, LogIndex(0), append->m_round, {} });
   } else if (std::holds_alternative<SnapshotPart>(aMessage.m_body)) {
-    SendAfterSync(from, AppendReply{ false, LogIndex(0), 0 });
+    SendAfterSync(from, AppendReply{ false, LogIndex(0), 0, {} });
   }
 }
 
@@ -226,6 +222,10 @@
 Replica::RefreshMembership()
 {
   m_membership = m_log.MembershipAt(m_log.LastIndex());
+  m_membershipIndex = m_log.MembershipIndex(m_log.LastIndex());
+  std::erase_if(m_lostVoters, [this](ReplicaId aEach) {
+    return !m_membership.IsVoter(aEach);
+  });
   std::erase_if(m_lastHeard, [this](const auto& aEach) {
     return !m_membership.IsVoter(aEach.first);
   });
@@ -236,13 +236,13 @@
 }
 
 std::size_t
-Replica::CountVoters(const std::set<ReplicaId>& aIds) const
+Replica::CountVotes() const
 {
-  std::size_t count = 0;
-  for (const ReplicaId id : aIds) {
-    count += m_membership.IsVoter(id) ? 1 : 0;
+  std::size_t votes = 0;
+  for (const auto& [id, lostVoters] : m_votes) {
+    votes += m_membership.VotesOf(id);
   }
-  return count;
+  return votes;
 }
 
 } // namespace fulmarquay
--- a/src/libconsensus/ReplicaElection.cpp
+++ b/src/libconsensus/ReplicaElection.cpp
@@ -52,24 +52,25 @@
     m_hardState.m_vote = Id();
     Persist({}, true);
   }
-  m_votes = { Id() };
+  m_votes = { { Id(), {} } };
   VoteRequest request;
   request.m_lastIndex = m_log.LastIndex();
   request.m_lastTerm = m_log.LastTerm();
   request.m_isPreVote = aIsPreVote;
   request.m_isTransfer = aIsTransfer;
+  request.m_lostVoters = m_lostVoters;
   for (const Member& voter : m_membership.m_voters) {
     if (voter.m_id != Id()) {
       SendAfterSync(voter.m_id, request);
     }
   }
-  CountVotes();
+  TallyVotes();
 }
 
 void
-Replica::CountVotes()
+Replica::TallyVotes()
 {
-  if (!IsQuorum(CountVoters(m_votes))) {
+  if (!IsQuorum(CountVotes()) && !HasHalfOfVotes()) {
     return;
   }
   if (m_role == ReplicaRole::PreCandidate) {
@@ -104,9 +105,10 @@
 void
 Replica::On(ReplicaId aFrom, const VoteRequest& aRequest)
 {
+  LearnLostVoters(aRequest.m_lostVoters);
   if (aRequest.m_isPreVote) {
     const bool isGranted = IsUpToDate(aRequest);
-    SendAfterSync(aFrom, VoteReply{ isGranted, true });
+    SendAfterSync(aFrom, VoteReply{ isGranted, true, m_lostVoters });
     return;
   }
   const bool isGranted = MayGrantVote(aRequest, aFrom);
@@ -117,7 +119,7 @@
   if (isGranted) {
     ResetElectionTimer();
   }
-  SendAfterSync(aFrom, VoteReply{ isGranted, false });
+  SendAfterSync(aFrom, VoteReply{ isGranted, false, m_lostVoters });
 }
 
 void
@@ -126,9 +128,11 @@
   const bool isExpected = aReply.m_isPreVote
                             ? m_role == ReplicaRole::PreCandidate
                             : m_role == ReplicaRole::Candidate;
+  LearnLostVoters(aReply.m_lostVoters);
   if (isExpected && aReply.m_isGranted) {
-    m_votes.insert(aFrom);
-    CountVotes();
+    m_votes[aFrom].insert(aReply.m_lostVoters.begin(),
+                          aReply.m_lostVoters.end());
+    TallyVotes();
   }
 }
 
--- a/src/libconsensus/ReplicaFollower.cpp
+++ b/src/libconsensus/ReplicaFollower.cpp
@@ -27,10 +27,10 @@
   }
   m_nextJoinRequest = m_now + kJoinRequestInterval;
   // Recipient 0: the message is sent to every configured replica address.
-  Send(ReplicaId(0), JoinRequest{ m_options.m_self });
+  Send(ReplicaId(0), JoinRequest{ m_options.m_self, ReplicaId(0) });
   if (m_memberContact != ReplicaId(0)) {
     // None of the configured replicas may be left.
-    Send(m_memberContact, JoinRequest{ m_options.m_self });
+    Send(m_memberContact, JoinRequest{ m_options.m_self, ReplicaId(0) });
   }
 }
 
@@ -41,7 +41,10 @@
   m_lastLeaderContact = m_now;
   ResetElectionTimer();
   m_featureLevels = aRequest.m_featureLevels;
-  Send(aFrom, HeartbeatAck{ aRequest.m_round, m_options.m_featureLevel });
+  LearnLostVoters(aRequest.m_lostVoters);
+  Send(
+    aFrom,
+    HeartbeatAck{ aRequest.m_round, m_options.m_featureLevel, m_lostVoters });
   const bool isGap = aRequest.m_prevIndex > m_log.LastIndex();
   const bool isConflict =
     m_log.HasTermAt(aRequest.m_prevIndex) &&
@@ -53,7 +56,8 @@
   StoreEntries(aRequest);
   const LogIndex last = Next(aRequest.m_prevIndex, aRequest.m_entries.size());
   m_commit = std::max(m_commit, std::min(aRequest.m_commit, last));
-  SendAfterSync(aFrom, AppendReply{ true, last, aRequest.m_round });
+  SendAfterSync(aFrom,
+                AppendReply{ true, last, aRequest.m_round, m_lostVoters });
 }
 
 void
@@ -61,7 +65,7 @@
 {
   const LogIndex hint =
     std::min(Previous(aRequest.m_prevIndex), m_log.LastIndex());
-  SendAfterSync(aLeader, AppendReply{ false, hint, aRequest.m_round });
+  SendAfterSync(aLeader, AppendReply{ false, hint, aRequest.m_round, {} });
 }
 
 void
--- a/src/libconsensus/ReplicaLeader.cpp
+++ b/src/libconsensus/ReplicaLeader.cpp
@@ -1,7 +1,6 @@
 #include "fulmarquay/consensus/Replica.h"
 
 #include <algorithm>
-#include <functional>
 #include <utility>
 
 namespace fulmarquay {
@@ -23,6 +22,7 @@
   m_leader = Id();
   m_progress.clear();
   m_round = 0;
+  m_membershipRound = 0;
   m_roundSentAt.clear();
   m_leaseEnd = m_now;
   m_leaderSince = m_now;
@@ -120,6 +120,7 @@
   request.m_round = m_round;
   request.m_featureLevels = m_featureLevels;
   request.m_featureLevels[Id()] = m_options.m_featureLevel;
+  request.m_lostVoters = m_lostVoters;
   const LogIndex prev = Previous(progress.m_next);
   if (!m_log.HasTermAt(prev)) {
     if (progress.m_snapshot.empty()) {
@@ -190,6 +191,10 @@
   progress.m_isProbing = false;
   progress.m_match = std::max(progress.m_match, aReply.m_index);
   progress.m_next = std::max(progress.m_next, Next(progress.m_match));
+  for (const ReplicaId lost : aReply.m_lostVoters) {
+    LogIndex& match = progress.m_knowing[lost].m_match;
+    match = std::max(match, aReply.m_index);
+  }
   AdvanceCommit();
   SendAppend(aFrom, false);
   ContinueTransfer();
@@ -205,6 +210,10 @@
   it->second.m_lastReplyAt = m_now;
   it->second.m_hasReplied = true;
   it->second.m_round = std::max(it->second.m_round, aReply.m_round);
+  for (const ReplicaId lost : aReply.m_lostVoters) {
+    std::uint64_t& round = it->second.m_knowing[lost].m_round;
+    round = std::max(round, aReply.m_round);
+  }
   // Not the maximum: a member may have returned with an older build.
   m_featureLevels[aFrom] = aReply.m_featureLevel;
   UpdateLease();
@@ -241,45 +250,6 @@
   SendAppend(aFrom, true);
 }
 
-void
-Replica::AdvanceCommit()
-{
-  std::vector<LogIndex> matches;
-  for (const Member& voter : m_membership.m_voters) {
-    if (voter.m_id == Id()) {
-      matches.push_back(AwaitsSync() ? m_syncedIndex : m_log.LastIndex());
-    } else {
-      matches.push_back(m_progress.at(voter.m_id).m_match);
-    }
-  }
-  std::sort(matches.begin(), matches.end(), std::greater<>());
-  for (std::size_t i = 0; i < matches.size(); ++i) {
-    const bool isNew = matches[i] > m_commit && m_log.HasTermAt(matches[i]);
-    if (IsQuorum(i + 1) && isNew && MayCommit(matches[i])) {
-      m_commit = matches[i];
-      return;
-    }
-  }
-}
-
-void
-Replica::UpdateLease()
-{
-  std::vector<std::uint64_t> rounds;
-  for (const Member& voter : m_membership.m_voters) {
-    const bool isSelf = voter.m_id == Id();
-    rounds.push_back(isSelf ? m_round : m_progress.at(voter.m_id).m_round);
-  }
-  std::sort(rounds.begin(), rounds.end(), std::greater<>());
-  const std::uint64_t quorumRound = rounds[rounds.size() / 2];
-  const auto sent = m_roundSentAt.find(quorumRound);
-  if (sent == m_roundSentAt.end()) {
-    return;
-  }
-  m_leaseEnd = std::max(m_leaseEnd, sent->second + LeaseLength());
-  m_roundSentAt.erase(m_roundSentAt.begin(), sent);
-}
-
 void
 Replica::On(const ProposeCommand& aEvent)
 {
@@ -303,6 +273,7 @@
   m_log.Append(entry);
   Persist({ std::move(entry) }, false);
   if (aKind == EntryKind::Membership) {
+    m_membershipRound = m_round;
     RefreshMembership();
   }
   for (const auto& [id, progress] : m_progress) {
--- a/src/libconsensus/ReplicaMembership.cpp
+++ b/src/libconsensus/ReplicaMembership.cpp
@@ -10,6 +10,8 @@
 
 /// A learner with at most this lag behind the end of the log has caught up.
 constexpr std::uint64_t kMaxLearnerLagEntries = 64;
+/// Two, so that the number of votes is even and can be halved.
+constexpr std::size_t kLightVoters = 2;
 
 } // namespace
 
@@ -30,6 +32,7 @@
 void
 Replica::On(ReplicaId aFrom, const JoinRequest& aRequest)
 {
+  LearnFormerReplica(aRequest);
   JoinOutcome outcome = AddLearner(aRequest.m_member);
   const bool isForwarded = aFrom != aRequest.m_member.m_id;
   if (outcome == JoinOutcome::NotLeader && !isForwarded &&
@@ -81,30 +84,135 @@
   if (!MayChangeMembership() || !HoldsLease(m_now)) {
     return;
   }
-  if (const std::optional<Member> dispensable = FindDispensableVoter()) {
+  if (m_membership.m_acceptsHalf || !m_membership.m_lightVoters.empty()) {
+    AdjustSpecialQuorums();
+    return;
+  }
+  if (const auto dispensable = FindDispensableVoter()) {
     RemoveVoter(*dispensable, false);
+  } else if (const auto learner = FindPromotableLearner()) {
+    PromoteLearner(*learner);
+  } else if (const auto replaced = FindReplacedVoter()) {
+    RemoveVoter(*replaced, true);
+  } else if (m_membership.m_voters.size() % 2 == 0 && KnowsHalfQuorums() &&
+             CountUnresponsiveVoters() > 0) {
+    SetQuorums(true, FindLightVoters());
+  }
+}
+
+// Every change keeps each quorum before it and each one after it in touch:
+// - Light voters and half quorums are set after the voters are committed by a
+//   majority, one vote each, and are cleared before the voters change.
+// - A voter without its disk may be removed at once: two halves around the
+//   removal have a voter in common for the reason given in ReplicaQuorum.cpp.
+//   The light voters stay light for this change, but half is enough no more.
+void
+Replica::AdjustSpecialQuorums()
+{
+  if (!m_membership.m_acceptsHalf) {
+    SetQuorums(false, {});
     return;
   }
-  std::optional<Member> replaced;
-  for (const Member& learner : m_membership.m_learners) {
-    if (!IsCaughtUp(learner.m_id)) {
-      continue;
+  const auto replaced = FindReplacedVoter();
+  const auto dispensable = FindDispensableVoter();
+  const std::vector<ReplicaId> light = FindLightVoters();
+  if (replaced && m_lostVoters.contains(replaced->m_id)) {
+    RemoveVoter(*replaced, true);
+  } else if (dispensable && m_lostVoters.contains(dispensable->m_id)) {
+    RemoveVoter(*dispensable, false);
+  } else if (replaced || dispensable || FindPromotableLearner() ||
+             HasOlderBuild() ||
+             (!light.empty() && light != m_membership.m_lightVoters)) {
+    SetQuorums(false, {});
+  }
+}
+
+void
+Replica::SetQuorums(bool aAcceptsHalf, std::vector<ReplicaId> aLightVoters)
+{
+  Membership membership = m_membership;
+  membership.m_acceptsHalf = aAcceptsHalf;
+  membership.m_lightVoters = std::move(aLightVoters);
+  ProposeMembership(membership);
+}
+
+bool
+Replica::IsAmbiguous() const
+{
+  const std::size_t voters = m_membership.m_voters.size();
+  return KnowsHalfQuorums() && CountUnresponsiveVoters() + VotersRequired() >
+                                 voters + CountNewLearners();
+}
+
+std::vector<ReplicaId>
+Replica::FindLightVoters() const
+{
+  std::vector<ReplicaId> light;
+  for (const Member& voter : m_membership.m_voters) {
+    if (voter.m_id != Id() && !IsResponsive(voter.m_id) &&
+        !HasLostDisk(voter)) {
+      light.push_back(voter.m_id);
     }
+  }
+  if (!IsAmbiguous() || light.size() < kLightVoters ||
+      m_membership.m_voters.size() <= VotersRequired()) {
+    return {};
+  }
+  std::stable_sort(
+    light.begin(), light.end(), [this](ReplicaId aLeft, ReplicaId aRight) {
+      return m_progress.at(aLeft).m_lastReplyAt <
+             m_progress.at(aRight).m_lastReplyAt;
+    });
+  light.resize(kLightVoters);
+  std::sort(light.begin(), light.end());
+  return light;
+}
+
+bool
+Replica::HasOlderBuild() const
+{
+  // The level of a learner that was just added is unknown.
+  return std::any_of(
+    m_featureLevels.begin(), m_featureLevels.end(), [](const auto& aEach) {
+      return aEach.second < kHalfQuorumFeatureLevel;
+    });
+}
+
+bool
+Replica::KnowsHalfQuorums() const
+{
+  return LowestFeatureLevel() >= kHalfQuorumFeatureLevel;
+}
+
+bool
+Replica::IsNewVoter(const Member& aLearner) const
+{
+  return IsCaughtUp(aLearner.m_id) && FindVoterOn(aLearner.m_vm) == nullptr;
+}
+
+std::optional<Member>
+Replica::FindPromotableLearner() const
+{
+  const std::vector<Member>& learners = m_membership.m_learners;
+  const auto found =
+    std::find_if(learners.begin(), learners.end(), [this](const auto& aEach) {
+      return IsNewVoter(aEach);
+    });
+  return found != learners.end() && MayAddVoter() ? std::optional(*found)
+                                                  : std::nullopt;
+}
+
+std::optional<Member>
+Replica::FindReplacedVoter() const
+{
+  for (const Member& learner : m_membership.m_learners) {
     const Member* const former = FindVoterOn(learner.m_vm);
-    if (former != nullptr && former->m_id == Id()) {
-      continue; // another VM has the name of this one
+    // Another VM may have the name of this one.
+    if (former != nullptr && former->m_id != Id() && IsCaughtUp(learner.m_id)) {
+      return *former;
     }
-    if (former != nullptr) {
-      replaced = *former;
-    } else if (MayAddVoter()) {
-      const Member candidate = learner;
-      PromoteLearner(candidate);
-      return;
-    }
-  }
-  if (replaced) {
-    RemoveVoter(*replaced, true);
   }
+  return std::nullopt;
 }
 
 const Member*
@@ -127,9 +235,8 @@
 }
 
 bool
-Replica::HasLostDisk(const Member& aVoter) const
+Replica::HasSuccessor(const Member& aVoter) const
 {
-  // A VM has a replica with a new id only if the disk of the former is lost.
   for (const Member& learner : m_membership.m_learners) {
     if (learner.m_vm == aVoter.m_vm && IsResponsive(learner.m_id)) {
       return true;
@@ -138,28 +245,65 @@
   return false;
 }
 
+bool
+Replica::HasLostDisk(const Member& aVoter) const
+{
+  // A VM has a replica with a new id only if the disk of the former is lost.
+  return m_lostVoters.contains(aVoter.m_id) || HasSuccessor(aVoter);
+}
+
 std::size_t
 Replica::VotersRequired() const
 {
   return std::max<std::size_t>(m_options.m_toleratedLosses, 1) * 2 + 1;
 }
 
+std::size_t
+Replica::CountUnresponsiveVoters() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(m_membership.m_voters.begin(),
+                  m_membership.m_voters.end(),
+                  [this](const Member& aEach) {
+                    return aEach.m_id != Id() && !IsResponsive(aEach.m_id) &&
+                           !HasLostDisk(aEach);
+                  }));
+}
+
+std::size_t
+Replica::CountNewLearners() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(m_membership.m_learners.begin(),
+                  m_membership.m_learners.end(),
+                  [this](const Member& aEach) { return IsNewVoter(aEach); }));
+}
+
 std::optional<Member>
 Replica::FindDispensableVoter() const
 {
   // A silent voter may return with its disk. It stays as long as the losses to
   // be tolerated require it.
-  if (m_membership.m_voters.size() <= VotersRequired()) {
+  const std::size_t voters = m_membership.m_voters.size();
+  if (voters <= VotersRequired()) {
     return std::nullopt;
   }
+  // If more voters are silent than successors have come, nothing tells which
+  // ones return. Then all stay, with fewer votes than the others.
+  const bool isAmbiguous = IsAmbiguous();
   std::optional<Member> silent;
   TimePoint lastReplyAt = m_now - kVoterTimeout;
   for (const Member& voter : m_membership.m_voters) {
-    if (voter.m_id != Id() && !HasLostDisk(voter) &&
-        m_progress.at(voter.m_id).m_lastReplyAt <= lastReplyAt) {
-      lastReplyAt = m_progress.at(voter.m_id).m_lastReplyAt;
-      silent = voter;
+    const bool isLost = m_lostVoters.contains(voter.m_id);
+    if (voter.m_id == Id() || HasSuccessor(voter) || (isAmbiguous && !isLost) ||
+        m_progress.at(voter.m_id).m_lastReplyAt > lastReplyAt) {
+      continue;
+    }
+    if (isLost) {
+      return voter;
     }
+    lastReplyAt = m_progress.at(voter.m_id).m_lastReplyAt;
+    silent = voter;
   }
   return silent;
 }
@@ -168,7 +312,9 @@
 Replica::MayAddVoter() const
 {
   const std::size_t voters = m_membership.m_voters.size() + 1;
-  const bool isRequired = voters <= VotersRequired();
+  // One more than required is as good if half of them may be a quorum.
+  const bool isRequired =
+    voters <= VotersRequired() + (KnowsHalfQuorums() ? 1 : 0);
   std::size_t responsive = 2; // this replica and the learner
   for (const Member& voter : m_membership.m_voters) {
     if (voter.m_id == Id()) {
@@ -194,6 +340,8 @@
 {
   Membership membership = m_membership;
   std::erase(membership.m_voters, aVoter);
+  membership.m_acceptsHalf = false;
+  std::erase(membership.m_lightVoters, aVoter.m_id);
   const Duration silence = m_now - m_progress.at(aVoter.m_id).m_lastReplyAt;
   m_effects.emplace_back(VoterRemoved{ aVoter, aIsDiskLost, silence });
   ProposeMembership(membership);
--- a/src/libconsensus/replica_group_test.cpp
+++ b/src/libconsensus/replica_group_test.cpp
@@ -114,6 +114,7 @@
   options.m_self = { vm.m_id, NameOf(aVm), "10.0.0.1:1" };
   options.m_seed = m_random();
   options.m_toleratedLosses = m_delays.m_toleratedLosses;
+  options.m_featureLevel = vm.m_featureLevel;
   vm.m_replica = std::make_unique<Replica>(options, vm.m_disk, m_now);
   m_vmOfReplica[vm.m_id] = aVm;
   ++vm.m_incarnation;
@@ -403,6 +404,8 @@
     for (const Member& voter : replica.Members().m_voters) {
       text += " " + voter.m_vm + "/" + std::to_string(voter.m_id.Value());
     }
+    text += replica.Members().m_acceptsHalf ? " accept half," : "";
+    text += " lost disks " + std::to_string(replica.LostDisks().size());
     text += " learners";
     for (const Member& learner : replica.Members().m_learners) {
       text += " " + learner.m_vm + "/" + std::to_string(learner.m_id.Value());
--- a/src/libconsensus/replica_group_test.h
+++ b/src/libconsensus/replica_group_test.h
@@ -68,6 +68,15 @@
   /// Kills the process of a VM; its disk keeps what was synced.
   void Stop(int aVm);
 
+  /// Gives a VM a build of another feature level from its next start on.
+  void SetFeatureLevel(int aVm, std::uint32_t aLevel)
+  {
+    m_vms.at(aVm).m_featureLevel = aLevel;
+  }
+
+  /// The replica on a VM that is started.
+  const Replica& ReplicaOn(int aVm) const { return *m_vms.at(aVm).m_replica; }
+
   /// Starts a stopped VM; after LoseDisk as a joining replica.
   void Start(int aVm);
 
@@ -124,6 +133,7 @@
     int m_incarnation = 0;              ///< counts starts and stops
     bool m_isIsolated = false;
     bool m_isFrozen = false;
+    std::uint32_t m_featureLevel = kFeatureLevel;
     TimePoint m_diskFreeAt;
     std::vector<std::string> m_applied;
   };
--- a/src/libcontrol/ControlNode.cpp
+++ b/src/libcontrol/ControlNode.cpp
@@ -384,6 +384,14 @@
   EmitIfAny(m_group.OnMembership(aEffect.m_membership));
 }
 
+void
+ControlNode::Execute(const VoterDiskLost& aEffect)
+{
+  Emit(LogLine{ LogEvent::VoterDiskLost,
+                { { "vm", aEffect.m_voter.m_vm },
+                  { "replica", HexOf(aEffect.m_voter.m_id.Value()) } } });
+}
+
 void
 ControlNode::Execute(const JoinHandled& aEffect)
 {
--- a/src/libcontrol/GroupMonitor.cpp
+++ b/src/libcontrol/GroupMonitor.cpp
@@ -64,7 +64,9 @@
   return LogLine{ LogEvent::GroupChanged,
                   { { "voters", JoinNames(aMembership.m_voters) },
                     { "learners", JoinNames(aMembership.m_learners) },
-                    { "needed", std::to_string(voters / 2 + 1) } } };
+                    { "needed", std::to_string(voters / 2 + 1) },
+                    { "accepts_half",
+                      aMembership.m_acceptsHalf ? "yes" : "no" } } };
 }
 
 std::optional<LogLine>
--- a/src/libcore/LogCatalogue.cpp
+++ b/src/libcore/LogCatalogue.cpp
@@ -253,6 +253,13 @@
       "An operator's request was refused because this replica doesn't lead "
       "with a lease and knows no other leader.",
       "Check NoLeader and LostLeadership lines." },
+    { LogEvent::VoterDiskLost,
+      "VoterDiskLost",
+      "warning",
+      "The VM of a voter answered with another replica: the disk of the voter "
+      "is "
+      "lost.",
+      "None if the disk is known to be lost; the VM joins again by itself." },
     { LogEvent::RoutesPublished,
       "RoutesPublished",
       "info",
