--- a/src/include/fulmarquay/consensus/Replica.h
+++ b/src/include/fulmarquay/consensus/Replica.h
@@ -187,18 +187,21 @@
   /// The half of the votes that may be a quorum; 0 if a majority is required.
   std::size_t HalfQuorum() const;
   bool HasHalfOfVotes() const;
-  /// The highest value that the replicas of some half quorum have reached.
-  /// aReached returns that of a voter, as acknowledged while it knew of a lost
-  /// voter.
-  /// The highest value that voters with this number of votes have reached.
+  /// The highest value that voters with this number of votes have reached; each
+  /// value comes with the votes of its voter.
   template<typename Value>
   static Value ReachedBy(std::size_t aVotes,
                          std::vector<std::pair<Value, std::size_t>> aValues);
+  /// The highest value that the voters of some half quorum have reached.
+  /// aReached(voter, lost) returns what a voter has acknowledged since it knew
+  /// that the disk of another one is lost.
   template<typename Value, typename Reached>
   Value HalfQuorumValue(const Reached& aReached) const;
+  /// What a voter has acknowledged since it knew that aLost has no disk.
   Acknowledged AcknowledgedBy(ReplicaId aVoter, ReplicaId aLost) const;
   void LearnLostVoters(const LostVoters& aLost);
   void LearnFormerReplica(const JoinRequest& aRequest);
+  /// Tells a sender that this VM no longer has the replica it addressed.
   void ReportFormerReplica(ReplicaId aTo, ReplicaId aFormer);
 
   // Leader.
@@ -207,6 +210,7 @@
   void SendAppend(ReplicaId aTo, bool aIsHeartbeat);
   void SendSnapshotPart(ReplicaId aTo);
   void AdvanceCommit();
+  /// Commits if an entry may be committed under the present membership.
   bool CommitUpTo(LogIndex aIndex);
   void UpdateLease();
   void AppendLeaderEntry(EntryKind aKind, std::string aPayload);
@@ -218,6 +222,7 @@
   bool IsResponsive(ReplicaId aId) const;
   /// Whether the VM of a voter is back with a new replica.
   bool HasSuccessor(const Member& aVoter) const;
+  /// Whether a voter's disk is lost for certain.
   bool HasLostDisk(const Member& aVoter) const;
   /// The number of voters that the losses to be tolerated require.
   std::size_t VotersRequired() const;
@@ -226,7 +231,9 @@
   std::optional<Member> FindDispensableVoter() const;
   /// Voters that are not responsive, other than those without their disks.
   std::size_t CountUnresponsiveVoters() const;
+  /// Whether all members, absent ones included, know half quorums.
   bool KnowsHalfQuorums() const;
+  /// Whether a member is known not to.
   bool HasOlderBuild() const;
   bool MayAddVoter() const;
   /// Whether a learner on a VM without a voter has caught up.
@@ -236,9 +243,10 @@
   std::optional<Member> FindPromotableLearner() const;
   /// A voter without its disk, the successor of which has caught up.
   std::optional<Member> FindReplacedVoter() const;
-  /// Two silent voters that are to have fewer votes than the others, if more
-  /// are silent than successors have come.
+  /// Two silent voters that are to have fewer votes than the others; empty if
+  /// none need to.
   std::vector<ReplicaId> FindLightVoters() const;
+  /// Whether more voters are silent than successors have come.
   bool IsAmbiguous() const;
   /// Changes a membership that accepts half of the votes, or has light voters.
   void AdjustSpecialQuorums();
