--- a/src/include/fulmarquay/consensus/Replica.h
+++ b/src/include/fulmarquay/consensus/Replica.h
@@ -201,7 +201,7 @@
   Acknowledged AcknowledgedBy(ReplicaId aVoter, ReplicaId aLost) const;
   void LearnLostVoters(const LostVoters& aLost);
   void LearnFormerReplica(const JoinRequest& aRequest);
-  /// Tells a sender that this VM no longer has the replica it addressed.
+  /// Reports to a sender that the replica it addressed has lost its disk.
   void ReportFormerReplica(ReplicaId aTo, ReplicaId aFormer);
 
   // Leader.
--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -202,7 +202,7 @@
     std::string m_routeName;
     std::string m_account;
     bool m_isIsolated = false; ///< its account was, when it arrived
-    std::string m_cacheScope;  ///< that its worker was told
+    std::string m_cacheScope;  ///< sent to its worker
     std::int64_t m_priority = 0;
     AllowedRegions m_allowedRegions; ///< of its route and its account
     TimePoint m_arrivedAt;
--- a/src/libconsensus/ReplicaQuorum.cpp
+++ b/src/libconsensus/ReplicaQuorum.cpp
@@ -171,7 +171,7 @@
 void
 Replica::LearnFormerReplica(const JoinRequest& aRequest)
 {
-  // The address tells VMs apart that have the same name by mistake.
+  // The address distinguishes VMs that have the same name by mistake.
   const Member& present = aRequest.m_member;
   for (const Member& voter : m_membership.m_voters) {
     if (voter.m_id == aRequest.m_former && voter.m_id != present.m_id &&
--- a/src/libserve/isolation_test.cpp
+++ b/src/libserve/isolation_test.cpp
@@ -119,7 +119,7 @@
   cr_assert_eq(ScopeOf(entry, "b"), open);
 }
 
-// Guards against a scope that is chosen when a request arrives: its next
+// Guards against a scope that is fixed when a request arrives: its next
 // attempt, after the change, would use parts of others.
 Test(isolation, a_request_that_is_sent_again_uses_the_scope_in_force)
 {
