--- a/review/stand-in-3/stand-in.cpp
+++ b/review/stand-in-3/stand-in.cpp
@@ -15,7 +15,8 @@
 //                                   bytes a second; prints one line; FIRST is
 //                                   the target of a request before it on the
 //                                   connection, or -; BODY is the size of the
-//                                   request's body
+//                                   request's body; KEY in the environment is
+//                                   the caller's key
 //   stand-in burst ADDRESS HOST TARGET COUNT DEADLINE_MS
 //                                   sends COUNT requests at once; prints how
 //                                   many were served, refused and not answered
@@ -167,12 +168,15 @@
     aWords.size() > 9 ? static_cast<std::size_t>(std::atoll(aWords[9].c_str()))
                       : 2,
     'b');
+  const char* const key = std::getenv("KEY");
+  const std::string authorization =
+    key == nullptr ? "" : "\r\nAuthorization: Token " + std::string(key);
   const auto send = [&](const std::string& aTarget, const std::string& aId) {
-    connection.Send("POST " + aTarget + " HTTP/1.1\r\nHost: " + aWords[3] +
-                    "\r\nRequest-Id: " + aId +
-                    "\r\nDeadline-Ms: " + std::to_string(deadline) +
-                    "\r\nContent-Length: " + std::to_string(body.size()) +
-                    "\r\n\r\n" + body);
+    connection.Send(
+      "POST " + aTarget + " HTTP/1.1\r\nHost: " + aWords[3] +
+      "\r\nRequest-Id: " + aId +
+      "\r\nDeadline-Ms: " + std::to_string(deadline) + authorization +
+      "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
   };
   if (aWords.size() > 8 && aWords[8] != "-") {
     Message first;
