Log how a relayed request was authenticated, and by which revision

Neither logs nor metrics told them from requests without a key: RequestSent had no account, a request without a key was refused as "unknown key" on routes that need one, and the revision of a line is that of the send, not that of the lookup.

Change: KeyState (unchecked, none, held, unknown, unconfirmed) of each request, set where its key is looked up; RequestSent, RequestRefused and RequestPassed have key_state, key_revision and account; relay_keys_total counts by state; "no key" is a reason of its own. The lookup moves to RelayAccounts.cpp. No decision changes: statuses are as before.

--- a/src/include/fulmarquay/serve/RelayFlow.h
+++ b/src/include/fulmarquay/serve/RelayFlow.h
@@ -7,6 +7,7 @@
 #include "fulmarquay/route/RouteTable.h"
 #include "fulmarquay/serve/EntryContext.h"
 #include "fulmarquay/serve/EventStreamSplitter.h"
+#include "fulmarquay/serve/KeyState.h"
 #include "fulmarquay/serve/LoadExchange.h"
 #include "fulmarquay/serve/Neighbours.h"
 #include "fulmarquay/serve/OriginExchange.h"
@@ -193,6 +194,8 @@
   std::size_t BlockedParts() const { return m_partWatch.BlockedCount(); }
 
 private:
+  using LogFields = std::vector<std::pair<std::string, std::string>>;
+
   /// A caller's request from arrival to completion.
   struct ActiveRequest
   {
@@ -200,6 +203,8 @@
     RelayRequest m_request;
     RouteRule m_rule;
     std::string m_routeName;
+    KeyState m_keyState = KeyState::Unchecked;
+    Revision m_keyRevision; ///< of the document in which its key was looked up
     std::string m_account;
     bool m_isIsolated = false; ///< its account was, when it arrived
     std::string m_cacheScope;  ///< sent to its worker
@@ -259,7 +264,12 @@
   void UpdateStartup();
   /// Whether the stores' contents and the workers' loads are known.
   bool HasStoresAndLoads() const;
+  /// Sets the account and what follows from it, or refuses the request.
   bool Authenticate(ActiveRequest& aActive, const RouteRule& aRule);
+  /// Looks the request's key up and records the result.
+  RouteTable::Account LookUpKey(ActiveRequest& aActive);
+  /// Adds to a log line how the request was authenticated.
+  static void AppendKeyFields(const ActiveRequest& aActive, LogFields& aFields);
   const PoolShare& ChoosePool(const ActiveRequest& aActive) const;
   /// Chooses the worker, now that the pool is known.
   void Accept(ActiveRequest& aActive, const PoolId& aPool);
--- a/src/libserve/RelayConstants.h
+++ b/src/libserve/RelayConstants.h
@@ -22,6 +22,9 @@
 constexpr std::size_t kMaxResponseBytes = 64U << 20U;
 /// With less time left, a worker cannot produce an answer.
 constexpr Duration kMinTimeLeft(5'000);
+/// Retry-After while the entry starts or has lost its leader: most of the
+/// duration of an election.
+constexpr Duration kStartupRetryAfter(1'000'000);
 /// Retry-After when all workers are busy: some running requests complete within
 /// this time.
 constexpr Duration kBusyRetryAfter(150'000);
--- a/src/libserve/RelayFlow.cpp
+++ b/src/libserve/RelayFlow.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-/// Retry-After while the entry starts or has lost its leader: most of the
-/// duration of an election.
-constexpr Duration kStartupRetryAfter(1'000'000);
 /// Bounds the requests held during startup: a few hundred ms of a busy entry's
 /// load, and little memory with bodies of some KB.
 constexpr std::size_t kMaxWaitingForStartup = 400;
@@ -348,46 +345,6 @@
   Place(aActive);
 }
 
-bool
-RelayFlow::Authenticate(ActiveRequest& aActive, const RouteRule& aRule)
-{
-  const std::string& key = aActive.m_request.m_key;
-  const bool needsKey =
-    m_routes.Document().m_needsKeys && !aRule.m_allowsAnonymous;
-  // Also on a route that needs none, a key names an account with a name, a
-  // cache and a priority of its own, which only a confirmed document proves.
-  // Unknown keys are no exception: the document may lack a new account.
-  if ((needsKey || !key.empty()) && !HasKeyLease()) {
-    Refuse(aActive,
-           kStatusUnavailable,
-           "keys not confirmed",
-           kStartupRetryAfter,
-           PassRefusal::Elsewhere);
-    return false;
-  }
-  if (key.empty() && !needsKey) {
-    return true;
-  }
-  const RouteTable::Account account = m_routes.FindAccount(Sha256Hex(key));
-  if (account.m_rule == nullptr) {
-    if (needsKey) {
-      Refuse(aActive,
-             kStatusUnauthorized,
-             "unknown key",
-             Duration(0),
-             PassRefusal::Elsewhere);
-    }
-    return !needsKey;
-  }
-  aActive.m_account = std::string(account.m_name);
-  aActive.m_isIsolated = account.m_rule->m_isIsolated;
-  aActive.m_allowedRegions.AddRule(account.m_rule->m_allowedRegions);
-  if (account.m_rule->m_priority >= 0) {
-    aActive.m_priority = account.m_rule->m_priority;
-  }
-  return true;
-}
-
 const PoolShare&
 RelayFlow::ChoosePool(const ActiveRequest& aActive) const
 {
--- a/src/libserve/RelayPassing.cpp
+++ b/src/libserve/RelayPassing.cpp
@@ -91,16 +91,18 @@
   BeginCall(aActive, std::move(call));
   m_neighbours.OnPassed(peer->m_vm);
   m_context.Counters().Count("relay_passed_total", "");
-  m_context.Log(LogEvent::RequestPassed,
-                { { "id", aActive.m_request.m_id },
-                  { "entry", peer->m_vm.Value() },
-                  { "pool", aActive.m_pool.Value() },
-                  { "why", aReason },
-                  { "pass", std::to_string(aActive.m_passCount) },
-                  { "attempts", std::to_string(parameters.m_attempts) },
-                  { "after_event", std::to_string(parameters.m_lastEventId) },
-                  { "age_ms", FormatMillis(Age(aActive)) },
-                  { "left_ms", FormatMillis(left) } });
+  LogFields fields = { { "id", aActive.m_request.m_id },
+                       { "entry", peer->m_vm.Value() },
+                       { "pool", aActive.m_pool.Value() },
+                       { "why", aReason },
+                       { "pass", std::to_string(aActive.m_passCount) },
+                       { "attempts", std::to_string(parameters.m_attempts) },
+                       { "after_event",
+                         std::to_string(parameters.m_lastEventId) },
+                       { "age_ms", FormatMillis(Age(aActive)) },
+                       { "left_ms", FormatMillis(left) } };
+  AppendKeyFields(aActive, fields);
+  m_context.Log(LogEvent::RequestPassed, std::move(fields));
   return true;
 }
 
--- a/src/libserve/RelayResponses.cpp
+++ b/src/libserve/RelayResponses.cpp
@@ -491,20 +491,22 @@
                              "reason=\"" + aReason + "\"");
   const WorkerTable::Counts workers =
     m_workers.CountsOf(m_context.Now(), aActive.m_pool);
-  m_context.Log(
-    LogEvent::RequestRefused,
-    { { "id", aActive.m_request.m_id },
-      { "status", std::to_string(aStatus) },
-      { "reason", aReason },
-      { "route", aActive.m_routeName },
-      { "worker", aActive.m_worker.Value() },
-      { "worker_status", std::to_string(aActive.m_workerHead.m_status) },
-      { "revision", std::to_string(m_routes.Document().m_revision.Value()) },
-      { "keys", HasKeyLease() ? "confirmed" : "unconfirmed" },
-      { "pool", aActive.m_pool.Value() },
-      { "listed", std::to_string(workers.m_listed) },
-      { "unreached", std::to_string(workers.m_unreached) },
-      { "age_ms", FormatMillis(Age(aActive)) } });
+  LogFields fields = {
+    { "id", aActive.m_request.m_id },
+    { "status", std::to_string(aStatus) },
+    { "reason", aReason },
+    { "route", aActive.m_routeName },
+    { "worker", aActive.m_worker.Value() },
+    { "worker_status", std::to_string(aActive.m_workerHead.m_status) },
+    { "revision", std::to_string(m_routes.Document().m_revision.Value()) },
+    { "keys", HasKeyLease() ? "confirmed" : "unconfirmed" },
+    { "pool", aActive.m_pool.Value() },
+    { "listed", std::to_string(workers.m_listed) },
+    { "unreached", std::to_string(workers.m_unreached) },
+    { "age_ms", FormatMillis(Age(aActive)) }
+  };
+  AppendKeyFields(aActive, fields);
+  m_context.Log(LogEvent::RequestRefused, std::move(fields));
   HttpResponse response =
     m_protocol.Refuse(aActive.m_request, { aStatus, aReason, aRetryAfter });
   if (aActive.m_isFromPeer) {
@@ -557,14 +559,13 @@
 void
 RelayFlow::LogAnswered(const ActiveRequest& aActive, int aStatus)
 {
-  std::vector<std::pair<std::string, std::string>> fields = {
-    { "id", aActive.m_request.m_id },
-    { "status", std::to_string(aStatus) },
-    { "worker", aActive.m_worker.Value() },
-    { "entry", aActive.m_neighbour.Value() },
-    { "event", std::to_string(aActive.m_eventSplitter.LastId()) },
-    { "age_ms", FormatMillis(Age(aActive)) }
-  };
+  LogFields fields = { { "id", aActive.m_request.m_id },
+                       { "status", std::to_string(aStatus) },
+                       { "worker", aActive.m_worker.Value() },
+                       { "entry", aActive.m_neighbour.Value() },
+                       { "event",
+                         std::to_string(aActive.m_eventSplitter.LastId()) },
+                       { "age_ms", FormatMillis(Age(aActive)) } };
   if (aActive.m_firstEventAt != TimePoint()) {
     // A stream is late because of a late first event or a long gap between
     // events.
--- a/src/libserve/RelaySend.cpp
+++ b/src/libserve/RelaySend.cpp
@@ -208,30 +208,31 @@
   aWorker.m_pendingPrefillTokens += aActive.m_pendingPrefillTokens;
   aWorker.m_heldTokens += aActive.m_heldTokens;
   BeginCall(aActive, std::move(call));
-  m_context.Log(
-    LogEvent::RequestSent,
-    { { "id", aActive.m_request.m_id },
-      { "route", aActive.m_routeName },
-      { "revision", std::to_string(m_routes.Document().m_revision.Value()) },
-      { "worker", parameters.m_worker },
-      { "software", aWorker.m_info.m_software.Value() },
-      { "resumes", aActive.m_request.m_resumes },
-      { "list", std::to_string(m_workers.Number()) },
-      { "send", std::to_string(aActive.m_sendCount) },
-      { "after_event", std::to_string(parameters.m_lastEventId) },
-      { "weights", std::to_string(parameters.m_weights) },
-      { "newest",
-        std::to_string(m_weights.NewestOf(aActive.m_request.m_model)) },
-      { "superseded_ms",
-        m_weights.FormatAge(
-          m_context.Now(), aActive.m_request.m_model, parameters.m_weights) },
-      { "uncached", std::to_string(aActive.m_pendingPrefillTokens) },
-      { "fetch", std::to_string(FetchTokens(parameters)) },
-      { "stores", boost::algorithm::join(aActive.m_stores, ",") },
-      { "running", std::to_string(aWorker.m_running) },
-      { "held", std::to_string(aWorker.m_heldTokens) },
-      { "age_ms", FormatMillis(Age(aActive)) },
-      { "left_ms", FormatMillis(parameters.m_timeLeft) } });
+  LogFields fields = {
+    { "id", aActive.m_request.m_id },
+    { "route", aActive.m_routeName },
+    { "revision", std::to_string(m_routes.Document().m_revision.Value()) },
+    { "worker", parameters.m_worker },
+    { "software", aWorker.m_info.m_software.Value() },
+    { "resumes", aActive.m_request.m_resumes },
+    { "list", std::to_string(m_workers.Number()) },
+    { "send", std::to_string(aActive.m_sendCount) },
+    { "after_event", std::to_string(parameters.m_lastEventId) },
+    { "weights", std::to_string(parameters.m_weights) },
+    { "newest", std::to_string(m_weights.NewestOf(aActive.m_request.m_model)) },
+    { "superseded_ms",
+      m_weights.FormatAge(
+        m_context.Now(), aActive.m_request.m_model, parameters.m_weights) },
+    { "uncached", std::to_string(aActive.m_pendingPrefillTokens) },
+    { "fetch", std::to_string(FetchTokens(parameters)) },
+    { "stores", boost::algorithm::join(aActive.m_stores, ",") },
+    { "running", std::to_string(aWorker.m_running) },
+    { "held", std::to_string(aWorker.m_heldTokens) },
+    { "age_ms", FormatMillis(Age(aActive)) },
+    { "left_ms", FormatMillis(parameters.m_timeLeft) }
+  };
+  AppendKeyFields(aActive, fields);
+  m_context.Log(LogEvent::RequestSent, std::move(fields));
 }
 
 void
--- a/src/libserve/relay_test.h
+++ b/src/libserve/relay_test.h
@@ -288,6 +288,23 @@
             { "resumes", aResumes } });
   }
 
+  /// A field of the last line of this event; empty: it has none.
+  std::string LoggedField(LogEvent aEvent, const std::string& aName) const
+  {
+    for (auto line = m_lines.rbegin(); line != m_lines.rend(); ++line) {
+      if (line->m_event != aEvent) {
+        continue;
+      }
+      for (const auto& [name, value] : line->m_fields) {
+        if (name == aName) {
+          return value;
+        }
+      }
+      return "";
+    }
+    return "";
+  }
+
   /// The id of the last request.
   std::string LastId() const { return "r" + std::to_string(m_caller); }
 
@@ -350,6 +367,8 @@
         ++m_answers;
       } else if (std::holds_alternative<CancelCall>(effect)) {
         ++m_cancels;
+      } else if (auto* line = std::get_if<LogLine>(&effect)) {
+        m_lines.push_back(std::move(*line));
       }
     }
   }
@@ -366,6 +385,7 @@
   std::uint64_t m_caller = 0;
   std::vector<HttpCall> m_calls;
   std::vector<HttpCall> m_probes;
+  std::vector<LogLine> m_lines;
   int m_status = 0;
   std::string m_body;
   std::string m_retryAfterMs;
