Refuse requests with an unknown key on routes that need none

Cause: RelayFlow::Authenticate took a key without an account for a missing key wherever no key is needed. Such a request also ran without the isolation, the allowed regions and the priority of the account that its caller assumes.

Change: a request that brings a key runs only for the account that has it; the route decides only whether a key is needed. That holds for a document without a list of accounts too: it needs no key and proves none. Without the key lease the answer stays 503, as the document may lack a new account. No message, record or command changes.

Weighed: 401 only where the document has a list of accounts. A document that drops its list would then run the requests of an isolated account in the shared cache.

One row of relay/refusals_by_route_and_key asserted the fault (an unknown key on the open route runs); it now expects 401.

--- a/src/libserve/RelayAccounts.cpp
+++ b/src/libserve/RelayAccounts.cpp
@@ -9,14 +9,15 @@
 bool
 RelayFlow::Authenticate(ActiveRequest& aActive, const RouteRule& aRule)
 {
-  const std::string& key = aActive.m_request.m_key;
+  const RouteTable::Account account = LookUpKey(aActive);
   const bool needsKey =
     m_routes.Document().m_needsKeys && !aRule.m_allowsAnonymous;
-  const RouteTable::Account account = LookUpKey(aActive);
-  // Also on a route that needs none, a key names an account with a name, a
-  // cache and a priority of its own, which only a confirmed document proves.
-  // Unknown keys are no exception: the document may lack a new account.
-  if ((needsKey || !key.empty()) && !HasKeyLease()) {
+  if (aActive.m_keyState == KeyState::None && !needsKey) {
+    return true;
+  }
+  // Only a confirmed document proves which account a key has, or that it has
+  // none: the document may lack a new account.
+  if (!HasKeyLease()) {
     Refuse(aActive,
            kStatusUnavailable,
            "keys not confirmed",
@@ -24,18 +25,16 @@
            PassRefusal::Elsewhere);
     return false;
   }
-  if (key.empty() && !needsKey) {
-    return true;
-  }
+  // An unknown key is refused on a route that needs none, too. Run as an
+  // anonymous one, the request would lose the isolation, the allowed regions
+  // and the priority of the account that its caller assumes.
   if (account.m_rule == nullptr) {
-    if (needsKey) {
-      Refuse(aActive,
-             kStatusUnauthorized,
-             key.empty() ? "no key" : "unknown key",
-             Duration(0),
-             PassRefusal::Elsewhere);
-    }
-    return !needsKey;
+    Refuse(aActive,
+           kStatusUnauthorized,
+           aActive.m_keyState == KeyState::None ? "no key" : "unknown key",
+           Duration(0),
+           PassRefusal::Elsewhere);
+    return false;
   }
   aActive.m_account = std::string(account.m_name);
   aActive.m_isIsolated = account.m_rule->m_isIsolated;
@@ -60,9 +59,9 @@
       account.m_rule == nullptr ? KeyState::Unknown : KeyState::Held;
   }
   aActive.m_keyRevision = m_routes.Document().m_revision;
-  m_context.Counters().Count(
-    "relay_keys_total",
-    "state=\"" + std::string(NameOf(aActive.m_keyState)) + "\"");
+  m_context.Counters().Count("relay_keys_total",
+                             "state=\"" +
+                               std::string(NameOf(aActive.m_keyState)) + "\"");
   return account;
 }
 
--- a/src/libserve/relay_test.cpp
+++ b/src/libserve/relay_test.cpp
@@ -149,7 +149,7 @@
     { "/none/x", "key", true, 404 },    { "/once/x", "key", false, 503 },
     { "/open/x", "", false, 0 },        { "/none/x", "key", false, 503 },
     { "/open/x", "key", false, 503 },   { "/once/x", "other", false, 503 },
-    { "/open/x", "key", true, 0 },      { "/open/x", "other", true, 0 },
+    { "/open/x", "key", true, 0 },      { "/open/x", "other", true, 401 },
     { "/open/x", "other", false, 503 },
   };
   for (const Case& each : cases) {
