Read account keys from all Authorization headers, with schemes in any case

What callers saw: on a route that needs no key, a request with "token KEY", or with the key in a second Authorization header, ran as an anonymous one, whether its key was held, revoked or unknown; one with two keys ran for the first of them. On a route that needs a key, a held key in such a spelling got 401.

Cause: the key was what follows "Token " in the first Authorization header; every other spelling counted as no key. The own interface compared "Bearer " in the same way.

Change: FindCredentials reads the credentials of one scheme from all Authorization headers: the scheme in any case, blanks around the key dropped, equal ones once. A request with several keys has no clear account and gets 400, whatever its route, with or without a lease; the own interface refuses it with 401. A scheme without a key, and other schemes, are no key.

--- a/src/include/fulmarquay/serve/KeyState.h
+++ b/src/include/fulmarquay/serve/KeyState.h
@@ -12,6 +12,7 @@
   None,        ///< the request carries no key
   Held,        ///< an account of the document in force has the key
   Unknown,     ///< no account of the document in force has the key
+  Ambiguous,   ///< the request brings several keys
   Unconfirmed, ///< the entry has no key lease, so its document may be outdated
 };
 
--- a/src/include/fulmarquay/serve/RelayRequest.h
+++ b/src/include/fulmarquay/serve/RelayRequest.h
@@ -63,8 +63,10 @@
 {
   std::string m_id; ///< chosen by the caller for this attempt
   std::string m_host;
-  std::string m_path;    ///< without the query
-  std::string m_key;     ///< account key; empty: none sent
+  std::string m_path; ///< without the query
+  std::string m_key;  ///< account key; empty: none sent
+  /// It brings other keys too, so that its account is not clear.
+  bool m_hasSeveralKeys = false;
   Duration m_deadline{}; ///< how long the caller waits; 0: not given
   std::string m_model;
   std::int64_t m_promptTokens = 0;
--- a/src/include/fulmarquay/wire/HttpMessage.h
+++ b/src/include/fulmarquay/wire/HttpMessage.h
@@ -4,6 +4,7 @@
 #include "fulmarquay/core/Units.h"
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace fulmarquay {
@@ -43,6 +44,12 @@
 std::string
 FindHeader(const std::vector<HttpHeader>& aHeaders, const std::string& aName);
 
+/// Returns the credentials of all Authorization headers with this scheme
+/// (case-insensitive), without the blanks around them, each one once.
+std::vector<std::string>
+FindCredentials(const std::vector<HttpHeader>& aHeaders,
+                std::string_view aScheme);
+
 } // namespace fulmarquay
 
 #endif
--- a/src/libserve/EntryNode.cpp
+++ b/src/libserve/EntryNode.cpp
@@ -14,7 +14,7 @@
 
 constexpr const char* kChatPath = "/v1/chat/completions";
 constexpr const char* kServicesPath = "/v1/services/";
-constexpr const char* kBearerPrefix = "Bearer ";
+constexpr const char* kKeyScheme = "Bearer";
 constexpr Duration kRetryAfter(1'000'000);
 /// Time before the end of the process in which the last answers are sent.
 constexpr Duration kAnswerTime(500'000);
@@ -382,14 +382,13 @@
 const AccountConfig*
 EntryNode::Authenticate(const HttpRequest& aRequest) const
 {
-  const std::string header = FindHeader(aRequest.m_headers, "Authorization");
-  if (!header.starts_with(kBearerPrefix)) {
+  const std::vector<std::string> keys =
+    FindCredentials(aRequest.m_headers, kKeyScheme);
+  if (keys.size() != 1) {
     return nullptr;
   }
-  const std::string hash = Sha256Hex(
-    std::string_view(header).substr(std::string(kBearerPrefix).size()));
   const auto& accounts = m_config.Current()->m_accountsByKeyHash;
-  const auto found = accounts.find(hash);
+  const auto found = accounts.find(Sha256Hex(keys.front()));
   return found == accounts.end() ? nullptr : &found->second;
 }
 
--- a/src/libserve/KeyState.cpp
+++ b/src/libserve/KeyState.cpp
@@ -14,6 +14,8 @@
       return "held";
     case KeyState::Unknown:
       return "unknown";
+    case KeyState::Ambiguous:
+      return "ambiguous";
     case KeyState::Unconfirmed:
       return "unconfirmed";
   }
--- a/src/libserve/RelayAccounts.cpp
+++ b/src/libserve/RelayAccounts.cpp
@@ -15,6 +15,10 @@
   if (aActive.m_keyState == KeyState::None && !needsKey) {
     return true;
   }
+  if (aActive.m_keyState == KeyState::Ambiguous) {
+    Refuse(aActive, kStatusBadRequest, "several keys", Duration(0));
+    return false;
+  }
   // Only a confirmed document proves which account a key has, or that it has
   // none: the document may lack a new account.
   if (!HasKeyLease()) {
@@ -52,6 +56,8 @@
   const RouteTable::Account account = m_routes.FindAccount(Sha256Hex(key));
   if (key.empty()) {
     aActive.m_keyState = KeyState::None;
+  } else if (aActive.m_request.m_hasSeveralKeys) {
+    aActive.m_keyState = KeyState::Ambiguous;
   } else if (!HasKeyLease()) {
     aActive.m_keyState = KeyState::Unconfirmed;
   } else {
--- a/src/libserve/accounts_test.cpp
+++ b/src/libserve/accounts_test.cpp
@@ -178,3 +178,18 @@
   cr_assert_eq(entry.m_status, 401);
   cr_assert_eq(entry.m_calls.size(), 1U);
 }
+
+// Guards against requests that run for the first of several keys, although
+// another one was revoked.
+Test(accounts, a_request_with_several_keys_is_invalid_on_every_route)
+{
+  Entry entry;
+  OpenAllRoutes(entry);
+  for (const char* path : kPaths) {
+    cr_assert_eq(StatusOf(entry, path, "key,other"), 400, "%s", path);
+  }
+  cr_assert_eq(entry.LoggedField(LogEvent::RequestRefused, "key_state"),
+               "ambiguous");
+  entry.AdvanceTicks(4'100);
+  cr_assert_eq(StatusOf(entry, "/open/x", "key,other"), 400, "no lease");
+}
--- a/src/libserve/relay_test.h
+++ b/src/libserve/relay_test.h
@@ -32,6 +32,7 @@
     request.m_host = "h";
     request.m_path = aRequest.m_target;
     request.m_key = FindHeader(aRequest.m_headers, "key");
+    request.m_hasSeveralKeys = request.m_key.find(',') != std::string::npos;
     request.m_model = m_model;
     request.m_promptTokens = 100;
     request.m_parts = { { "shared", 80 }, { "own", 20 } };
