Don't take an entry that rejects a passed request for one without workers

An entry that reaches no worker passes requests on. If a neighbour's document has another account or route (a change is under way), its 401 or 404 counted as "reaches no worker of the pool": the neighbour got no request of any account for that pool for 0.5 s, and was chosen last for 10 s. 401 on open routes makes this more frequent.

Cause: RelayFlow::OnPassRefused judged by the kind of the refusal alone (Elsewhere), which also stands for "another document may allow it".

Change: a refusal with a 4xx status concerns the request and says nothing about the neighbour's workers. The request still goes to another neighbour, and its caller gets 503, never the neighbour's 401. No message changes.

Evidence: relay_passing/a_refused_key_is_no_sign_that_a_neighbour_reaches_no_worker failed before (the next request was refused, no neighbour left) and passes now.

--- a/src/libserve/RelayPassing.cpp
+++ b/src/libserve/RelayPassing.cpp
@@ -161,7 +161,11 @@
   const TimePoint now = m_context.Now();
   // No worker received the request.
   --aActive.m_sendCount;
-  if (aRefusal == PassRefusal::Elsewhere) {
+  // Another account or route in its document says nothing about its workers.
+  const int status = aActive.m_workerHead.m_status;
+  const bool isRejected =
+    status >= kStatusBadRequest && status < kStatusServerError;
+  if (aRefusal == PassRefusal::Elsewhere && !isRejected) {
     m_neighbours.OnUnreached(now, aActive.m_neighbour, aActive.m_pool);
   } else if (aRefusal == PassRefusal::Busy) {
     m_neighbours.OnBusy(now, aActive.m_neighbour, aActive.m_pool);
--- a/src/libserve/relay_passing_test.cpp
+++ b/src/libserve/relay_passing_test.cpp
@@ -87,6 +87,28 @@
 
 } // namespace
 
+// Guards against a neighbour whose document lacks an account and that then gets
+// no requests of others.
+Test(relay_passing, a_refused_key_is_no_sign_that_a_neighbour_reaches_no_worker)
+{
+  for (const int status : { 400, 401, 404 }) {
+    CutOffEntry entry;
+    entry.ConfirmCut();
+    entry.SendPassed("/once/x");
+    const Endpoint first = entry.m_calls.back().m_peer;
+    entry.AnswerOfPeer(status, "", { PassRefusal::Elsewhere, "", "", "" });
+    cr_assert(IsToPeer(entry.m_calls.back()), "another one is asked");
+    cr_assert(entry.m_calls.back().m_peer != first);
+    cr_assert_eq(entry.m_answers, 0, "the refusal is not answered");
+    entry.RefusalOfPeer(PassRefusal::Elsewhere);
+    entry.RefusalOfPeer(PassRefusal::Elsewhere);
+    cr_assert_eq(entry.m_status, 503);
+    entry.SendRequest("/once/x");
+    cr_assert_eq(entry.m_answers, 1, "status %d", status);
+    cr_assert(entry.m_calls.back().m_peer == first);
+  }
+}
+
 Test(relay_passing, after_two_unreachable_workers_requests_are_passed_on)
 {
   CutOffEntry entry;
