Requests without a key belong to no account

If a document has an account with an empty key, all requests without a key on routes that need one ran for that account.

Cause: the missing key was looked up like a key, by the hash of the empty text.

Change: only a key that the request brings is looked up.

Evidence: accounts/a_request_without_a_key_has_no_account failed before (the request was sent to a worker) and passes now.

--- a/src/libserve/RelayAccounts.cpp
+++ b/src/libserve/RelayAccounts.cpp
@@ -53,7 +53,8 @@
 RelayFlow::LookUpKey(ActiveRequest& aActive)
 {
   const std::string& key = aActive.m_request.m_key;
-  const RouteTable::Account account = m_routes.FindAccount(Sha256Hex(key));
+  const RouteTable::Account account =
+    key.empty() ? RouteTable::Account() : m_routes.FindAccount(Sha256Hex(key));
   if (key.empty()) {
     aActive.m_keyState = KeyState::None;
   } else if (aActive.m_request.m_hasSeveralKeys) {
--- a/src/libserve/accounts_test.cpp
+++ b/src/libserve/accounts_test.cpp
@@ -193,3 +193,16 @@
   entry.AdvanceTicks(4'100);
   cr_assert_eq(StatusOf(entry, "/open/x", "key,other"), 400, "no lease");
 }
+
+// Guards against a document with an empty key, to whose account all requests
+// without a key would belong.
+Test(accounts, a_request_without_a_key_has_no_account)
+{
+  Entry entry;
+  ChangeDocument(entry, [](RouteDocument& aDocument) {
+    aDocument.m_accounts["acc"].m_keyHashes = { Sha256Hex("") };
+  });
+  cr_assert_eq(StatusOf(entry, "/once/x", ""), 401);
+  cr_assert_eq(StatusOf(entry, "/open/x", ""), 0);
+  cr_assert_eq(entry.m_protocol.m_sentParameters.back().m_account, "");
+}
